Add the workspace, the pure core and the schema of messages

Cause: the project starts; later work grows these parts, so the layout comes first. Change: a workspace of six crates, havengrade_core with configuration replay, claims, ledger, cascades, selection and sessions as pure functions, and havengrade_rpc with thrift schemas and committed generated code. Conclusion: the router's services can be built on these types.

--- /dev/null
+++ b/havengrade_core/src/config/file.rs
@@ -0,0 +1,130 @@
+//! Change files: what an operator writes, reviews and applies.
+
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu, ensure};
+
+use crate::config::{
+    Account, Base, Cascade, Change, Config, Endpoint, Invalid, Item, MigrationRule, ModelVersion, RequestClass,
+    Rollout, Scope, ScopedChange, SessionKey, validate,
+};
+
+/// Why a change file can't be used.
+#[derive(Debug, Snafu)]
+pub enum FileError {
+    /// The file is not TOML, or a key in it is unknown or of the wrong type.
+    #[snafu(display("change file: {source}"))]
+    Malformed {
+        /// What the TOML reader says.
+        source: toml::de::Error,
+    },
+    /// The file holds no change.
+    #[snafu(display("change file: it holds no change; add a table such as [[account]] or [[remove]]"))]
+    Empty,
+    /// A scope stands in the file twice.
+    #[snafu(display("change file: {}", faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")))]
+    Twice {
+        /// One fault a scope.
+        faults: Vec<Invalid>,
+    },
+}
+
+/// A change file in TOML: the items as they should stand afterwards.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ChangeFile {
+    /// Versions of models to create or replace.
+    pub version: Vec<ModelVersion>,
+    /// Endpoints to create or replace.
+    pub endpoint: Vec<Endpoint>,
+    /// Cascades to create or replace.
+    pub cascade: Vec<Cascade>,
+    /// Request classes to create or replace.
+    pub class: Vec<RequestClass>,
+    /// Client accounts to create or replace.
+    pub account: Vec<Account>,
+    /// Keys for session tokens to create or replace.
+    pub session_key: Vec<SessionKey>,
+    /// Migration rules to create or replace.
+    pub migration: Vec<MigrationRule>,
+    /// Roll-outs to create or replace.
+    pub rollout: Vec<Rollout>,
+    /// Items to remove.
+    pub remove: Vec<Scope>,
+}
+
+/// How one scope differs between the configuration in force and a change file.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Difference {
+    /// The scope.
+    pub scope: Scope,
+    /// The item in force, if there is one.
+    pub before: Option<Item>,
+    /// The item afterwards, unless it is removed.
+    pub after: Option<Item>,
+}
+
+impl ChangeFile {
+    /// Reads a change file.
+    ///
+    /// # Errors
+    ///
+    /// [`FileError`] names the key at fault and what to do about it.
+    ///
+    /// ```
+    /// use havengrade_core::config::ChangeFile;
+    ///
+    /// let text = "[[remove]]\nkind = \"endpoint\"\nname = \"engine-7\"\n";
+    /// assert_eq!(ChangeFile::parse(text).unwrap().remove.len(), 1);
+    /// assert!(ChangeFile::parse("[[acount]]\n").unwrap_err().to_string().contains("acount"));
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, FileError> {
+        let file: Self = toml::from_str(text).context(MalformedSnafu)?;
+        let scopes: Vec<(Scope, Base)> = file.changes().iter().map(|change| (change.scope(), Base::Any)).collect();
+        ensure!(!scopes.is_empty(), EmptySnafu);
+        let faults = validate::scopes_once(&scopes);
+        ensure!(faults.is_empty(), TwiceSnafu { faults });
+        Ok(file)
+    }
+
+    /// The changes that lead from the configuration to the file, each with its base.
+    pub fn against(&self, cfg: &Config) -> Vec<ScopedChange> {
+        let differs = |change: &Change| match change {
+            Change::Put { item } => cfg.item(&item.scope()).as_ref() != Some(item),
+            Change::Remove { .. } | Change::Withdraw { .. } => true,
+        };
+        self.changes()
+            .into_iter()
+            .filter(differs)
+            .map(|change| ScopedChange { base: cfg.base_of(&change.scope()), change })
+            .collect()
+    }
+
+    fn changes(&self) -> Vec<Change> {
+        let mut items: Vec<Item> = Vec::new();
+        items.extend(self.version.iter().cloned().map(Item::Version));
+        items.extend(self.endpoint.iter().cloned().map(Item::Endpoint));
+        items.extend(self.cascade.iter().cloned().map(Item::Cascade));
+        items.extend(self.class.iter().cloned().map(Item::Class));
+        items.extend(self.account.iter().cloned().map(Item::Account));
+        items.extend(self.session_key.iter().cloned().map(Item::SessionKey));
+        items.extend(self.migration.iter().cloned().map(Item::Migration));
+        items.extend(self.rollout.iter().cloned().map(Item::Rollout));
+        let puts = items.into_iter().map(|item| Change::Put { item });
+        puts.chain(self.remove.iter().cloned().map(|scope| Change::Remove { scope })).collect()
+    }
+}
+
+impl Difference {
+    /// How the changes would alter the configuration, a scope each.
+    pub fn list(cfg: &Config, changes: &[ScopedChange]) -> Vec<Self> {
+        let after = |change: &Change| match change {
+            Change::Put { item } => Some(item.clone()),
+            Change::Remove { .. } | Change::Withdraw { .. } => None,
+        };
+        let difference = |scoped: &ScopedChange| {
+            let scope = scoped.change.scope();
+            Self { before: cfg.item(&scope), after: after(&scoped.change), scope }
+        };
+        changes.iter().map(difference).collect()
+    }
+}
--- /dev/null
+++ b/havengrade_core/src/config/validate.rs
@@ -0,0 +1,241 @@
+//! What makes a configuration valid, with a remedy for each fault.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    config::{
+        Account, Base, Cascade, Change, Config, EndpointKind, Item, MigrationRule, MigrationState, Rollout, Scope,
+        ScopeKind, SessionKey, VersionState,
+    },
+    secret,
+};
+
+/// A fault of a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Invalid {
+    /// Field that is at fault, from its scope down.
+    pub field: String,
+    /// What is wrong and what to do about it.
+    pub remedy: String,
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.field, self.remedy)
+    }
+}
+
+/// Largest share or score, in thousandths.
+const WHOLE: u32 = 1000;
+
+fn fault(field: String, remedy: impl Into<String>) -> Invalid {
+    Invalid { field, remedy: remedy.into() }
+}
+
+/// Faults that lie in the step from one configuration to the next.
+pub(crate) fn transition(before: &Config, change: &Change) -> Vec<Invalid> {
+    let scope = change.scope();
+    match change {
+        Change::Put { item: Item::Version(item) } => {
+            let was_withdrawn =
+                before.versions.get(&item.id).is_some_and(|version| version.state == VersionState::Withdrawn);
+            if was_withdrawn && item.state == VersionState::Active {
+                return vec![fault(
+                    format!("{scope}.state"),
+                    "a withdrawn version stays so; add a new version instead",
+                )];
+            }
+            Vec::new()
+        },
+        Change::Remove { scope } if before.item(scope).is_none() => {
+            vec![fault(scope.to_string(), "it does not exist; leave it out of the change")]
+        },
+        Change::Withdraw { version } if !before.versions.contains_key(version) => {
+            vec![fault(scope.to_string(), "no such version; `havengradectl show versions` lists them")]
+        },
+        Change::Put { .. } | Change::Remove { .. } | Change::Withdraw { .. } => Vec::new(),
+    }
+}
+
+/// Faults of a whole configuration.
+pub(crate) fn config(cfg: &Config) -> Vec<Invalid> {
+    let mut faults = Vec::new();
+    cfg.accounts.values().for_each(|item| check_account(cfg, item, &mut faults));
+    cfg.cascades.values().for_each(|item| check_cascade(cfg, item, &mut faults));
+    cfg.migrations.values().for_each(|item| check_migration(cfg, item, &mut faults));
+    cfg.rollouts.values().for_each(|item| check_rollout(cfg, item, &mut faults));
+    cfg.session_keys.values().for_each(|item| check_session_key(item, &mut faults));
+    check_versions(cfg, &mut faults);
+    check_classes(cfg, &mut faults);
+    check_endpoints(cfg, &mut faults);
+    faults
+}
+
+fn check_account(cfg: &Config, item: &Account, faults: &mut Vec<Invalid>) {
+    let field = |name: &str| format!("account {}.{name}", item.id);
+    if item.id.is_empty() || item.id.contains('.') {
+        faults.push(fault(field("id"), "must be a name without a dot, since the dot ends it in a key"));
+    }
+    if secret::parse_digest(&item.key_sha256).is_none() {
+        faults.push(fault(field("key_sha256"), "must be 64 hexadecimal digits, as `havengradectl hash-key` prints"));
+    }
+    if item.max_concurrent == 0 {
+        faults.push(fault(field("max_concurrent"), "must be 1 or more; remove the account to stop it"));
+    }
+    if item.requests_per_second == 0 {
+        faults.push(fault(field("requests_per_second"), "must be 1 or more; remove the account to stop it"));
+    }
+    if item.weight == 0 {
+        faults.push(fault(field("weight"), "must be 1 or more"));
+    }
+    for class in &item.classes {
+        if !cfg.classes.contains_key(class) {
+            faults.push(fault(field("classes"), format!("names class {class}, which does not exist; add it first")));
+        }
+    }
+    for version in &item.versions {
+        let known = match version.strip_suffix("@*") {
+            Some(model) => cfg.versions.values().any(|known| known.model == model),
+            None => cfg.versions.contains_key(version),
+        };
+        if !known {
+            faults.push(fault(field("versions"), format!("names {version}, which does not exist; add it first")));
+        }
+    }
+}
+
+fn check_versions(cfg: &Config, faults: &mut Vec<Invalid>) {
+    for item in cfg.versions.values() {
+        if item.id.split_once('@').is_none_or(|(model, version)| model != item.model || version.is_empty()) {
+            let remedy = format!("must be its model and a version, as in {}@1", item.model);
+            faults.push(fault(format!("version {}.id", item.id), remedy));
+        }
+        if item.prior_quality > WHOLE {
+            faults.push(fault(format!("version {}.prior_quality", item.id), "must be 0 to 1000 thousandths"));
+        }
+    }
+}
+
+fn check_classes(cfg: &Config, faults: &mut Vec<Invalid>) {
+    for item in cfg.classes.values() {
+        if item.deadline_ms == 0 {
+            faults.push(fault(format!("class {}.deadline_ms", item.id), "must be 1 or more"));
+        }
+        if let Some(cascade) = &item.cascade
+            && !cfg.cascades.contains_key(cascade)
+        {
+            let remedy = format!("names cascade {cascade}, which does not exist; add it first");
+            faults.push(fault(format!("class {}.cascade", item.id), remedy));
+        }
+    }
+}
+
+fn check_endpoints(cfg: &Config, faults: &mut Vec<Invalid>) {
+    for item in cfg.endpoints.values() {
+        if item.capacity == 0 {
+            faults.push(fault(format!("endpoint {}.capacity", item.id), "must be 1 or more"));
+        }
+        if let EndpointKind::Engine { versions } = &item.kind {
+            for version in versions.iter().filter(|version| !cfg.versions.contains_key(*version)) {
+                let remedy = format!("names {version}, which does not exist; add it first");
+                faults.push(fault(format!("endpoint {}.versions", item.id), remedy));
+            }
+        }
+    }
+}
+
+fn check_cascade(cfg: &Config, item: &Cascade, faults: &mut Vec<Invalid>) {
+    let field = |name: &str| format!("cascade {}.{name}", item.id);
+    if item.steps.is_empty() {
+        faults.push(fault(field("steps"), "must name one version or more, from cheap to strong"));
+    }
+    for version in item.steps.iter().filter(|version| !cfg.versions.contains_key(*version)) {
+        faults.push(fault(field("steps"), format!("names {version}, which does not exist; add it first")));
+    }
+    if item.quality_target > WHOLE {
+        faults.push(fault(field("quality_target"), "must be 0 to 1000 thousandths"));
+    }
+    if item.explore > WHOLE {
+        faults.push(fault(field("explore"), "must be 0 to 1000 thousandths"));
+    }
+}
+
+fn check_migration(cfg: &Config, item: &MigrationRule, faults: &mut Vec<Invalid>) {
+    let field = |name: &str| format!("migration {}.{name}", item.name());
+    if !cfg.classes.contains_key(&item.class) {
+        faults.push(fault(field("class"), format!("class {} does not exist; add it first", item.class)));
+    }
+    if let Some(account) = &item.account
+        && !cfg.accounts.contains_key(account)
+    {
+        faults.push(fault(field("account"), format!("account {account} does not exist; add it first")));
+    }
+    if let MigrationState::Scripts { endpoint } = &item.state {
+        let is_scripts = cfg.endpoints.get(endpoint).is_some_and(|found| found.kind == EndpointKind::Scripts);
+        if !is_scripts {
+            faults.push(fault(field("endpoint"), format!("{endpoint} is no endpoint of kind scripts; add it first")));
+        }
+    }
+}
+
+fn check_rollout(cfg: &Config, item: &Rollout, faults: &mut Vec<Invalid>) {
+    let field = |name: &str| format!("rollout {}.{name}", item.id);
+    for (name, version) in [("from", &item.from), ("to", &item.to)] {
+        if !cfg.versions.contains_key(version) {
+            faults.push(fault(field(name), format!("version {version} does not exist; add it first")));
+        }
+    }
+    if item.from == item.to {
+        faults.push(fault(field("to"), "must differ from `from`"));
+    }
+    let rising = item.steps.windows(2).all(|pair| pair[0] < pair[1]);
+    if item.steps.is_empty() || !rising || item.steps.iter().any(|step| *step > WHOLE) {
+        faults.push(fault(field("steps"), "must be rising shares of up to 1000 thousandths"));
+    }
+    if item.step >= item.steps.len() {
+        faults.push(fault(field("step"), "must be the index of one of the steps"));
+    }
+    let others = cfg.rollouts.values().filter(|other| other.id != item.id && other.from == item.from);
+    for other in others {
+        faults.push(fault(field("from"), format!("roll-out {} replaces it too; remove one of them", other.id)));
+    }
+}
+
+fn check_session_key(item: &SessionKey, faults: &mut Vec<Invalid>) {
+    /// Fewest bytes of a secret that signs sessions.
+    const MIN_SECRET: usize = 16;
+    let long_enough = hex::decode(&item.secret_hex).is_ok_and(|secret| secret.len() >= MIN_SECRET);
+    if !long_enough {
+        let field = format!("session_key {}.secret_hex", item.id);
+        faults.push(fault(field, "must be 32 hexadecimal digits or more"));
+    }
+    if item.id.is_empty() || item.id.contains('.') {
+        faults.push(fault(format!("session_key {}.id", item.id), "must be a name without a dot"));
+    }
+}
+
+/// Faults that a change file can show before any record is written.
+pub(crate) fn scopes_once(scopes: &[(Scope, Base)]) -> Vec<Invalid> {
+    let mut seen = std::collections::BTreeSet::new();
+    scopes
+        .iter()
+        .filter(|(scope, _)| !seen.insert(scope.clone()))
+        .map(|(scope, _)| fault(scope.to_string(), "stands twice in the file; keep one"))
+        .collect()
+}
+
+impl ScopeKind {
+    /// All kinds, in the order in which they are shown.
+    pub const ALL: [Self; 8] = [
+        Self::Account,
+        Self::Version,
+        Self::Endpoint,
+        Self::Class,
+        Self::Cascade,
+        Self::SessionKey,
+        Self::Migration,
+        Self::Rollout,
+    ];
+}
--- /dev/null
+++ b/havengrade_core/src/decision.rs
@@ -0,0 +1,261 @@
+//! The decision about one request: who may ask, and who answers.
+
+use std::time::{Duration, SystemTime};
+
+use rand::Rng;
+use snafu::{OptionExt as _, ResultExt as _, Snafu, ensure};
+
+use crate::{
+    cascade,
+    config::{Account, Catalog, Endpoint, MigrationState, RequestClass},
+    evidence::Evidence,
+    ids::{ClassId, EndpointId, ServiceId, SessionId, VersionId},
+    rollout, secret,
+    selection::{self, EndpointStates, Wanted},
+    session::{self, SessionError},
+};
+
+/// What a request says of itself.
+#[derive(Clone, Debug, Default)]
+pub struct RequestMeta {
+    /// Request class.
+    pub class: ClassId,
+    /// Plain service that is called; none for chat.
+    pub service: Option<ServiceId>,
+    /// Version that the caller insists on.
+    pub version: Option<VersionId>,
+    /// Session token, as the caller sent it.
+    pub session_token: Option<String>,
+    /// Id by which a roll-out places the request: the session's or the request's.
+    pub subject: SessionId,
+    /// Whether the request has an idempotency key.
+    pub has_key: bool,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// To model engines, over these versions in order.
+    Engines {
+        /// Versions to try, from where the cascade starts.
+        ladder: Vec<VersionId>,
+    },
+    /// To a plain service.
+    Service {
+        /// Name of the service.
+        service: ServiceId,
+    },
+    /// To the scripts that still serve it.
+    Scripts {
+        /// The scripts' endpoint.
+        endpoint: EndpointId,
+    },
+}
+
+/// What was decided about a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decision {
+    /// Where it goes.
+    pub route: Route,
+    /// Its class.
+    pub class: RequestClass,
+    /// Time that it has from its arrival.
+    pub deadline: Duration,
+    /// Whether its version is pinned by a session.
+    pub is_pinned: bool,
+    /// Whether it must hold a claim before it is sent.
+    pub needs_claim: bool,
+}
+
+/// Why a request is not served; none of these ran.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum Refusal {
+    /// No key, or one that fits no client account.
+    #[snafu(display("Authorization: the key is missing or unknown; send `Bearer <account>.<secret>`"))]
+    Unauthenticated,
+    /// The class does not exist.
+    #[snafu(display("X-Havengrade-Class: class {class} does not exist; name one of the account's classes"))]
+    UnknownClass {
+        /// The class.
+        class: ClassId,
+    },
+    /// The client account may not use the class.
+    #[snafu(display("X-Havengrade-Class: the client account may not use class {class}; ask your operator for it"))]
+    ClassNotAllowed {
+        /// The class.
+        class: ClassId,
+    },
+    /// The client account may not use the version, or it is withdrawn.
+    #[snafu(display("model: the client account may not use {version}, or it is withdrawn; leave it out"))]
+    VersionNotAllowed {
+        /// The version.
+        version: VersionId,
+    },
+    /// No version of the cascade is allowed and in use.
+    #[snafu(display("class {class}: no version of its cascade is both in use and allowed for the client account"))]
+    NoVersion {
+        /// The class.
+        class: ClassId,
+    },
+    /// The class is not one of plain services, or the other way round.
+    #[snafu(display("X-Havengrade-Class: class {class} does not fit this call; use the path that it is meant for"))]
+    WrongPath {
+        /// The class.
+        class: ClassId,
+    },
+    /// The service does not exist.
+    #[snafu(display("service {service} has no endpoint; name one that `havengradectl show endpoint` lists"))]
+    UnknownService {
+        /// The service.
+        service: ServiceId,
+    },
+    /// The request may not be repeated and has no key.
+    #[snafu(display("Idempotency-Key: class {class} may not be repeated; send a key that is new for each request"))]
+    KeyNeeded {
+        /// The class.
+        class: ClassId,
+    },
+    /// The session token can't be used.
+    #[snafu(display("X-Havengrade-Session: {source}"))]
+    BadSession {
+        /// What is wrong with it.
+        source: SessionError,
+    },
+    /// The session's version was withdrawn or is no longer allowed.
+    #[snafu(display("X-Havengrade-Session: the session's version {version} was withdrawn; open a new session"))]
+    SessionEnded {
+        /// The version.
+        version: VersionId,
+    },
+}
+
+/// Finds the client account of a key, `account.secret`.
+///
+/// # Errors
+///
+/// [`Refusal::Unauthenticated`], which takes as long for an unknown account as for a wrong secret.
+pub fn authenticate<'a>(catalog: &'a Catalog, key: &str) -> Result<&'a Account, Refusal> {
+    let id = key.split('.').next().unwrap_or_default();
+    let account = catalog.config.accounts.get(id);
+    let stored = account.map_or("", |account| account.key_sha256.as_str());
+    let fits = secret::matches(key, stored);
+    account.filter(|_| fits).context(UnauthenticatedSnafu)
+}
+
+/// Decides where a client account's request goes.
+///
+/// # Errors
+///
+/// [`Refusal`] names the field at fault and the remedy; the request did not run.
+pub fn decide(
+    catalog: &Catalog,
+    account: &Account,
+    meta: &RequestMeta,
+    evidence: &Evidence,
+    rng: &mut dyn Rng,
+    now: SystemTime,
+) -> Result<Decision, Refusal> {
+    let class = class_of(catalog, account, &meta.class)?;
+    ensure!(class.repeatable || meta.has_key, KeyNeededSnafu { class: &class.id });
+    let (route, is_pinned) = route(catalog, account, class, meta, evidence, rng, now)?;
+    Ok(Decision {
+        route,
+        class: class.clone(),
+        deadline: Duration::from_millis(class.deadline_ms),
+        is_pinned,
+        needs_claim: !class.repeatable || class.durable,
+    })
+}
+
+fn class_of<'a>(catalog: &'a Catalog, account: &Account, class: &ClassId) -> Result<&'a RequestClass, Refusal> {
+    let found = catalog.config.classes.get(class).context(UnknownClassSnafu { class })?;
+    ensure!(account.classes.contains(class), ClassNotAllowedSnafu { class });
+    Ok(found)
+}
+
+fn route(
+    catalog: &Catalog,
+    account: &Account,
+    class: &RequestClass,
+    meta: &RequestMeta,
+    evidence: &Evidence,
+    rng: &mut dyn Rng,
+    now: SystemTime,
+) -> Result<(Route, bool), Refusal> {
+    let rule = catalog.config.migration(&class.id, &account.id);
+    if let Some(MigrationState::Scripts { endpoint }) = rule.map(|rule| &rule.state) {
+        return Ok((Route::Scripts { endpoint: endpoint.clone() }, false));
+    }
+    if let Some(service) = &meta.service {
+        ensure!(class.cascade.is_none(), WrongPathSnafu { class: &class.id });
+        ensure!(!catalog.services(service).is_empty(), UnknownServiceSnafu { service });
+        return Ok((Route::Service { service: service.clone() }, false));
+    }
+    if let Some(token) = &meta.session_token {
+        let version = pinned(catalog, account, class, token, now)?;
+        return Ok((Route::Engines { ladder: vec![version] }, true));
+    }
+    let ladder = ladder(catalog, account, class, meta, evidence, rng)?;
+    Ok((Route::Engines { ladder }, false))
+}
+
+fn pinned(
+    catalog: &Catalog,
+    account: &Account,
+    class: &RequestClass,
+    token: &str,
+    now: SystemTime,
+) -> Result<VersionId, Refusal> {
+    let session = session::verify(token, &catalog.config, &account.id, &class.id, now).context(BadSessionSnafu)?;
+    let version = session.version;
+    let usable = catalog.config.is_active(&version) && account.allows(&version);
+    ensure!(usable, SessionEndedSnafu { version });
+    Ok(version)
+}
+
+fn ladder(
+    catalog: &Catalog,
+    account: &Account,
+    class: &RequestClass,
+    meta: &RequestMeta,
+    evidence: &Evidence,
+    rng: &mut dyn Rng,
+) -> Result<Vec<VersionId>, Refusal> {
+    let cfg = &catalog.config;
+    if let Some(version) = &meta.version {
+        ensure!(account.allows(version) && cfg.is_active(version), VersionNotAllowedSnafu { version });
+        return Ok(vec![version.clone()]);
+    }
+    let cascade = class.cascade.as_ref().and_then(|cascade| cfg.cascades.get(cascade));
+    let cascade = cascade.context(WrongPathSnafu { class: &class.id })?;
+    let planned = cascade::plan(cfg, account, &class.id, cascade, evidence, rng.next_u64());
+    ensure!(!planned.versions.is_empty(), NoVersionSnafu { class: &class.id });
+    let place = |version: &VersionId| rollout::substitute(cfg, account, version, &meta.subject);
+    Ok(planned.versions.iter().map(place).collect())
+}
+
+/// Chooses the endpoint for a version of the ladder, a service or the scripts.
+///
+/// The version is looked at again, since it may have been withdrawn after the request was decided.
+pub fn endpoint<'a>(
+    catalog: &'a Catalog,
+    route: &Route,
+    version: Option<&VersionId>,
+    states: &dyn EndpointStates,
+    wanted: Wanted<'_>,
+    rng: &mut dyn Rng,
+) -> Option<&'a Endpoint> {
+    match (route, version) {
+        (Route::Engines { .. }, Some(version)) if catalog.config.is_active(version) => {
+            selection::choose(catalog, catalog.engines(version), states, wanted, rng)
+        },
+        (Route::Engines { .. }, _) => None,
+        (Route::Service { service }, _) => selection::choose(catalog, catalog.services(service), states, wanted, rng),
+        (Route::Scripts { endpoint }, _) => catalog
+            .config
+            .endpoints
+            .get(endpoint)
+            .filter(|found| !wanted.tried.contains(&found.id) && states.state(&found.id).is_usable(wanted.now)),
+    }
+}
--- /dev/null
+++ b/havengrade_core/src/lib.rs
@@ -0,0 +1,24 @@
+//! The decisions of havengrade: pure functions and state machines without input or output.
+//!
+//! Every function that decides takes the present time as an argument, and every agreed state is a
+//! pure function of records in the offset order of the platform's log service.
+
+#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
+#![cfg_attr(test, allow(clippy::unwrap_used))]
+
+pub mod admission;
+pub mod billing;
+pub mod cascade;
+pub mod claim;
+pub mod config;
+pub mod cost;
+pub mod decision;
+pub mod drain;
+pub mod evidence;
+pub mod ids;
+pub mod ledger;
+pub mod membership;
+pub mod rollout;
+pub mod secret;
+pub mod selection;
+pub mod session;
--- /dev/null
+++ b/havengrade_core/src/secret.rs
@@ -0,0 +1,45 @@
+//! Keys of callers and operators: kept as digests, compared in constant time.
+
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq as _;
+
+/// Bytes of a SHA-256 digest.
+pub const DIGEST_LEN: usize = 32;
+
+/// A SHA-256 digest.
+pub type Digest = [u8; DIGEST_LEN];
+
+/// The digest of a key or a body.
+///
+/// ```
+/// let digest = havengrade_core::secret::digest(b"gate.s3cret");
+/// assert_eq!(havengrade_core::secret::parse_digest(&hex::encode(digest)), Some(digest));
+/// ```
+pub fn digest(secret: &[u8]) -> Digest {
+    Sha256::digest(secret).into()
+}
+
+/// Reads a digest from 64 hexadecimal digits.
+pub fn parse_digest(text: &str) -> Option<Digest> {
+    let mut digest = Digest::default();
+    hex::decode_to_slice(text, &mut digest).ok()?;
+    Some(digest)
+}
+
+/// Whether the secret has the digest that stands in hexadecimal, in constant time.
+///
+/// A digest that can't be read matches nothing, and takes as long to refuse.
+///
+/// ```
+/// use havengrade_core::secret;
+///
+/// let stored = hex::encode(secret::digest(b"gate.s3cret"));
+/// assert!(secret::matches("gate.s3cret", &stored));
+/// assert!(!secret::matches("gate.guess", &stored));
+/// ```
+pub fn matches(secret: &str, digest_hex: &str) -> bool {
+    let known = parse_digest(digest_hex);
+    let stored = known.unwrap_or_default();
+    let same: bool = digest(secret.as_bytes()).ct_eq(&stored).into();
+    same && known.is_some()
+}
--- /dev/null
+++ b/havengrade_core/src/selection.rs
@@ -0,0 +1,109 @@
+//! Choice of an endpoint among those that can serve a request.
+
+use std::time::SystemTime;
+
+use rand::{Rng, RngExt as _};
+
+use crate::{
+    config::{Catalog, Endpoint},
+    ids::EndpointId,
+};
+
+/// Endpoints that are looked at for one choice.
+pub const CHOICES: usize = 3;
+/// Load that another failure domain adds to an endpoint, in thousandths of its capacity.
+const DISTANCE: u64 = 50;
+/// Thousandths in a whole.
+const WHOLE: u64 = 1000;
+
+/// What is known of an endpoint's state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndpointState {
+    /// Requests that this VM has in progress there.
+    pub in_flight: u32,
+    /// Requests that the endpoint reported, ours included, with a lag.
+    pub reported: u32,
+    /// Requests of ours among the reported ones.
+    pub own_at_report: u32,
+    /// Whether the endpoint leaves, or has fallen silent.
+    pub unavailable: bool,
+    /// Until when the endpoint is passed over after failures.
+    pub ejected_until: Option<SystemTime>,
+}
+
+impl EndpointState {
+    /// Requests that are likely to be there now: the report, corrected by what we did since.
+    pub fn load(&self) -> u32 {
+        (self.reported + self.in_flight).saturating_sub(self.own_at_report)
+    }
+
+    /// Whether it may receive new work.
+    pub fn is_usable(&self, now: SystemTime) -> bool {
+        !self.unavailable && self.ejected_until.is_none_or(|until| until <= now)
+    }
+}
+
+/// Where the states of endpoints are looked up.
+pub trait EndpointStates {
+    /// The state of an endpoint.
+    fn state(&self, endpoint: &str) -> EndpointState;
+}
+
+/// What a choice is made for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Failure domain of the VM that chooses.
+    pub failure_domain: &'a str,
+    /// Endpoints that were tried already.
+    pub tried: &'a [EndpointId],
+    /// The present time.
+    pub now: SystemTime,
+}
+
+/// Chooses an endpoint: the least loaded of a few that are drawn at random.
+///
+/// Where none of the drawn ones is usable, all are looked at.
+pub fn choose<'a>(
+    catalog: &'a Catalog,
+    candidates: &'a [EndpointId],
+    states: &dyn EndpointStates,
+    wanted: Wanted<'_>,
+    rng: &mut dyn Rng,
+) -> Option<&'a Endpoint> {
+    let drawn = draw(candidates, rng);
+    let best = least_loaded(catalog, drawn.iter().flatten().copied(), states, wanted);
+    best.or_else(|| least_loaded(catalog, candidates.iter(), states, wanted))
+}
+
+fn draw<'a>(candidates: &'a [EndpointId], rng: &mut dyn Rng) -> [Option<&'a EndpointId>; CHOICES] {
+    let mut drawn = [None; CHOICES];
+    if candidates.is_empty() {
+        return drawn;
+    }
+    for slot in &mut drawn {
+        *slot = candidates.get(rng.random_range(0..candidates.len()));
+    }
+    drawn
+}
+
+fn least_loaded<'a>(
+    catalog: &'a Catalog,
+    candidates: impl Iterator<Item = &'a EndpointId>,
+    states: &dyn EndpointStates,
+    wanted: Wanted<'_>,
+) -> Option<&'a Endpoint> {
+    candidates
+        .filter(|id| !wanted.tried.contains(id))
+        .filter_map(|id| catalog.config.endpoints.get(id))
+        .map(|endpoint| (endpoint, states.state(&endpoint.id)))
+        .filter(|(_, state)| state.is_usable(wanted.now))
+        .min_by_key(|(endpoint, state)| weight(endpoint, state, wanted.failure_domain))
+        .map(|(endpoint, _)| endpoint)
+}
+
+/// Load in thousandths of the capacity, with a little for the distance.
+fn weight(endpoint: &Endpoint, state: &EndpointState, failure_domain: &str) -> u64 {
+    let load = u64::from(state.load()) * WHOLE / u64::from(endpoint.capacity.max(1));
+    let is_far = endpoint.failure_domain != failure_domain;
+    load + if is_far { DISTANCE } else { 0 }
+}
--- /dev/null
+++ b/havengrade_rpc/src/client.rs
@@ -0,0 +1,40 @@
+//! The blocking client that operators' tools use.
+
+use std::{
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use snafu::ResultExt as _;
+use thrift::{
+    protocol::{TBinaryInputProtocol, TBinaryOutputProtocol},
+    transport::{ReadHalf, TFramedReadTransport, TFramedWriteTransport, TIoChannel as _, TTcpChannel, WriteHalf},
+};
+
+use crate::{
+    RpcError,
+    error::{ConnectionSnafu, MessageSnafu},
+    operators::OperatorsSyncClient,
+};
+
+/// A client of the operators' service.
+pub type OperatorClient = OperatorsSyncClient<
+    TBinaryInputProtocol<TFramedReadTransport<ReadHalf<TTcpChannel>>>,
+    TBinaryOutputProtocol<TFramedWriteTransport<WriteHalf<TTcpChannel>>>,
+>;
+
+/// Connects to a VM's port for operators, waiting up to `timeout` for it and for each answer.
+///
+/// # Errors
+///
+/// [`RpcError::Connection`] where the VM can't be reached.
+pub fn connect(address: SocketAddr, timeout: Duration) -> Result<OperatorClient, RpcError> {
+    let at = address.to_string();
+    let stream = TcpStream::connect_timeout(&address, timeout).context(ConnectionSnafu { address: &at })?;
+    stream.set_read_timeout(Some(timeout)).context(ConnectionSnafu { address: &at })?;
+    stream.set_nodelay(true).context(ConnectionSnafu { address: &at })?;
+    let (read, write) = TTcpChannel::with_stream(stream).split().context(MessageSnafu)?;
+    let input = TBinaryInputProtocol::new(TFramedReadTransport::new(read), true);
+    let output = TBinaryOutputProtocol::new(TFramedWriteTransport::new(write), true);
+    Ok(OperatorsSyncClient::new(input, output))
+}
