--- a/havengrade_core/src/cascade.rs
+++ b/havengrade_core/src/cascade.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     config::{Account, Cascade, Config, ModelVersion},
-    evidence::Evidence,
+    evidence::Totals,
     ids::{Permille, VersionId},
 };
 
@@ -22,7 +22,7 @@
 ///
 /// It starts at the cheapest allowed version whose quality in the class reaches the cascade's target,
 /// or else at the best. `draw` is a random number that decides about exploration.
-pub fn plan(cfg: &Config, account: &Account, class: &str, cascade: &Cascade, evidence: &Evidence, draw: u64) -> Ladder {
+pub fn plan(cfg: &Config, account: &Account, class: &str, cascade: &Cascade, evidence: &Totals, draw: u64) -> Ladder {
     let usable: Vec<&ModelVersion> = cascade
         .steps
         .iter()
@@ -30,7 +30,7 @@
         .filter_map(|version| cfg.versions.get(version))
         .collect();
     let quality = |version: &ModelVersion| -> Permille {
-        evidence.total(class, &version.id).quality(version.prior_quality, PRIOR_WEIGHT)
+        evidence.get(class, &version.id).quality(version.prior_quality, PRIOR_WEIGHT)
     };
     let good_enough = usable.iter().position(|version| quality(version) >= cascade.quality_target);
     let best = (0..usable.len()).max_by_key(|index| quality(usable[*index])).unwrap_or_default();
--- a/havengrade_core/src/claim.rs
+++ b/havengrade_core/src/claim.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::{AccountId, Attempt, EndpointId, Incarnation, RequestId},
+    ids::{AccountId, Attempt, ClassId, EndpointId, Incarnation, RequestId},
     secret::Digest,
 };
 
@@ -32,6 +32,8 @@
     pub holder: Incarnation,
     /// Id of the request.
     pub request_id: RequestId,
+    /// Class of the request.
+    pub class: ClassId,
     /// Digest of the request's body, in hexadecimal.
     pub body_sha256: String,
     /// Endpoint that the holder will send to.
--- a/havengrade_core/src/config/items.rs
+++ b/havengrade_core/src/config/items.rs
@@ -129,6 +129,13 @@
     /// Whether sessions of the class keep their version.
     #[serde(default)]
     pub pins_sessions: bool,
+    /// Time for which a session lasts, in seconds.
+    #[serde(default = "default_session_s")]
+    pub session_s: u64,
+}
+
+fn default_session_s() -> u64 {
+    24 * 3600
 }
 
 /// A cascade from cheap to strong versions.
@@ -277,4 +284,15 @@
         };
         Scope { kind, name }
     }
+
+    /// The item as it may be shown: without the secret of a session key.
+    pub fn without_secrets(self) -> Self {
+        match self {
+            Self::SessionKey(key) => Self::SessionKey(SessionKey { secret_hex: HIDDEN.into(), ..key }),
+            shown => shown,
+        }
+    }
 }
+
+/// What is shown in the place of a secret.
+const HIDDEN: &str = "(hidden)";
--- a/havengrade_core/src/config/state.rs
+++ b/havengrade_core/src/config/state.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// The scopes that are filled or were removed, with the offset of their last change.
+    pub fn scopes(&self) -> impl Iterator<Item = (&Scope, Offset)> {
+        self.revisions.iter().map(|(scope, offset)| (scope, *offset))
+    }
+
     /// What became of a change, if it is remembered.
     pub fn outcome(&self, change_id: &str) -> Option<&ChangeOutcome> {
         self.outcomes.get(change_id)
--- a/havengrade_core/src/config/validate.rs
+++ b/havengrade_core/src/config/validate.rs
@@ -123,6 +123,10 @@
         if item.deadline_ms == 0 {
             faults.push(fault(format!("class {}.deadline_ms", item.id), "must be 1 or more"));
         }
+        if item.pins_sessions && cfg.signing_key().is_none() {
+            let remedy = "needs a session_key with signs = true; add one to the change";
+            faults.push(fault(format!("class {}.pins_sessions", item.id), remedy));
+        }
         if let Some(cascade) = &item.cascade
             && !cfg.cascades.contains_key(cascade)
         {
--- a/havengrade_core/src/decision.rs
+++ b/havengrade_core/src/decision.rs
@@ -8,8 +8,8 @@
 use crate::{
     cascade,
     config::{Account, Catalog, Endpoint, MigrationState, RequestClass},
-    evidence::Evidence,
-    ids::{ClassId, EndpointId, ServiceId, SessionId, VersionId},
+    evidence::Totals,
+    ids::{ClassId, EndpointId, Permille, ServiceId, SessionId, VersionId},
     rollout, secret,
     selection::{self, EndpointStates, Wanted},
     session::{self, SessionError},
@@ -65,6 +65,8 @@
     pub is_pinned: bool,
     /// Whether it must hold a claim before it is sent.
     pub needs_claim: bool,
+    /// Quality below which a whole answer is passed on to the next version; none where it isn't checked.
+    pub check: Option<Permille>,
 }
 
 /// Why a request is not served; none of these ran.
@@ -152,15 +154,17 @@
     catalog: &Catalog,
     account: &Account,
     meta: &RequestMeta,
-    evidence: &Evidence,
+    evidence: &Totals,
     rng: &mut dyn Rng,
     now: SystemTime,
 ) -> Result<Decision, Refusal> {
     let class = class_of(catalog, account, &meta.class)?;
     ensure!(class.repeatable || meta.has_key, KeyNeededSnafu { class: &class.id });
     let (route, is_pinned) = route(catalog, account, class, meta, evidence, rng, now)?;
+    let cascade = class.cascade.as_ref().and_then(|cascade| catalog.config.cascades.get(cascade));
     Ok(Decision {
         route,
+        check: cascade.filter(|cascade| cascade.check_answers).map(|cascade| cascade.quality_target),
         class: class.clone(),
         deadline: Duration::from_millis(class.deadline_ms),
         is_pinned,
@@ -179,7 +183,7 @@
     account: &Account,
     class: &RequestClass,
     meta: &RequestMeta,
-    evidence: &Evidence,
+    evidence: &Totals,
     rng: &mut dyn Rng,
     now: SystemTime,
 ) -> Result<(Route, bool), Refusal> {
@@ -219,7 +223,7 @@
     account: &Account,
     class: &RequestClass,
     meta: &RequestMeta,
-    evidence: &Evidence,
+    evidence: &Totals,
     rng: &mut dyn Rng,
 ) -> Result<Vec<VersionId>, Refusal> {
     let cfg = &catalog.config;
--- a/havengrade_core/src/evidence.rs
+++ b/havengrade_core/src/evidence.rs
@@ -20,7 +20,9 @@
 }
 
 impl Tally {
-    fn plus(&self, other: &Self) -> Self {
+    /// Both tallies together.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
         Self {
             rated: self.rated + other.rated,
             score: self.score + other.score,
@@ -56,11 +58,39 @@
     pub version: VersionId,
 }
 
+/// Tallies summed over all writers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    by_class: HashMap<ClassId, HashMap<VersionId, Tally>>,
+}
+
+impl Totals {
+    /// The tally of a version in a class.
+    pub fn get(&self, class: &str, version: &str) -> Tally {
+        self.by_class.get(class).and_then(|versions| versions.get(version)).copied().unwrap_or_default()
+    }
+
+    fn set(&mut self, subject: &Subject, tally: Tally) {
+        self.by_class.entry(subject.class.clone()).or_default().insert(subject.version.clone(), tally);
+    }
+}
+
 /// The tallies of all VMs that have been heard from.
+///
+/// ```
+/// use havengrade_core::evidence::{Evidence, Subject, Tally};
+///
+/// let subject = Subject { class: "tag".into(), version: "swift@1".into() };
+/// let mut evidence = Evidence::default();
+/// evidence.record(&subject, 1, Tally { ended: 2, ..Tally::default() });
+/// evidence.merge(&subject, 2, Tally { ended: 3, ..Tally::default() });
+/// evidence.merge(&subject, 2, Tally { ended: 1, ..Tally::default() });
+/// assert_eq!(evidence.totals().get("tag", "swift@1").ended, 5);
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
     by_writer: HashMap<Subject, HashMap<Incarnation, Tally>>,
-    totals: HashMap<Subject, Tally>,
+    totals: Totals,
 }
 
 impl Evidence {
@@ -73,7 +103,7 @@
         }
         *known = tally;
         let total = writers.values().fold(Tally::default(), |sum, tally| sum.plus(tally));
-        self.totals.insert(subject.clone(), total);
+        self.totals.set(subject, total);
     }
 
     /// Adds to a writer's own tally.
@@ -88,17 +118,8 @@
         writers.and_then(|writers| writers.get(&writer)).copied().unwrap_or_default()
     }
 
-    /// All tallies of a writer.
-    pub fn all_own(&self, writer: Incarnation) -> Vec<(Subject, Tally)> {
-        let own = |(subject, writers): (&Subject, &HashMap<Incarnation, Tally>)| {
-            writers.get(&writer).map(|tally| (subject.clone(), *tally))
-        };
-        self.by_writer.iter().filter_map(own).collect()
-    }
-
-    /// The tally over all writers.
-    pub fn total(&self, class: &str, version: &str) -> Tally {
-        let subject = Subject { class: class.to_owned(), version: version.to_owned() };
-        self.totals.get(&subject).copied().unwrap_or_default()
+    /// The sums over all writers.
+    pub fn totals(&self) -> &Totals {
+        &self.totals
     }
 }
--- a/havengrade_core/src/ledger.rs
+++ b/havengrade_core/src/ledger.rs
@@ -10,6 +10,7 @@
 use crate::{
     billing::Bill,
     claim::{Claim, ClaimKey, KeyState, Outcome, Verdict},
+    cost::Usage,
     ids::{Attempt, Incarnation, Offset, RequestId},
 };
 
@@ -41,10 +42,50 @@
         /// The bill.
         bill: Option<Bill>,
     },
+    /// A request that ran without a claim in the log, at an endpoint that recognises its key itself.
+    Ran {
+        /// The claim that would have been made.
+        claim: Claim,
+        /// The outcome.
+        outcome: Outcome,
+        /// The bill.
+        bill: Bill,
+    },
     /// The bill of a request without a claim.
     Bill(Bill),
 }
 
+impl LedgerRecord {
+    /// The request that the record is about.
+    pub fn request_id(&self) -> Option<&RequestId> {
+        match self {
+            Self::Claim(claim) | Self::Ran { claim, .. } => Some(&claim.request_id),
+            Self::Void { request_id, .. } | Self::Settle { request_id, .. } => Some(request_id),
+            Self::Bill(bill) => Some(&bill.request_id),
+        }
+    }
+
+    /// The settlement of a claim whose holder is gone: it may have run, and owes nothing that is known.
+    pub fn abandoned(claim: &Claim, now: SystemTime) -> Self {
+        let bill = Bill {
+            request_id: claim.request_id.clone(),
+            account: claim.key.account.clone(),
+            class: claim.class.clone(),
+            version: None,
+            endpoint: claim.endpoint.clone(),
+            usage: Usage::default(),
+            cost: 0,
+            at: now,
+        };
+        Self::Settle {
+            key: claim.key.clone(),
+            request_id: claim.request_id.clone(),
+            outcome: Outcome::MayHaveRun,
+            bill: Some(bill),
+        }
+    }
+}
+
 /// Records that one process appended together.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
@@ -116,10 +157,24 @@
                 }
                 verdict
             },
+            LedgerRecord::Ran { claim, outcome, bill } => self.apply_ran(offset, claim, outcome, bill),
             LedgerRecord::Bill(bill) => self.count(offset, bill),
         }
     }
 
+    fn apply_ran(&mut self, offset: Offset, claim: &Claim, outcome: &Outcome, bill: &Bill) -> Verdict {
+        let state = self.keys.entry(claim.key.clone()).or_default();
+        // It is a fact that it ran, so a refusal that stands before it has no say; another claim has.
+        let held = state.claim.get_or_insert_with(|| claim.clone());
+        if held.request_id != claim.request_id {
+            return Verdict::Claimed { holder: held.holder, request_id: held.request_id.clone() };
+        }
+        let verdict = state.settle(&claim.request_id, outcome);
+        self.requests.insert(claim.request_id.clone(), claim.key.clone());
+        self.count(offset, bill);
+        verdict
+    }
+
     fn apply_claim(&mut self, offset: Offset, claim: &Claim) -> Verdict {
         let verdict = self.keys.entry(claim.key.clone()).or_default().claim(claim);
         if verdict == Verdict::Effective {
--- a/havengrade_core/src/lib.rs
+++ b/havengrade_core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ids;
 pub mod ledger;
 pub mod membership;
+pub mod retry;
 pub mod rollout;
 pub mod secret;
 pub mod selection;
--- a/havengrade_core/src/membership.rs
+++ b/havengrade_core/src/membership.rs
@@ -56,6 +56,8 @@
     pub heartbeat: Option<Heartbeat>,
     /// When that was received.
     pub heard: Option<SystemTime>,
+    /// When we asked for the last heartbeat that it answered; what it knew then it knew no earlier.
+    pub asked: Option<SystemTime>,
 }
 
 /// The VMs of the deployment.
@@ -70,25 +72,31 @@
         let mut old = std::mem::take(&mut self.members);
         for listed in vms {
             let known = old.remove(&listed.id);
-            let (heartbeat, heard) = known.map_or((None, None), |member| (member.heartbeat, member.heard));
-            self.members.insert(listed.id.clone(), Member { listed, heartbeat, heard });
+            let member = match known {
+                Some(member) => Member { listed, ..member },
+                None => Member { listed, heartbeat: None, heard: None, asked: None },
+            };
+            self.members.insert(member.listed.id.clone(), member);
         }
     }
 
     /// Takes a heartbeat; one that is older than the last of the same run is passed over.
-    pub fn hear(&mut self, heartbeat: Heartbeat, now: SystemTime) {
+    ///
+    /// `asked` is when it was asked for, or none where it came unasked.
+    pub fn hear(&mut self, heartbeat: Heartbeat, now: SystemTime, asked: Option<SystemTime>) {
         let Some(member) = self.members.get_mut(&heartbeat.vm) else {
             return;
         };
         let is_old = member
             .heartbeat
             .as_ref()
-            .is_some_and(|last| last.incarnation == heartbeat.incarnation && last.seq >= heartbeat.seq);
+            .is_some_and(|last| last.incarnation == heartbeat.incarnation && last.seq > heartbeat.seq);
         if is_old {
             return;
         }
         member.heartbeat = Some(heartbeat);
         member.heard = Some(now);
+        member.asked = member.asked.max(asked);
     }
 
     /// All listed VMs.
@@ -102,11 +110,20 @@
         self.members.values().filter(is_live)
     }
 
-    /// Whether more than half of the listed VMs, `own` included, were heard from within the limit.
-    pub fn hears_majority(&self, own: &str, limit: Duration, now: SystemTime) -> bool {
-        let heard = self.live(limit, now).filter(|member| member.listed.id != own).count() + 1;
-        let listed = self.members.len().max(1);
-        heard * 2 > listed
+    /// Until when a majority of the listed VMs counts as heard, if it ever was.
+    ///
+    /// Only VMs count that know no record past `own_next`, and only from when they were asked, since a
+    /// heartbeat that came unasked may be old. The VM itself, `own`, always counts.
+    pub fn majority_until(&self, own: &str, own_next: Offset, limit: Duration, now: SystemTime) -> Option<SystemTime> {
+        let knows_nothing_newer =
+            |member: &&Member| member.heartbeat.as_ref().is_some_and(|last| last.config_next <= own_next);
+        let others = self.members.values().filter(|member| member.listed.id != own);
+        let mut asked: Vec<SystemTime> = others.filter(knows_nothing_newer).filter_map(|member| member.asked).collect();
+        asked.sort_unstable_by(|a, b| b.cmp(a));
+        match self.members.len() / 2 {
+            0 => Some(now + limit),
+            needed => asked.get(needed - 1).map(|asked| *asked + limit),
+        }
     }
 }
 
--- a/havengrade_core/src/rollout.rs
+++ b/havengrade_core/src/rollout.rs
@@ -1,10 +1,9 @@
 //! Roll-outs: which requests and sessions go to a new version.
 
-use std::hash::{Hash as _, Hasher as _};
-
 use crate::{
     config::{Account, Config},
     ids::VersionId,
+    secret::spread,
 };
 
 /// Thousandths in a whole.
@@ -28,9 +27,5 @@
 
 /// Where a subject stands between 0 and 999, evenly spread and the same on every VM.
 fn place(rollout: &str, subject: &str) -> u64 {
-    // The hasher of the standard library with fixed keys; all VMs run one build at a time, and a
-    // different build only moves subjects that have no session yet.
-    let mut hasher = std::hash::DefaultHasher::new();
-    (rollout, subject).hash(&mut hasher);
-    hasher.finish() % WHOLE
+    spread(&[rollout, subject]) % WHOLE
 }
--- a/havengrade_core/src/secret.rs
+++ b/havengrade_core/src/secret.rs
@@ -1,4 +1,4 @@
-//! Keys of callers and operators: kept as digests, compared in constant time.
+//! Digests: of keys, which are compared in constant time, and for spreading work evenly.
 
 use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq as _;
@@ -43,3 +43,22 @@
     let same: bool = digest(secret.as_bytes()).ct_eq(&stored).into();
     same && known.is_some()
 }
+
+/// A number that is evenly spread over its range, and the same on every VM and in every build.
+///
+/// ```
+/// use havengrade_core::secret::spread;
+///
+/// assert_eq!(spread(&["a", "b"]), spread(&["a", "b"]));
+/// assert_ne!(spread(&["ab", ""]), spread(&["a", "b"]));
+/// ```
+pub fn spread(parts: &[&str]) -> u64 {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update(part.as_bytes());
+        hasher.update([0]);
+    }
+    let digest: Digest = hasher.finalize().into();
+    let (first, _) = digest.split_first_chunk().unwrap_or((&[0; 8], &[]));
+    u64::from_le_bytes(*first)
+}
--- a/havengrade_core/src/selection.rs
+++ b/havengrade_core/src/selection.rs
@@ -7,6 +7,7 @@
 use crate::{
     config::{Catalog, Endpoint},
     ids::EndpointId,
+    secret::spread,
 };
 
 /// Endpoints that are looked at for one choice.
@@ -75,6 +76,17 @@
     best.or_else(|| least_loaded(catalog, candidates.iter(), states, wanted))
 }
 
+/// The endpoint at which a key belongs, among those that recognise keys: the same on every VM.
+///
+/// An endpoint that is added or removed moves only the keys that come to it or were there.
+pub fn home<'a>(catalog: &'a Catalog, candidates: &[EndpointId], key: &str) -> Option<&'a Endpoint> {
+    candidates
+        .iter()
+        .filter_map(|id| catalog.config.endpoints.get(id))
+        .filter(|endpoint| endpoint.deduplicates)
+        .max_by_key(|endpoint| spread(&[key, &endpoint.id]))
+}
+
 fn draw<'a>(candidates: &'a [EndpointId], rng: &mut dyn Rng) -> [Option<&'a EndpointId>; CHOICES] {
     let mut drawn = [None; CHOICES];
     if candidates.is_empty() {
--- /dev/null
+++ b/havengrade_router/src/endpoints.rs
@@ -0,0 +1,128 @@
+//! The endpoints' states, shared between the threads without a lock.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
+    time::{Duration, SystemTime},
+};
+
+use arc_swap::ArcSwap;
+use havengrade_core::{
+    ids::EndpointId,
+    selection::{EndpointState, EndpointStates},
+};
+
+/// What is known of one endpoint.
+#[derive(Debug, Default)]
+pub struct EndpointSlot {
+    in_flight: AtomicU32,
+    reported: AtomicU32,
+    own_at_report: AtomicU32,
+    is_leaving: AtomicBool,
+    is_silent: AtomicBool,
+    failures: AtomicU32,
+    /// Milliseconds since the Unix epoch; 0 where it is not ejected.
+    ejected_until: AtomicU64,
+}
+
+impl EndpointSlot {
+    fn state(&self) -> EndpointState {
+        let ejected_until = match self.ejected_until.load(Ordering::Relaxed) {
+            0 => None,
+            millis => Some(SystemTime::UNIX_EPOCH + Duration::from_millis(millis)),
+        };
+        EndpointState {
+            in_flight: self.in_flight.load(Ordering::Relaxed),
+            reported: self.reported.load(Ordering::Relaxed),
+            own_at_report: self.own_at_report.load(Ordering::Relaxed),
+            unavailable: self.is_leaving.load(Ordering::Relaxed) || self.is_silent.load(Ordering::Relaxed),
+            ejected_until,
+        }
+    }
+
+    /// Takes over a load report that was asked for when `own` requests of ours were there.
+    pub fn report(&self, load: u32, own: u32) {
+        self.reported.store(load, Ordering::Relaxed);
+        self.own_at_report.store(own.min(load), Ordering::Relaxed);
+        self.is_silent.store(false, Ordering::Relaxed);
+    }
+
+    /// Notes that the endpoint no longer reports.
+    pub fn fall_silent(&self) {
+        self.is_silent.store(true, Ordering::Relaxed);
+    }
+
+    /// Notes whether the endpoint is about to leave.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.is_leaving.store(leaving, Ordering::Relaxed);
+    }
+
+    /// Requests of ours that are in progress there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Notes a try that succeeded.
+    pub fn succeed(&self) {
+        self.failures.store(0, Ordering::Relaxed);
+    }
+
+    /// Notes a try that failed; after `eject_after` in a row the endpoint is passed over for a time.
+    pub fn fail(&self, eject_after: u32, eject_for: Duration, now: SystemTime) {
+        let failures = self.failures.fetch_add(1, Ordering::Relaxed) + 1;
+        if failures >= eject_after {
+            let until = (now + eject_for).duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+            self.ejected_until.store(u64::try_from(until.as_millis()).unwrap_or(u64::MAX), Ordering::Relaxed);
+            self.failures.store(0, Ordering::Relaxed);
+        }
+    }
+}
+
+/// A request in progress at an endpoint; it ends when this is dropped.
+#[derive(Debug)]
+pub struct InFlight {
+    slot: Arc<EndpointSlot>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.slot.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// All endpoints of the configuration.
+#[derive(Debug, Default)]
+pub struct EndpointTable {
+    slots: ArcSwap<HashMap<EndpointId, Arc<EndpointSlot>>>,
+}
+
+impl EndpointTable {
+    /// Takes over the endpoints of a new configuration; known ones keep their state.
+    pub fn configure<'a>(&self, endpoints: impl Iterator<Item = &'a EndpointId>) {
+        let known = self.slots.load();
+        let keep = |id: &EndpointId| (id.clone(), known.get(id).cloned().unwrap_or_default());
+        self.slots.store(Arc::new(endpoints.map(keep).collect()));
+    }
+
+    /// The slot of an endpoint.
+    pub fn slot(&self, endpoint: &str) -> Option<Arc<EndpointSlot>> {
+        self.slots.load().get(endpoint).cloned()
+    }
+
+    /// Notes a request in progress at an endpoint.
+    pub fn enter(&self, endpoint: &str) -> InFlight {
+        let slot = self.slot(endpoint).unwrap_or_default();
+        slot.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight { slot }
+    }
+}
+
+impl EndpointStates for EndpointTable {
+    fn state(&self, endpoint: &str) -> EndpointState {
+        let slots = self.slots.load();
+        slots.get(endpoint).map_or_else(EndpointState::default, |slot| slot.state())
+    }
+}
--- /dev/null
+++ b/havengrade_router/src/kernel.rs
@@ -0,0 +1,145 @@
+//! The micro-kernel: starts services in order, knows them by name only, stops them in reverse.
+
+use std::{sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use ractor::{ActorCell, ActorRef, Message, SpawnErr, registry};
+use snafu::{ResultExt as _, Snafu};
+use tokio_util::sync::CancellationToken;
+
+use crate::{net::Network, platform, shared::Shared};
+
+/// Why a router did not start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum StartError {
+    /// An actor could not be started.
+    #[snafu(display("service {name} did not start: {source}"))]
+    Spawn {
+        /// Name of the service.
+        name: &'static str,
+        /// What the actor library says.
+        source: SpawnErr,
+    },
+    /// A port could not be opened.
+    #[snafu(display("{key} = {address}: {source}; give an address of this VM with a free port"))]
+    Bind {
+        /// Key of the setting.
+        key: &'static str,
+        /// The address.
+        address: std::net::SocketAddr,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// A service that another one needs is not there.
+    #[snafu(display("service {name} is not there"))]
+    Missing {
+        /// Name of the service.
+        name: &'static str,
+    },
+}
+
+/// What every service is given.
+#[derive(Clone)]
+pub struct Context {
+    /// State shared with traffic.
+    pub shared: Arc<Shared>,
+    /// The network.
+    pub network: Arc<dyn Network>,
+    /// The platform's log.
+    pub log: Arc<dyn platform::LogService>,
+    /// The platform's VM list.
+    pub vm_list: Arc<dyn platform::VmList>,
+    /// The rating service, where there is one.
+    pub rating: Option<Arc<dyn platform::Rating>>,
+    /// The HTTP client for endpoints.
+    pub http: crate::http::HttpClient,
+    /// Ends the tasks of traffic.
+    pub end: CancellationToken,
+}
+
+impl Context {
+    /// Finds a service of this VM by its name.
+    pub fn find<M: Message>(&self, name: &str) -> Option<ActorRef<M>> {
+        registry::where_is(self.actor_name(name)).map(ActorRef::from)
+    }
+
+    /// Starts a task of traffic, which ends at the latest when the router does.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let end = self.end.clone();
+        tokio::spawn(async move {
+            end.run_until_cancelled(task).await;
+        });
+    }
+
+    /// The name under which a service's actor is registered; the registry is global to the process.
+    pub fn actor_name(&self, service: &str) -> String {
+        format!("{}/{:x}/{service}", self.shared.vm(), self.shared.incarnation)
+    }
+}
+
+/// A service of the control thread.
+#[async_trait]
+pub trait Service: Send {
+    /// Name under which others find it.
+    fn name(&self) -> &'static str;
+
+    /// Starts its actor.
+    async fn start(&self, cx: &Context) -> Result<ActorCell, StartError>;
+}
+
+/// The services that have been started.
+#[derive(Default)]
+pub struct Kernel {
+    running: Vec<(&'static str, ActorCell)>,
+}
+
+/// Time that a service has to stop.
+const STOP_LIMIT: Duration = Duration::from_secs(2);
+
+impl Kernel {
+    /// Starts services in order; on failure those that run are stopped again.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] of the first service that did not start.
+    pub async fn start(services: Vec<Box<dyn Service>>, cx: &Context) -> Result<Self, StartError> {
+        let mut kernel = Self::default();
+        for service in services {
+            match service.start(cx).await {
+                Ok(actor) => kernel.running.push((service.name(), actor)),
+                Err(error) => {
+                    kernel.stop().await;
+                    return Err(error);
+                },
+            }
+        }
+        Ok(kernel)
+    }
+
+    /// Stops the services in reverse order.
+    pub async fn stop(mut self) {
+        while let Some((name, actor)) = self.running.pop() {
+            if let Err(error) = actor.stop_and_wait(None, Some(STOP_LIMIT)).await {
+                log::warn!(service = name; "service did not stop in time: {error}");
+                actor.kill();
+            }
+        }
+    }
+
+    /// Ends the services at once, as a crash would.
+    pub fn kill(&mut self) {
+        self.running.drain(..).for_each(|(_, actor)| actor.kill());
+    }
+}
+
+/// Starts an actor under its service's name.
+pub(crate) async fn spawn<A: ractor::Actor>(
+    name: &'static str,
+    cx: &Context,
+    actor: A,
+    arguments: A::Arguments,
+) -> Result<ActorCell, StartError> {
+    let started = ractor::Actor::spawn(Some(cx.actor_name(name)), actor, arguments).await;
+    started.map(|(actor, _)| actor.get_cell()).context(SpawnSnafu { name })
+}
--- a/havengrade_router/src/lib.rs
+++ b/havengrade_router/src/lib.rs
@@ -1,1 +1,19 @@
-//! stub
+//! The router: a small kernel, services that find each other by name, and the traffic between callers and endpoints.
+
+#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
+#![cfg_attr(test, allow(clippy::unwrap_used))]
+
+pub mod cli;
+pub mod clock;
+pub mod endpoints;
+pub mod http;
+pub mod kernel;
+pub mod logging;
+pub mod metrics;
+pub mod net;
+pub mod platform;
+pub mod router;
+pub mod services;
+pub mod settings;
+pub mod shared;
+pub mod traffic;
--- /dev/null
+++ b/havengrade_router/src/platform/mod.rs
@@ -0,0 +1,11 @@
+//! The platform's services as trait objects, with adapters over HTTP.
+
+mod log_service;
+mod rating;
+mod vm_list;
+
+pub use self::{
+    log_service::{HttpLogService, LogError, LogRecord, LogService, LogSlice, Stream},
+    rating::{HttpRating, Rating, RatingRequest},
+    vm_list::{HttpVmList, ListedEndpoint, VmList, VmListing},
+};
--- /dev/null
+++ b/havengrade_router/src/platform/rating.rs
@@ -0,0 +1,64 @@
+//! The service that rates answers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_trait::async_trait;
+use havengrade_core::ids::{ClassId, Permille, VersionId};
+use serde::{Deserialize, Serialize};
+
+use crate::http::{HttpClient, HttpError, Reuse, post};
+
+/// An answer to be rated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RatingRequest {
+    /// Request class.
+    pub class: ClassId,
+    /// Version that gave the answer.
+    pub version: VersionId,
+    /// The prompt.
+    pub prompt: String,
+    /// The answer.
+    pub answer: String,
+}
+
+/// The rating service.
+#[async_trait]
+pub trait Rating: Send + Sync {
+    /// Rates an answer, in thousandths.
+    async fn rate(&self, request: &RatingRequest) -> Result<Permille, HttpError>;
+}
+
+/// The rating service over HTTP.
+pub struct HttpRating {
+    client: HttpClient,
+    address: SocketAddr,
+    limit: Duration,
+}
+
+#[derive(Deserialize)]
+struct Rated {
+    score: Permille,
+}
+
+/// Largest answer of the service, in bytes.
+const MAX_ANSWER: usize = 64 << 10;
+
+impl HttpRating {
+    /// The rating service at an address; a call fails after `limit`.
+    pub fn new(client: HttpClient, address: SocketAddr, limit: Duration) -> Self {
+        Self { client, address, limit }
+    }
+}
+
+#[async_trait]
+impl Rating for HttpRating {
+    async fn rate(&self, request: &RatingRequest) -> Result<Permille, HttpError> {
+        let json = serde_json::to_string(request).unwrap_or_default();
+        let call = post(&format!("http://{}/ratings", self.address), json);
+        let answer = self.client.call(self.address, call, Reuse::Allowed, self.limit, MAX_ANSWER).await?;
+        let body = answer.expect_ok(self.address)?;
+        let rated: Rated = serde_json::from_slice(&body)
+            .map_err(|error| HttpError::BrokenOff { address: self.address, reason: error.to_string() })?;
+        Ok(rated.score)
+    }
+}
--- /dev/null
+++ b/havengrade_router/src/platform/vm_list.rs
@@ -0,0 +1,63 @@
+//! The platform's list of live and leaving VMs.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_trait::async_trait;
+use havengrade_core::{ids::EndpointId, membership::ListedVm};
+use serde::{Deserialize, Serialize};
+
+use crate::http::{HttpClient, HttpError, Reuse, get};
+
+/// An endpoint's VM as the platform's list shows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedEndpoint {
+    /// Name of the endpoint.
+    pub id: EndpointId,
+    /// Whether the platform is about to take its VM away.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// The whole list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmListing {
+    /// VMs of our own.
+    pub entries: Vec<ListedVm>,
+    /// VMs of endpoints.
+    pub endpoints: Vec<ListedEndpoint>,
+}
+
+/// The VM list.
+#[async_trait]
+pub trait VmList: Send + Sync {
+    /// Reads the list.
+    async fn read(&self) -> Result<VmListing, HttpError>;
+}
+
+/// The VM list over HTTP.
+pub struct HttpVmList {
+    client: HttpClient,
+    address: SocketAddr,
+    limit: Duration,
+}
+
+/// Largest list, in bytes.
+const MAX_LIST: usize = 16 << 20;
+
+impl HttpVmList {
+    /// The VM list at an address; a read fails after `limit`.
+    pub fn new(client: HttpClient, address: SocketAddr, limit: Duration) -> Self {
+        Self { client, address, limit }
+    }
+}
+
+#[async_trait]
+impl VmList for HttpVmList {
+    async fn read(&self) -> Result<VmListing, HttpError> {
+        let request = get(&format!("http://{}/vms", self.address));
+        let answer = self.client.call(self.address, request, Reuse::Allowed, self.limit, MAX_LIST).await?;
+        let body = answer.expect_ok(self.address)?;
+        serde_json::from_slice(&body)
+            .map_err(|error| HttpError::BrokenOff { address: self.address, reason: error.to_string() })
+    }
+}
--- /dev/null
+++ b/havengrade_router/src/router.rs
@@ -0,0 +1,140 @@
+//! A router as a whole: its services on the control thread and its traffic on others.
+
+use std::{sync::Arc, time::Duration};
+
+use havengrade_core::drain::{DrainState, DrainStep};
+use snafu::ResultExt as _;
+use tokio::{runtime::Handle, time::sleep};
+use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
+
+use crate::{
+    clock::Clock,
+    http::HttpClient,
+    kernel::{BindSnafu, Context, Kernel, Service, StartError},
+    net::Network,
+    platform::{HttpLogService, HttpRating, HttpVmList, LogService, Rating, VmList},
+    services::{
+        config::ConfigService,
+        endpoints::EndpointsService,
+        evidence::EvidenceService,
+        ledger::{self, LedgerMessage, LedgerService},
+        members::MembersService,
+        operators::OperatorsService,
+        peers::PeersService,
+    },
+    settings::Settings,
+    shared::Shared,
+    traffic,
+};
+
+/// Time between two looks at whether a planned stop is over.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+
+/// What a router is built of besides its settings.
+pub struct Parts {
+    /// The network.
+    pub network: Arc<dyn Network>,
+    /// The clock.
+    pub clock: Clock,
+    /// Seed of the random numbers; each run of a process needs another.
+    pub seed: u64,
+}
+
+/// A router that runs.
+pub struct Router {
+    cx: Context,
+    kernel: Kernel,
+    server: AbortOnDropHandle<()>,
+}
+
+impl Router {
+    /// Starts a router: services in the runtime that this is called in, traffic in `traffic`.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] where a port can't be opened or a service does not start.
+    pub async fn start(settings: Settings, parts: Parts, traffic: &Handle) -> Result<Self, StartError> {
+        let cx = context(settings, parts);
+        let address = cx.shared.settings.listen.callers;
+        let callers = cx.network.bind(address).await.context(BindSnafu { key: "listen.callers", address })?;
+        let kernel = Kernel::start(services(), &cx).await?;
+        let server = AbortOnDropHandle::new(traffic.spawn(traffic::serve(cx.clone(), callers)));
+        log::info!(vm = cx.shared.vm().as_str(), callers = address.to_string().as_str(); "router started");
+        Ok(Self { cx, kernel, server })
+    }
+
+    /// What the router's services share.
+    pub fn context(&self) -> &Context {
+        &self.cx
+    }
+
+    /// Waits until a planned stop, begun by a signal or an operator, has let everything end.
+    ///
+    /// Tells whether all requests in progress ended before the limit.
+    pub async fn drained(&self) -> bool {
+        let limit = Duration::from_secs(self.cx.shared.settings.drain.limit_s);
+        let mut state = DrainState::Serving;
+        loop {
+            let now = self.cx.shared.clock.now();
+            if state == DrainState::Serving && self.cx.shared.is_draining() {
+                state = DrainState::Draining { since: now };
+                log::info!(vm = self.cx.shared.vm().as_str(); "drain begins");
+            }
+            match state.step(self.unfinished().await, limit, now) {
+                DrainStep::Serve | DrainStep::Wait => sleep(DRAIN_LOOK).await,
+                DrainStep::Stop => return true,
+                DrainStep::StopLate => return false,
+            }
+        }
+    }
+
+    /// Requests in progress, and one more while something is still to be written to the log.
+    async fn unfinished(&self) -> usize {
+        let in_progress = self.cx.shared.requests.in_progress();
+        let Some(ledger) = self.cx.find::<LedgerMessage>(ledger::NAME) else { return in_progress };
+        let is_empty = ledger.call(LedgerMessage::IsEmpty, None).await;
+        let is_empty = is_empty.ok().and_then(|is_empty| is_empty.success_or(()).ok()).unwrap_or(true);
+        in_progress + usize::from(!is_empty)
+    }
+
+    /// Stops the router in order.
+    pub async fn stop(self) {
+        self.cx.end.cancel();
+        drop(self.server);
+        self.kernel.stop().await;
+        log::info!(vm = self.cx.shared.vm().as_str(); "router stopped");
+    }
+
+    /// Ends the router at once, as a crash would.
+    pub fn kill(mut self) {
+        self.cx.end.cancel();
+        self.kernel.kill();
+    }
+}
+
+fn services() -> Vec<Box<dyn Service>> {
+    vec![
+        Box::new(EvidenceService),
+        Box::new(EndpointsService),
+        Box::new(LedgerService),
+        Box::new(ConfigService),
+        Box::new(PeersService),
+        Box::new(MembersService),
+        Box::new(OperatorsService),
+    ]
+}
+
+fn context(settings: Settings, parts: Parts) -> Context {
+    let connect_timeout = Duration::from_millis(settings.endpoints.connect_timeout_ms);
+    let http = HttpClient::new(parts.network.clone(), connect_timeout);
+    let log_limit = Duration::from_millis(settings.log_service.timeout_ms);
+    let log: Arc<dyn LogService> = Arc::new(HttpLogService::new(http.clone(), settings.log_service.address, log_limit));
+    let vm_list: Arc<dyn VmList> = Arc::new(HttpVmList::new(http.clone(), settings.vm_list.address, log_limit));
+    let rating_limit = Duration::from_millis(settings.rating.timeout_ms);
+    let rating: Option<Arc<dyn Rating>> = settings.rating.enabled.then(|| {
+        let rating = HttpRating::new(http.clone(), settings.rating.address, rating_limit);
+        Arc::new(rating) as Arc<dyn Rating>
+    });
+    let shared = Arc::new(Shared::new(Arc::new(settings), parts.clock, parts.seed));
+    Context { shared, network: parts.network, log, vm_list, rating, http, end: CancellationToken::new() }
+}
--- /dev/null
+++ b/havengrade_router/src/services/members.rs
@@ -0,0 +1,394 @@
+//! The service that knows which VMs live and what each has in force.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, SystemTime},
+};
+
+use async_trait::async_trait;
+use havengrade_core::{
+    evidence::{Subject, Tally},
+    ids::{Incarnation, VmId},
+    membership::{Heartbeat, Member, Membership},
+};
+use havengrade_rpc::peers::{AccountUse, EvidenceTally, PeerFetch, PeerHeartbeat, PeerRecords, PeerReply, PeerRequest};
+use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef, RpcReplyPort};
+use tokio::time::sleep;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::{
+    kernel::{Context, Service, StartError, spawn},
+    platform::{LogRecord, VmListing},
+    services::{
+        config::{self, ConfigMessage},
+        endpoints::{self, EndpointsMessage},
+        evidence::{self, EvidenceMessage},
+        ledger::{self, LedgerMessage},
+        peers::{self, PeersMessage},
+    },
+};
+
+/// Name of the service.
+pub const NAME: &str = "members";
+
+/// Heartbeats after which all of the evidence is sent again.
+const FULL_EVIDENCE_EVERY: u64 = 16;
+/// Configuration records that are asked of a peer at once.
+const FETCH_RECORDS: i32 = 512;
+
+/// What the service is told and asked.
+pub enum MembersMessage {
+    /// The platform's list.
+    Listed(VmListing),
+    /// A heartbeat; its sender is given ours.
+    Heard {
+        /// The heartbeat.
+        heartbeat: PeerHeartbeat,
+        /// When we asked for it; none where it came unasked, and may have been on its way for long.
+        asked: Option<SystemTime>,
+        /// Is given our own heartbeat.
+        reply: Option<RpcReplyPort<PeerHeartbeat>>,
+    },
+    /// All listed VMs, and whether each is heard from.
+    Members(RpcReplyPort<Vec<(Member, bool)>>),
+    /// Time for a heartbeat.
+    Tick,
+}
+
+/// The service.
+pub struct MembersService;
+
+#[async_trait]
+impl Service for MembersService {
+    fn name(&self) -> &'static str {
+        NAME
+    }
+
+    async fn start(&self, cx: &Context) -> Result<ActorCell, StartError> {
+        spawn(NAME, cx, MembersActor, cx.clone()).await
+    }
+}
+
+struct MembersActor;
+
+struct MembersState {
+    cx: Context,
+    membership: Membership,
+    seq: u64,
+    next_peer: usize,
+    /// Counters that changed since the last heartbeat.
+    evidence: Vec<(Subject, Tally)>,
+    /// Requests in progress at other VMs, by VM.
+    uses: HashMap<VmId, Vec<AccountUse>>,
+    calls: Vec<AbortOnDropHandle<()>>,
+    _list: AbortOnDropHandle<()>,
+    _ticker: AbortOnDropHandle<()>,
+}
+
+impl Actor for MembersActor {
+    type Msg = MembersMessage;
+    type State = MembersState;
+    type Arguments = Context;
+
+    async fn pre_start(&self, myself: ActorRef<Self::Msg>, cx: Context) -> Result<MembersState, ActorProcessingErr> {
+        let every = Duration::from_millis(cx.shared.settings.peers.heartbeat_ms);
+        let list = tokio::spawn(poll_list(cx.clone(), myself.clone()));
+        Ok(MembersState {
+            cx,
+            membership: Membership::default(),
+            seq: 0,
+            next_peer: 0,
+            evidence: Vec::new(),
+            uses: HashMap::new(),
+            calls: Vec::new(),
+            _list: AbortOnDropHandle::new(list),
+            _ticker: super::tick(myself, every, || MembersMessage::Tick),
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Self::Msg>,
+        message: MembersMessage,
+        state: &mut MembersState,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            MembersMessage::Listed(listing) => state.listed(listing),
+            MembersMessage::Heard { heartbeat, asked, reply } => {
+                state.heard(heartbeat, asked);
+                if let Some(reply) = reply {
+                    let _ = reply.send(state.heartbeat());
+                }
+            },
+            MembersMessage::Members(reply) => {
+                let _ = reply.send(state.members());
+            },
+            MembersMessage::Tick => state.tick(&myself).await,
+        }
+        Ok(())
+    }
+}
+
+async fn poll_list(cx: Context, service: ActorRef<MembersMessage>) {
+    let every = Duration::from_millis(cx.shared.settings.vm_list.poll_ms);
+    loop {
+        match cx.vm_list.read().await {
+            Ok(listing) => {
+                if service.cast(MembersMessage::Listed(listing)).is_err() {
+                    return;
+                }
+            },
+            Err(error) => log::debug!(service = NAME; "VM list: {error}"),
+        }
+        sleep(every).await;
+    }
+}
+
+impl MembersState {
+    fn silence(&self) -> Duration {
+        Duration::from_millis(self.cx.shared.settings.peers.silence_ms)
+    }
+
+    fn listed(&mut self, listing: VmListing) {
+        if let Some(endpoints) = self.cx.find::<EndpointsMessage>(endpoints::NAME) {
+            let _ = endpoints.cast(EndpointsMessage::Listed(listing.endpoints));
+        }
+        if let Some(peers) = self.cx.find::<PeersMessage>(peers::NAME) {
+            let _ = peers.cast(PeersMessage::Listed(listing.entries.clone()));
+        }
+        self.membership.list(listing.entries);
+    }
+
+    fn members(&self) -> Vec<(Member, bool)> {
+        let now = self.cx.shared.clock.now();
+        let mut own = to_heartbeat(&self.heartbeat());
+        own.seq = u64::MAX;
+        let silence = self.silence();
+        let with_life = |member: &Member| {
+            let mut member = member.clone();
+            if member.listed.id == *self.cx.shared.vm() {
+                member.heartbeat = Some(own.clone());
+                member.heard = Some(now);
+            }
+            let is_live = member.heard.is_some_and(|heard| heard + silence >= now);
+            (member, is_live)
+        };
+        self.membership.members().map(with_life).collect()
+    }
+
+    /// Our own heartbeat.
+    fn heartbeat(&self) -> PeerHeartbeat {
+        let shared = &self.cx.shared;
+        let now = shared.clock.now();
+        let revision = shared.catalog.load().config.revision;
+        let uses: Vec<AccountUse> = shared
+            .admission()
+            .in_progress()
+            .filter(|(_, count)| *count > 0)
+            .map(|(account, count)| AccountUse::new(account.clone(), count.cast_signed()))
+            .collect();
+        let evidence: Vec<EvidenceTally> =
+            self.evidence.iter().map(|(subject, tally)| to_wire(subject, tally)).collect();
+        PeerHeartbeat::new(
+            shared.vm().clone(),
+            shared.incarnation.cast_signed(),
+            self.seq.cast_signed(),
+            shared.config_next().cast_signed(),
+            revision.map(u64::cast_signed),
+            i64::try_from(shared.staleness(now).as_millis()).unwrap_or(i64::MAX),
+            shared.closed(now).is_none(),
+            shared.is_draining(),
+            i32::try_from(shared.requests.in_progress()).unwrap_or(i32::MAX),
+            (!uses.is_empty()).then_some(uses),
+            (!evidence.is_empty()).then_some(evidence),
+        )
+    }
+
+    async fn tick(&mut self, myself: &ActorRef<MembersMessage>) {
+        self.seq += 1;
+        self.calls.retain(|call| !call.is_finished());
+        self.evidence = self.own_evidence().await;
+        self.share_limits();
+        self.judge_majority();
+        self.tell_live();
+        let heartbeat = self.heartbeat();
+        for to in self.choose_peers() {
+            let call = tokio::spawn(send_heartbeat(self.cx.clone(), myself.clone(), to, heartbeat.clone()));
+            self.calls.push(AbortOnDropHandle::new(call));
+        }
+    }
+
+    async fn own_evidence(&self) -> Vec<(Subject, Tally)> {
+        let all = self.seq.is_multiple_of(FULL_EVIDENCE_EVERY);
+        let Some(service) = self.cx.find::<EvidenceMessage>(evidence::NAME) else { return Vec::new() };
+        let own = service.call(|reply| EvidenceMessage::Own { all, reply }, None).await;
+        own.ok().and_then(|own| own.success_or(()).ok()).unwrap_or_default()
+    }
+
+    /// The VMs whose turn it is, a bounded number.
+    fn choose_peers(&mut self) -> Vec<VmId> {
+        let own = self.cx.shared.vm();
+        let others: Vec<&VmId> =
+            self.membership.members().map(|member| &member.listed.id).filter(|id| *id != own).collect();
+        let count = others.len().min(self.cx.shared.settings.peers.fan_out);
+        let chosen = (0..count).map(|step| others[(self.next_peer + step) % others.len()].clone()).collect();
+        self.next_peer = self.next_peer.wrapping_add(count);
+        chosen
+    }
+
+    fn share_limits(&mut self) {
+        let now = self.cx.shared.clock.now();
+        let own = self.cx.shared.vm();
+        let others: Vec<VmId> = self
+            .membership
+            .live(self.silence(), now)
+            .map(|member| member.listed.id.clone())
+            .filter(|id| id != own)
+            .collect();
+        self.cx.shared.set_sharers(u32::try_from(others.len() + 1).unwrap_or(u32::MAX));
+        self.uses.retain(|vm, _| others.contains(vm));
+        let mut sums: BTreeMap<&String, u32> = BTreeMap::new();
+        for usage in self.uses.values().flatten() {
+            *sums.entry(&usage.account).or_default() += usage.in_progress.max(0).cast_unsigned();
+        }
+        let catalog = self.cx.shared.catalog.load();
+        let mut admission = self.cx.shared.admission();
+        for account in catalog.config.accounts.keys() {
+            admission.set_elsewhere(account, sums.get(account).copied().unwrap_or_default());
+        }
+    }
+
+    /// Works out until when a majority counts as heard, none of which knows a newer configuration.
+    fn judge_majority(&self) {
+        let shared = &self.cx.shared;
+        let own_next = shared.config_next();
+        let until = self.membership.majority_until(shared.vm(), own_next, self.silence(), shared.clock.now());
+        if let Some(until) = until {
+            shared.set_majority_until(until);
+            // A VM that starts while the log is away is caught up once a majority knows nothing newer.
+            if until > shared.clock.now() && !shared.is_log_reachable() && own_next > 0 {
+                shared.catch_up();
+            }
+        }
+    }
+
+    fn tell_live(&self) {
+        let now = self.cx.shared.clock.now();
+        let live: Vec<Incarnation> = self
+            .membership
+            .live(self.silence(), now)
+            .filter_map(|member| member.heartbeat.as_ref().map(|heartbeat| heartbeat.incarnation))
+            .collect();
+        if let Some(service) = self.cx.find::<LedgerMessage>(ledger::NAME) {
+            let _ = service.cast(LedgerMessage::Live(live.clone()));
+        }
+        if let Some(service) = self.cx.find::<PeersMessage>(peers::NAME) {
+            let _ = service.cast(PeersMessage::Live(live));
+        }
+    }
+
+    fn heard(&mut self, message: PeerHeartbeat, asked: Option<SystemTime>) {
+        let now = self.cx.shared.clock.now();
+        let heartbeat = to_heartbeat(&message);
+        if let Some(asked) = asked {
+            self.take_freshness(&heartbeat, asked);
+        }
+        if let Some(tallies) = message.evidence
+            && let Some(service) = self.cx.find::<EvidenceMessage>(evidence::NAME)
+        {
+            let tallies = tallies.iter().map(from_wire).collect();
+            let _ = service.cast(EvidenceMessage::Merge(heartbeat.incarnation, tallies));
+        }
+        self.uses.insert(heartbeat.vm.clone(), message.uses.unwrap_or_default());
+        self.fetch_newer(&heartbeat);
+        self.membership.hear(heartbeat, now, asked);
+    }
+
+    /// Takes over a peer's confirmation that nothing newer exists, if we have all that it has.
+    fn take_freshness(&self, heartbeat: &Heartbeat, asked: SystemTime) {
+        if self.cx.shared.config_next() < heartbeat.config_next {
+            return;
+        }
+        if let Some(at) = asked.checked_sub(heartbeat.staleness)
+            && at > SystemTime::UNIX_EPOCH
+        {
+            self.cx.shared.confirm(at);
+        }
+    }
+
+    /// Asks a peer for the records that it has and we have not.
+    fn fetch_newer(&mut self, heartbeat: &Heartbeat) {
+        let own_next = self.cx.shared.config_next();
+        if heartbeat.config_next <= own_next || heartbeat.vm == *self.cx.shared.vm() {
+            return;
+        }
+        let call = tokio::spawn(fetch(self.cx.clone(), heartbeat.vm.clone(), own_next));
+        self.calls.push(AbortOnDropHandle::new(call));
+    }
+}
+
+async fn send_heartbeat(cx: Context, service: ActorRef<MembersMessage>, to: VmId, heartbeat: PeerHeartbeat) {
+    let asked = cx.shared.clock.now();
+    if let Some(PeerReply::Heartbeat(heartbeat)) = call(&cx, to, PeerRequest::Heartbeat(heartbeat)).await {
+        let _ = service.cast(MembersMessage::Heard { heartbeat, asked: Some(asked), reply: None });
+    }
+}
+
+async fn fetch(cx: Context, from: VmId, next: u64) {
+    let request = PeerRequest::Fetch(PeerFetch::new(next.cast_signed(), FETCH_RECORDS));
+    let Some(PeerReply::Records(PeerRecords { records, snapshot, .. })) = call(&cx, from, request).await else {
+        return;
+    };
+    let to_record = |record: havengrade_rpc::peers::PeerRecord| {
+        let data = String::from_utf8(record.record).ok()?;
+        Some(LogRecord { offset: record.offset.cast_unsigned(), data })
+    };
+    let records = records.into_iter().map_while(to_record).collect();
+    let snapshot = snapshot.and_then(|bytes| serde_json::from_slice(&bytes).ok());
+    if let Some(service) = cx.find::<ConfigMessage>(config::NAME) {
+        let _ = service.cast(ConfigMessage::Relayed { records, snapshot });
+    }
+}
+
+/// Sends a request to a VM through the service for peers.
+pub(crate) async fn call(cx: &Context, to: VmId, request: PeerRequest) -> Option<PeerReply> {
+    let peers = cx.find::<PeersMessage>(peers::NAME)?;
+    let reply = peers.call(|reply| PeersMessage::Send { to, request, reply }, None).await;
+    reply.ok()?.success_or(()).ok()
+}
+
+fn to_heartbeat(message: &PeerHeartbeat) -> Heartbeat {
+    Heartbeat {
+        vm: message.vm.clone(),
+        incarnation: message.incarnation.cast_unsigned(),
+        seq: message.seq.cast_unsigned(),
+        config_next: message.config_next.cast_unsigned(),
+        revision: message.revision.map(i64::cast_unsigned),
+        staleness: Duration::from_millis(message.staleness_ms.max(0).cast_unsigned()),
+        ready: message.ready,
+        draining: message.draining,
+        in_progress: message.in_progress.max(0).cast_unsigned(),
+    }
+}
+
+fn to_wire(subject: &Subject, tally: &Tally) -> EvidenceTally {
+    EvidenceTally::new(
+        subject.class.clone(),
+        subject.version.clone(),
+        tally.rated.cast_signed(),
+        tally.score.cast_signed(),
+        tally.ended.cast_signed(),
+        tally.failed.cast_signed(),
+    )
+}
+
+fn from_wire(tally: &EvidenceTally) -> (Subject, Tally) {
+    let subject = Subject { class: tally.request_class.clone(), version: tally.version.clone() };
+    let tally = Tally {
+        rated: tally.rated.cast_unsigned(),
+        score: tally.score.cast_unsigned(),
+        ended: tally.ended.cast_unsigned(),
+        failed: tally.failed.cast_unsigned(),
+    };
+    (subject, tally)
+}
--- /dev/null
+++ b/havengrade_router/src/services/operators.rs
@@ -0,0 +1,387 @@
+//! The service that answers operators.
+
+use std::time::{Duration, SystemTime};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::{SinkExt as _, StreamExt as _};
+use havengrade_core::{
+    config::{
+        Base, Change, ChangeFile, ChangeOutcome, ChangeRecord, Config, ConfigRecord, Difference, Effect, ScopeKind,
+        ScopedChange, VoidReason,
+    },
+    ids::Offset,
+    membership::Member,
+    secret,
+};
+use havengrade_rpc::{
+    OperatorCall, OperatorFault, OperatorReply, OperatorResult, answer_call, frames,
+    operators::{
+        AuditEntry, BadRequest, ChangeReply, ChangeStatus, Credentials, FleetStatus, ItemDifference, Plan, ShownItem,
+        Unauthenticated, Unavailable, VmStatus,
+    },
+    parse_call,
+    peers::{PeerDrain, PeerRequest},
+};
+use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
+use snafu::ResultExt as _;
+use tokio::time::{sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::{
+    kernel::{BindSnafu, Context, Service, StartError, spawn},
+    net::{BoxConnection, Listener},
+    platform::Stream,
+    services::{
+        config::{self, ConfigMessage},
+        members::{self, MembersMessage},
+    },
+};
+
+/// Name of the service.
+pub const NAME: &str = "operators";
+
+/// Time that the log has to show a change.
+const ACCEPT_LIMIT: Duration = Duration::from_secs(3);
+/// Time for which an answer waits until all live VMs have a change in force.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
+/// Time between two looks at what the VMs have in force.
+const IN_FORCE_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which a connection may be idle.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
+/// Records that are read at once for the audit trail.
+const AUDIT_READ: usize = 1000;
+
+/// The service.
+pub struct OperatorsService;
+
+#[async_trait]
+impl Service for OperatorsService {
+    fn name(&self) -> &'static str {
+        NAME
+    }
+
+    async fn start(&self, cx: &Context) -> Result<ActorCell, StartError> {
+        let address = cx.shared.settings.listen.operators;
+        let listener = cx.network.bind(address).await.context(BindSnafu { key: "listen.operators", address })?;
+        spawn(NAME, cx, OperatorsActor, (cx.clone(), listener)).await
+    }
+}
+
+struct OperatorsActor;
+
+impl Actor for OperatorsActor {
+    type Msg = ();
+    type State = AbortOnDropHandle<()>;
+    type Arguments = (Context, Box<dyn Listener>);
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<()>,
+        (cx, listener): Self::Arguments,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        Ok(AbortOnDropHandle::new(tokio::spawn(serve(cx, listener))))
+    }
+}
+
+async fn serve(cx: Context, mut listener: Box<dyn Listener>) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        match listener.accept().await {
+            Ok(connection) => drop(connections.spawn(serve_operator(cx.clone(), connection))),
+            Err(error) => {
+                log::warn!(service = NAME; "connection not accepted: {error}");
+                sleep(super::ACCEPT_PAUSE).await;
+            },
+        }
+    }
+}
+
+async fn serve_operator(cx: Context, connection: BoxConnection) {
+    let mut frames = frames(connection, cx.shared.settings.limits.max_frame_bytes);
+    while let Ok(Some(frame)) = timeout(IDLE_LIMIT, frames.next()).await {
+        let answered = match frame {
+            Ok(frame) => answer_frame(&cx, &frame).await,
+            Err(error) => Err(error.to_string()),
+        };
+        match answered {
+            Ok(reply) => {
+                if frames.send(Bytes::from(reply)).await.is_err() {
+                    return;
+                }
+            },
+            Err(error) => {
+                log::warn!(service = NAME; "connection of an operator closed, since its message can't be read: {error}");
+                return;
+            },
+        }
+    }
+}
+
+async fn answer_frame(cx: &Context, frame: &[u8]) -> Result<Vec<u8>, String> {
+    let (credentials, call) = parse_call(frame).map_err(|error| error.to_string())?;
+    let result = answer(cx, &credentials, call).await;
+    answer_call(frame, result).map_err(|error| error.to_string())
+}
+
+/// Carries out an operator's call.
+///
+/// # Errors
+///
+/// [`OperatorFault`] tells whether the caller, a field or the VM is at fault.
+pub async fn answer(cx: &Context, credentials: &Credentials, call: OperatorCall) -> OperatorResult {
+    let author = authenticate(cx, credentials)?;
+    match call {
+        OperatorCall::Plan { change_file } => plan(cx, &change_file).map(OperatorReply::Plan),
+        OperatorCall::Apply { change_id, reason, changes_json } => {
+            let changes: Vec<ScopedChange> = serde_json::from_str(&changes_json)
+                .map_err(|error| bad_request("changes_json", &format!("{error}; send what `plan` answered")))?;
+            apply(cx, author, change_id, reason, changes).await.map(OperatorReply::Change)
+        },
+        OperatorCall::Withdraw { change_id, reason, version } => {
+            let changes = vec![ScopedChange { base: Base::Any, change: Change::Withdraw { version } }];
+            apply(cx, author, change_id, reason, changes).await.map(OperatorReply::Change)
+        },
+        OperatorCall::Outcome { change_id } => {
+            let outcome = cx.shared.catalog.load().config.outcome(&change_id).cloned();
+            Ok(OperatorReply::Change(change_reply(cx, change_id, outcome).await))
+        },
+        OperatorCall::Show { kind } => show(cx, &kind).map(OperatorReply::Items),
+        OperatorCall::Audit { from_offset, limit } => {
+            audit(cx, from_offset.max(0).cast_unsigned(), limit).await.map(OperatorReply::Audit)
+        },
+        OperatorCall::Status => status(cx).await.map(OperatorReply::Status),
+        OperatorCall::Drain { vm } => drain(cx, &author, vm).await.map(|()| OperatorReply::Done),
+    }
+}
+
+/// The operator's name, if the key fits; an unknown name takes as long to refuse as a wrong key.
+fn authenticate(cx: &Context, credentials: &Credentials) -> Result<String, OperatorFault> {
+    let operators = &cx.shared.settings.operators;
+    let operator = operators.iter().find(|operator| operator.name == credentials.operator_name);
+    let stored = operator.map_or("", |operator| operator.key_sha256.as_str());
+    if secret::matches(&credentials.key, stored) {
+        return Ok(credentials.operator_name.clone());
+    }
+    log::warn!(service = NAME, operator = credentials.operator_name.as_str(); "operator refused");
+    let remedy = "the name or the key is wrong; the settings of the VM list who may call".to_owned();
+    Err(OperatorFault::Unauthenticated(Unauthenticated { remedy }))
+}
+
+fn bad_request(field: &str, remedy: &str) -> OperatorFault {
+    OperatorFault::BadRequest(BadRequest::new(field.to_owned(), remedy.to_owned()))
+}
+
+fn unavailable(reason: impl Into<String>) -> OperatorFault {
+    /// Time after which a call may go through.
+    const RETRY_AFTER_MS: i64 = 1000;
+    OperatorFault::Unavailable(Unavailable::new(reason.into(), RETRY_AFTER_MS))
+}
+
+fn plan(cx: &Context, text: &str) -> Result<Plan, OperatorFault> {
+    let file = ChangeFile::parse(text).map_err(|error| bad_request("change_file", &error.to_string()))?;
+    let catalog = cx.shared.catalog.load();
+    let changes = file.against(&catalog.config);
+    let json = |item: &Option<_>| item.as_ref().and_then(|item| serde_json::to_string(item).ok());
+    let differences = Difference::list(&catalog.config, &changes)
+        .iter()
+        .map(|it| {
+            let (before, after) = (json(&it.before), json(&it.after));
+            ItemDifference::new(it.scope.kind.to_string(), it.scope.name.clone(), before, after)
+        })
+        .collect();
+    let changes_json = serde_json::to_string(&changes).unwrap_or_default();
+    let record = record_of(cx, String::new(), String::new(), String::new(), changes);
+    let faults = match catalog.config.attempt(catalog.config.next_offset, &record) {
+        Ok(_) => Vec::new(),
+        Err(VoidReason::Invalid(faults)) => faults.iter().map(ToString::to_string).collect(),
+        Err(conflict @ VoidReason::Conflict { .. }) => vec![conflict.to_string()],
+    };
+    Ok(Plan::new(differences, changes_json, faults))
+}
+
+fn record_of(
+    cx: &Context,
+    change_id: String,
+    author: String,
+    reason: String,
+    changes: Vec<ScopedChange>,
+) -> ChangeRecord {
+    ChangeRecord { change_id, author, reason, at: cx.shared.clock.now(), changes }
+}
+
+async fn apply(
+    cx: &Context,
+    author: String,
+    change_id: String,
+    reason: String,
+    changes: Vec<ScopedChange>,
+) -> Result<ChangeReply, OperatorFault> {
+    if change_id.trim().is_empty() {
+        return Err(bad_request("change_id", "must be an id that is new for each change; repeat it to retry"));
+    }
+    if reason.trim().is_empty() {
+        return Err(bad_request("reason", "must tell why the change is made; the audit trail keeps it"));
+    }
+    if changes.is_empty() {
+        return Err(bad_request("changes_json", "holds no change; what the file says is in force already"));
+    }
+    let record = record_of(cx, change_id.clone(), author, reason, changes);
+    let service = cx.find::<ConfigMessage>(config::NAME).ok_or_else(|| unavailable("the VM is stopping"))?;
+    let proposed = service.call(|reply| ConfigMessage::Propose { record, reply }, Some(ACCEPT_LIMIT)).await;
+    let outcome = proposed.ok().and_then(|outcome| outcome.success_or(()).ok());
+    Ok(change_reply(cx, change_id, outcome).await)
+}
+
+async fn change_reply(cx: &Context, change_id: String, outcome: Option<ChangeOutcome>) -> ChangeReply {
+    let (status, offset, detail) = match outcome {
+        Some(ChangeOutcome::Effective(offset)) => (ChangeStatus::ACCEPTED, Some(offset), "in force here".to_owned()),
+        Some(ChangeOutcome::Void(reason @ VoidReason::Conflict { .. })) => {
+            (ChangeStatus::CONFLICT, None, reason.to_string())
+        },
+        Some(ChangeOutcome::Void(reason @ VoidReason::Invalid(_))) => (ChangeStatus::INVALID, None, reason.to_string()),
+        None => {
+            let detail = "the log service did not show the change in time; repeat the call with the same change id";
+            (ChangeStatus::UNKNOWN, None, detail.to_owned())
+        },
+    };
+    let (in_force, live, lagging) = wait_in_force(cx, offset).await;
+    ChangeReply::new(status, change_id, offset.map(u64::cast_signed), detail, in_force, live, lagging)
+}
+
+/// Waits for a time until all live VMs have an offset in force; counts those that do, and names the others.
+async fn wait_in_force(cx: &Context, offset: Option<Offset>) -> (i32, i32, Vec<String>) {
+    let started = cx.shared.clock.now();
+    loop {
+        let members = members(cx).await.unwrap_or_default();
+        let live: Vec<&Member> = members.iter().filter(|(_, live)| *live).map(|(member, _)| member).collect();
+        let has_it = |member: &Member| {
+            let next = member.heartbeat.as_ref().map_or(0, |heartbeat| heartbeat.config_next);
+            offset.is_some_and(|offset| next > offset)
+        };
+        let lagging: Vec<String> =
+            live.iter().filter(|member| !has_it(member)).map(|member| member.listed.id.clone()).collect();
+        let waited = cx.shared.clock.now().duration_since(started).unwrap_or_default();
+        if offset.is_none() || lagging.is_empty() || waited >= IN_FORCE_LIMIT {
+            let in_force = live.len() - lagging.len();
+            let count = |count: usize| i32::try_from(count).unwrap_or(i32::MAX);
+            return (count(in_force), count(live.len()), lagging);
+        }
+        sleep(IN_FORCE_PAUSE).await;
+    }
+}
+
+async fn members(cx: &Context) -> Result<Vec<(Member, bool)>, OperatorFault> {
+    let service = cx.find::<MembersMessage>(members::NAME).ok_or_else(|| unavailable("the VM is stopping"))?;
+    let members = service.call(MembersMessage::Members, Some(ACCEPT_LIMIT)).await;
+    members.ok().and_then(|members| members.success_or(()).ok()).ok_or_else(|| unavailable("the VM is stopping"))
+}
+
+fn show(cx: &Context, kind: &str) -> Result<Vec<ShownItem>, OperatorFault> {
+    let kind = kind.trim().trim_end_matches('s');
+    let matches =
+        |it: &ScopeKind| kind.is_empty() || it.to_string() == kind || it.to_string().replace('_', "-") == kind;
+    let kinds: Vec<ScopeKind> = ScopeKind::ALL.into_iter().filter(matches).collect();
+    if kinds.is_empty() {
+        let known: Vec<String> = ScopeKind::ALL.iter().map(ToString::to_string).collect();
+        return Err(bad_request("kind", &format!("must be one of {}", known.join(", "))));
+    }
+    let catalog = cx.shared.catalog.load();
+    let shown =
+        catalog.config.scopes().filter(|(scope, _)| kinds.contains(&scope.kind)).filter_map(|(scope, offset)| {
+            let item = catalog.config.item(scope)?.without_secrets();
+            let json = serde_json::to_string(&item).ok()?;
+            Some(ShownItem::new(scope.kind.to_string(), scope.name.clone(), json, offset.cast_signed()))
+        });
+    Ok(shown.collect())
+}
+
+/// Replays the stream from its beginning, so that the trail is the same from any VM.
+async fn audit(cx: &Context, from: Offset, limit: i32) -> Result<Vec<AuditEntry>, OperatorFault> {
+    let limit = usize::try_from(limit).unwrap_or_default();
+    let mut config = Config::default();
+    let mut entries = Vec::new();
+    let mut next = 0;
+    loop {
+        let slice = cx
+            .log
+            .read(Stream::Config, next, AUDIT_READ, Duration::ZERO)
+            .await
+            .map_err(|error| unavailable(error.to_string()))?;
+        for record in &slice.records {
+            next = record.offset + 1;
+            let Ok(parsed) = serde_json::from_str::<ConfigRecord>(&record.data) else { continue };
+            let effect = config.replay(record.offset, &parsed);
+            if let ConfigRecord::Change(change) = &parsed
+                && record.offset >= from
+                && entries.len() < limit
+            {
+                entries.push(audit_entry(record.offset, change, &effect));
+            }
+        }
+        if slice.records.is_empty() || entries.len() >= limit {
+            return Ok(entries);
+        }
+    }
+}
+
+fn audit_entry(offset: Offset, change: &ChangeRecord, effect: &Effect) -> AuditEntry {
+    let (effect, detail) = match effect {
+        Effect::Effective => ("effective", String::new()),
+        Effect::Void(reason @ VoidReason::Conflict { .. }) => ("conflict", reason.to_string()),
+        Effect::Void(reason @ VoidReason::Invalid(_)) => ("invalid", reason.to_string()),
+        Effect::Repeated(_) => ("repeated", "its change id stands further up".to_owned()),
+        Effect::Restored | Effect::Passed => ("passed", "it stands before the oldest snapshot".to_owned()),
+    };
+    let at = change.at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let scopes = change.changes.iter().map(|scoped| scoped.change.scope().to_string()).collect();
+    AuditEntry::new(
+        offset.cast_signed(),
+        i64::try_from(at.as_millis()).unwrap_or(i64::MAX),
+        change.change_id.clone(),
+        change.author.clone(),
+        change.reason.clone(),
+        effect.to_owned(),
+        detail,
+        scopes,
+    )
+}
+
+async fn status(cx: &Context) -> Result<FleetStatus, OperatorFault> {
+    let vms = members(cx).await?.into_iter().map(|(member, live)| vm_status(&member, live)).collect();
+    let revision = cx.shared.catalog.load().config.revision.map(u64::cast_signed);
+    Ok(FleetStatus::new(cx.shared.vm().clone(), revision, cx.shared.is_log_reachable(), vms))
+}
+
+fn vm_status(member: &Member, live: bool) -> VmStatus {
+    let listed = &member.listed;
+    let Some(heartbeat) = &member.heartbeat else {
+        return VmStatus::new(listed.id.clone(), listed.failure_domain.clone(), live, false, false, None, 0, 0);
+    };
+    VmStatus::new(
+        listed.id.clone(),
+        listed.failure_domain.clone(),
+        live,
+        heartbeat.ready,
+        heartbeat.draining,
+        heartbeat.revision.map(u64::cast_signed),
+        i64::try_from(heartbeat.staleness.as_millis()).unwrap_or(i64::MAX),
+        heartbeat.in_progress.cast_signed(),
+    )
+}
+
+async fn drain(cx: &Context, author: &str, vm: String) -> Result<(), OperatorFault> {
+    log::info!(service = NAME, operator = author, vm = vm.as_str(); "drain asked for");
+    if vm == *cx.shared.vm() {
+        cx.shared.start_drain();
+        return Ok(());
+    }
+    let is_listed = members(cx).await?.iter().any(|(member, _)| member.listed.id == vm);
+    if !is_listed {
+        return Err(bad_request("vm", "no such VM is listed; `havengradectl status` shows them"));
+    }
+    let request = PeerRequest::Drain(PeerDrain::new(author.to_owned()));
+    let reply = members::call(cx, vm, request).await;
+    reply.map(drop).ok_or_else(|| unavailable("the VM did not answer; call its own operators' port"))
+}
--- /dev/null
+++ b/havengrade_router/src/services/peers.rs
@@ -0,0 +1,431 @@
+//! The service that speaks with the other VMs: one connection each way, one reply to each request.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::{SinkExt as _, StreamExt as _, future::join_all};
+use havengrade_core::{
+    ids::{Incarnation, RequestId, VmId},
+    ledger::LedgerRecord,
+    membership::ListedVm,
+};
+use havengrade_rpc::{
+    Frames, decode, encode, frames,
+    peers::{
+        PeerAnswer, PeerAsk, PeerDone, PeerDrain, PeerFetch, PeerHeld, PeerHold, PeerRecord, PeerRecords, PeerRelease,
+        PeerReply, PeerRequest,
+    },
+};
+use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef, RpcReplyPort};
+use snafu::ResultExt as _;
+use tokio::{sync::Mutex, time::timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::{
+    kernel::{BindSnafu, Context, Service, StartError, spawn},
+    net::{BoxConnection, Listener},
+    services::{
+        config::{self, ConfigMessage},
+        ledger::{self, LedgerMessage},
+        members::{self, MembersMessage},
+    },
+    traffic::Lookup,
+};
+
+/// Name of the service.
+pub const NAME: &str = "peers";
+
+/// Time that a peer has for a reply.
+const REPLY_LIMIT: Duration = Duration::from_millis(1000);
+/// Time between two looks at records that are held for others.
+const TICK: Duration = Duration::from_millis(500);
+/// Records that are held for all others together.
+const MAX_HELD: usize = 100_000;
+
+/// What the service is told and asked.
+pub enum PeersMessage {
+    /// The VMs that are listed.
+    Listed(Vec<ListedVm>),
+    /// Send a request to a VM.
+    Send {
+        /// The VM.
+        to: VmId,
+        /// The request.
+        request: PeerRequest,
+        /// Is given its reply; dropped if none comes.
+        reply: RpcReplyPort<PeerReply>,
+    },
+    /// Have records held by peers while the log service is away.
+    Hold {
+        /// The records.
+        records: Vec<LedgerRecord>,
+        /// Is told whether enough peers hold them.
+        ledger: ActorRef<LedgerMessage>,
+    },
+    /// Tell peers that they need no longer hold records of ours.
+    ReleaseAtPeers {
+        /// The requests that the records are about.
+        requests: Vec<RequestId>,
+    },
+    /// A peer has records to be held.
+    Held {
+        /// Run of the process that wrote them.
+        writer: Incarnation,
+        /// The records.
+        records: Vec<LedgerRecord>,
+        /// Is told whether they are held.
+        reply: RpcReplyPort<bool>,
+    },
+    /// A peer no longer needs records to be held.
+    Release {
+        /// Run of the process that wrote them.
+        writer: Incarnation,
+        /// The requests that they are about.
+        requests: Vec<RequestId>,
+    },
+    /// VMs that were heard from.
+    Live(Vec<Incarnation>),
+    /// Number of records that are held for others.
+    CountHeld(RpcReplyPort<usize>),
+    /// Time to look at what is held.
+    Tick,
+}
+
+/// The service.
+pub struct PeersService;
+
+#[async_trait]
+impl Service for PeersService {
+    fn name(&self) -> &'static str {
+        NAME
+    }
+
+    async fn start(&self, cx: &Context) -> Result<ActorCell, StartError> {
+        let address = cx.shared.settings.listen.peers;
+        let listener = cx.network.bind(address).await.context(BindSnafu { key: "listen.peers", address })?;
+        spawn(NAME, cx, PeersActor, (cx.clone(), listener)).await
+    }
+}
+
+struct PeersActor;
+
+/// Records that are held for another VM.
+struct HeldRecords {
+    records: HashMap<RequestId, LedgerRecord>,
+    heard: SystemTime,
+}
+
+struct PeersState {
+    cx: Context,
+    peers: HashMap<VmId, Peer>,
+    held: HashMap<Incarnation, HeldRecords>,
+    calls: Vec<AbortOnDropHandle<()>>,
+    _server: AbortOnDropHandle<()>,
+    _ticker: AbortOnDropHandle<()>,
+}
+
+/// Another VM.
+#[derive(Clone)]
+struct Peer {
+    listed: ListedVm,
+    connection: Arc<Mutex<Option<Frames<BoxConnection>>>>,
+}
+
+impl Actor for PeersActor {
+    type Msg = PeersMessage;
+    type State = PeersState;
+    type Arguments = (Context, Box<dyn Listener>);
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Self::Msg>,
+        (cx, listener): Self::Arguments,
+    ) -> Result<PeersState, ActorProcessingErr> {
+        let server = tokio::spawn(serve(cx.clone(), listener));
+        Ok(PeersState {
+            cx,
+            peers: HashMap::new(),
+            held: HashMap::new(),
+            calls: Vec::new(),
+            _server: AbortOnDropHandle::new(server),
+            _ticker: super::tick(myself, TICK, || PeersMessage::Tick),
+        })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        message: PeersMessage,
+        state: &mut PeersState,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            PeersMessage::Listed(vms) => state.listed(vms),
+            PeersMessage::Send { to, request, reply } => state.send(&to, request, reply),
+            PeersMessage::Hold { records, ledger } => state.hold(&records, ledger),
+            PeersMessage::ReleaseAtPeers { requests } => state.release_at_peers(&requests),
+            PeersMessage::Held { writer, records, reply } => {
+                let _ = reply.send(state.take(writer, records));
+            },
+            PeersMessage::Release { writer, requests } => state.release(writer, &requests),
+            PeersMessage::Live(live) => state.note_live(&live),
+            PeersMessage::CountHeld(reply) => {
+                let _ = reply.send(state.held.values().map(|held| held.records.len()).sum());
+            },
+            PeersMessage::Tick => state.pass_on_orphans(),
+        }
+        state.calls.retain(|call| !call.is_finished());
+        Ok(())
+    }
+}
+
+impl PeersState {
+    fn listed(&mut self, vms: Vec<ListedVm>) {
+        let mut known = std::mem::take(&mut self.peers);
+        for listed in vms.into_iter().filter(|vm| vm.id != *self.cx.shared.vm()) {
+            let kept = known.remove(&listed.id).filter(|peer| peer.listed.peer_address == listed.peer_address);
+            let connection = kept.map(|peer| peer.connection).unwrap_or_default();
+            self.peers.insert(listed.id.clone(), Peer { listed, connection });
+        }
+    }
+
+    fn send(&mut self, to: &str, request: PeerRequest, reply: RpcReplyPort<PeerReply>) {
+        let Some(peer) = self.peers.get(to).cloned() else { return };
+        let cx = self.cx.clone();
+        self.spawn(async move {
+            if let Some(answer) = peer.call(&cx, &request).await {
+                let _ = reply.send(answer);
+            }
+        });
+    }
+
+    fn spawn(&mut self, call: impl Future<Output = ()> + Send + 'static) {
+        self.calls.push(AbortOnDropHandle::new(tokio::spawn(call)));
+    }
+
+    /// Gives records to peers, first to those in other failure domains.
+    fn hold(&mut self, records: &[LedgerRecord], ledger: ActorRef<LedgerMessage>) {
+        let copies = self.cx.shared.settings.peers.bill_copies;
+        let own_domain = &self.cx.shared.settings.vm.failure_domain;
+        let mut peers: Vec<Peer> = self.peers.values().filter(|peer| !peer.listed.leaving).cloned().collect();
+        peers.sort_by_key(|peer| (peer.listed.failure_domain == *own_domain, peer.listed.id.clone()));
+        // Each VM begins with another peer, so that the records are spread.
+        let far = peers.iter().filter(|peer| peer.listed.failure_domain != *own_domain).count();
+        if far > 0 {
+            let start = usize::try_from(self.cx.shared.incarnation % far as u64).unwrap_or_default();
+            peers[..far].rotate_left(start);
+        }
+        let requests: Vec<RequestId> = records.iter().filter_map(LedgerRecord::request_id).cloned().collect();
+        let encoded = records.iter().filter_map(|record| serde_json::to_vec(record).ok()).collect();
+        let hold = PeerHold::new(self.cx.shared.incarnation.cast_signed(), encoded);
+        let cx = self.cx.clone();
+        self.spawn(async move {
+            let held = hold_at(&cx, &peers, PeerRequest::Hold(hold), copies).await;
+            let _ = ledger.cast(LedgerMessage::Held { requests, held });
+        });
+    }
+
+    fn release_at_peers(&mut self, requests: &[RequestId]) {
+        let release = PeerRelease::new(self.cx.shared.incarnation.cast_signed(), requests.to_vec());
+        for peer in self.peers.values().cloned().collect::<Vec<_>>() {
+            let (cx, request) = (self.cx.clone(), PeerRequest::Release(release.clone()));
+            self.spawn(async move { drop(peer.call(&cx, &request).await) });
+        }
+    }
+
+    fn take(&mut self, writer: Incarnation, records: Vec<LedgerRecord>) -> bool {
+        let count: usize = self.held.values().map(|held| held.records.len()).sum();
+        if count + records.len() > MAX_HELD {
+            return false;
+        }
+        let heard = self.cx.shared.clock.now();
+        let held = self.held.entry(writer).or_insert_with(|| HeldRecords { records: HashMap::new(), heard });
+        for record in records {
+            if let Some(id) = record.request_id().cloned() {
+                held.records.insert(id, record);
+            }
+        }
+        true
+    }
+
+    fn release(&mut self, writer: Incarnation, requests: &[RequestId]) {
+        if let Some(held) = self.held.get_mut(&writer) {
+            requests.iter().for_each(|id| drop(held.records.remove(id)));
+        }
+    }
+
+    fn note_live(&mut self, live: &[Incarnation]) {
+        let now = self.cx.shared.clock.now();
+        for writer in live {
+            if let Some(held) = self.held.get_mut(writer) {
+                held.heard = now;
+            }
+        }
+    }
+
+    /// Appends what is held for a VM that is gone; a record that its writer appended too has no effect.
+    fn pass_on_orphans(&mut self) {
+        let now = self.cx.shared.clock.now();
+        let silence = Duration::from_millis(self.cx.shared.settings.peers.silence_ms);
+        let Some(ledger) = self.cx.find::<LedgerMessage>(ledger::NAME) else { return };
+        let is_gone = |held: &HeldRecords| now.duration_since(held.heard).unwrap_or_default() > silence;
+        let gone: Vec<Incarnation> =
+            self.held.iter().filter(|(_, held)| is_gone(held)).map(|(writer, _)| *writer).collect();
+        for writer in gone {
+            let records = self.held.remove(&writer).map(|held| held.records).unwrap_or_default();
+            for record in records.into_values() {
+                let _ = ledger.cast(LedgerMessage::Submit { record: Box::new(record), reply: None });
+            }
+        }
+    }
+}
+
+/// Has the records held by so many peers, or by all where there are fewer, one after another.
+async fn hold_at(cx: &Context, peers: &[Peer], request: PeerRequest, copies: usize) -> bool {
+    let mut held = 0;
+    for chunk in peers.chunks(copies.max(1)) {
+        let replies = join_all(chunk.iter().map(|peer| peer.call(cx, &request))).await;
+        held += replies.iter().filter(|reply| matches!(reply, Some(PeerReply::Held(it)) if it.held)).count();
+        if held >= copies {
+            return true;
+        }
+    }
+    false
+}
+
+impl Peer {
+    /// Sends a request and waits for its reply; a failed connection is made anew the next time.
+    async fn call(&self, cx: &Context, request: &PeerRequest) -> Option<PeerReply> {
+        let mut connection = self.connection.lock().await;
+        let mut open = connection.take();
+        let exchange = async {
+            let frames = match open.as_mut() {
+                Some(frames) => frames,
+                None => open.insert(connect(cx, self.listed.peer_address).await?),
+            };
+            let bytes = encode(request).ok()?;
+            count_bytes(cx, "sent", bytes.len());
+            frames.send(Bytes::from(bytes)).await.ok()?;
+            let reply = frames.next().await?.ok()?;
+            count_bytes(cx, "received", reply.len());
+            decode(&reply).ok()
+        };
+        let reply = timeout(REPLY_LIMIT, exchange).await.ok().flatten();
+        // After a failure a late reply could still come; only a new connection is in step again.
+        *connection = open.filter(|_| reply.is_some());
+        reply
+    }
+}
+
+async fn connect(cx: &Context, address: SocketAddr) -> Option<Frames<BoxConnection>> {
+    let connection = cx.network.connect(address).await.ok()?;
+    Some(frames(connection, cx.shared.settings.limits.max_frame_bytes))
+}
+
+fn count_bytes(cx: &Context, direction: &'static str, bytes: usize) {
+    metrics::counter!("havengrade_peer_bytes", "vm" => cx.shared.vm().clone(), "direction" => direction)
+        .increment(bytes as u64);
+}
+
+/// Accepts connections of other VMs.
+async fn serve(cx: Context, mut listener: Box<dyn Listener>) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        match listener.accept().await {
+            Ok(connection) => drop(connections.spawn(serve_peer(cx.clone(), connection))),
+            Err(error) => {
+                log::warn!(service = NAME; "connection not accepted: {error}");
+                tokio::time::sleep(super::ACCEPT_PAUSE).await;
+            },
+        }
+    }
+}
+
+async fn serve_peer(cx: Context, connection: BoxConnection) {
+    let mut frames = frames(connection, cx.shared.settings.limits.max_frame_bytes);
+    while let Some(frame) = frames.next().await {
+        let request = match frame.map_err(|error| error.to_string()).and_then(|frame| {
+            count_bytes(&cx, "received", frame.len());
+            decode::<PeerRequest>(&frame).map_err(|error| error.to_string())
+        }) {
+            Ok(request) => request,
+            Err(error) => {
+                log::warn!(service = NAME; "connection of a peer closed, since its message can't be read: {error}");
+                return;
+            },
+        };
+        let Some(reply) = answer(&cx, request).await else { return };
+        let Ok(bytes) = encode(&reply) else { return };
+        count_bytes(&cx, "sent", bytes.len());
+        if frames.send(Bytes::from(bytes)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn answer(cx: &Context, request: PeerRequest) -> Option<PeerReply> {
+    match request {
+        PeerRequest::Heartbeat(heartbeat) => {
+            let members = cx.find::<MembersMessage>(members::NAME)?;
+            let reply =
+                members.call(|reply| MembersMessage::Heard { heartbeat, asked: None, reply: Some(reply) }, None).await;
+            reply.ok()?.success_or(()).ok().map(PeerReply::Heartbeat)
+        },
+        PeerRequest::Fetch(fetch) => fetch_records(cx, &fetch).await.map(PeerReply::Records),
+        PeerRequest::Hold(hold) => take_records(cx, hold).await.map(|held| PeerReply::Held(PeerHeld::new(held))),
+        PeerRequest::Release(release) => {
+            let PeerRelease { writer, request_ids } = release;
+            let peers = cx.find::<PeersMessage>(NAME)?;
+            let message = PeersMessage::Release { writer: writer.cast_unsigned(), requests: request_ids };
+            peers.cast(message).ok()?;
+            Some(PeerReply::Done(PeerDone::new()))
+        },
+        PeerRequest::Ask(ask) => Some(PeerReply::Answer(ask_here(cx, &ask))),
+        PeerRequest::Drain(PeerDrain { operator_name }) => {
+            log::info!(service = NAME, operator = operator_name.as_str(); "drain asked for through a peer");
+            cx.shared.start_drain();
+            Some(PeerReply::Done(PeerDone::new()))
+        },
+    }
+}
+
+async fn fetch_records(cx: &Context, fetch: &PeerFetch) -> Option<PeerRecords> {
+    let service = cx.find::<ConfigMessage>(config::NAME)?;
+    let from = fetch.from_offset.cast_unsigned();
+    let limit = usize::try_from(fetch.limit).unwrap_or_default();
+    let fetched = service.call(|reply| ConfigMessage::Fetch { from, limit, reply }, Some(REPLY_LIMIT)).await;
+    let fetched = fetched.ok()?.success_or(()).ok()?;
+    let records = fetched
+        .records
+        .into_iter()
+        .map(|record| PeerRecord::new(record.offset.cast_signed(), record.data.into_bytes()))
+        .collect();
+    let snapshot = fetched.snapshot.and_then(|snapshot| serde_json::to_vec(&snapshot).ok());
+    Some(PeerRecords::new(records, fetched.next.cast_signed(), snapshot))
+}
+
+async fn take_records(cx: &Context, hold: PeerHold) -> Option<bool> {
+    let peers = cx.find::<PeersMessage>(NAME)?;
+    let parse = |bytes: &Vec<u8>| serde_json::from_slice(bytes).ok();
+    let records: Option<Vec<LedgerRecord>> = hold.records.iter().map(parse).collect();
+    let Some(records) = records else { return Some(false) };
+    let writer = hold.writer.cast_unsigned();
+    let held = peers.call(|reply| PeersMessage::Held { writer, records, reply }, Some(REPLY_LIMIT)).await;
+    held.ok()?.success_or(()).ok()
+}
+
+fn ask_here(cx: &Context, ask: &PeerAsk) -> PeerAnswer {
+    match cx.shared.requests.look_up(&ask.request_id, &ask.account) {
+        Lookup::Unknown => PeerAnswer::new("unknown".to_owned(), None, None, None),
+        Lookup::Pending => PeerAnswer::new("pending".to_owned(), None, None, None),
+        Lookup::Ended { status, content_type, body } => {
+            PeerAnswer::new("answered".to_owned(), i32::from(status), content_type, body.to_vec())
+        },
+    }
+}
--- /dev/null
+++ b/havengrade_router/src/shared.rs
@@ -0,0 +1,247 @@
+//! What the control thread publishes and traffic reads.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::{Duration, SystemTime},
+};
+
+use arc_swap::ArcSwap;
+use havengrade_core::{
+    admission::Admission,
+    config::Catalog,
+    evidence::{Subject, Tally, Totals},
+    ids::{Incarnation, Offset, VmId},
+    membership,
+    retry::RetryBudget,
+};
+use rand::Rng;
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
+
+use crate::{clock::Clock, endpoints::EndpointTable, settings::Settings, traffic::RequestTable};
+
+/// What is known about the age of the configuration in force.
+#[derive(Clone, Copy, Debug)]
+pub struct Freshness {
+    /// When nothing newer existed, as far as is known.
+    pub confirmed: SystemTime,
+    /// Until when a majority of VMs, none of which knows anything newer, counts as heard.
+    pub majority_until: SystemTime,
+    /// Whether the newest known offset has been reached once.
+    pub is_caught_up: bool,
+}
+
+/// Why new requests are refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closed {
+    /// The VM has not caught up with the configuration yet.
+    Starting,
+    /// The VM can't know whether its configuration is the newest.
+    Stale,
+    /// The VM is about to stop.
+    Draining,
+    /// Too many bills wait for the log service.
+    BillsWaiting,
+}
+
+/// State that is shared between the control thread and traffic.
+pub struct Shared {
+    /// Settings of the router.
+    pub settings: Arc<Settings>,
+    /// Run of this process.
+    pub incarnation: Incarnation,
+    /// The clock.
+    pub clock: Clock,
+    /// Configuration in force.
+    pub catalog: ArcSwap<Catalog>,
+    /// Evidence of all VMs.
+    pub evidence: ArcSwap<Totals>,
+    /// States of the endpoints.
+    pub endpoints: EndpointTable,
+    /// Requests in progress and kept answers.
+    pub requests: RequestTable,
+    freshness: ArcSwap<Freshness>,
+    admission: Mutex<Admission>,
+    retries: Mutex<RetryBudget>,
+    seen: Mutex<HashMap<Subject, Tally>>,
+    rng: Mutex<ChaCha8Rng>,
+    is_draining: AtomicBool,
+    is_log_reachable: AtomicBool,
+    sharers: AtomicU32,
+    waiting_bills: AtomicUsize,
+    config_next: AtomicU64,
+}
+
+impl Shared {
+    /// The state of a router that has just started.
+    pub fn new(settings: Arc<Settings>, clock: Clock, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let freshness = Freshness {
+            confirmed: SystemTime::UNIX_EPOCH,
+            majority_until: SystemTime::UNIX_EPOCH,
+            is_caught_up: false,
+        };
+        Self {
+            // The sign is given up so that ids pass through the schema's signed integers.
+            incarnation: rng.next_u64() >> 1,
+            clock,
+            catalog: ArcSwap::default(),
+            evidence: ArcSwap::default(),
+            endpoints: EndpointTable::default(),
+            requests: RequestTable::new(settings.limits.max_kept_answers),
+            freshness: ArcSwap::from_pointee(freshness),
+            admission: Mutex::default(),
+            seen: Mutex::default(),
+            retries: Mutex::new(RetryBudget::new(settings.endpoints.retry_percent)),
+            rng: Mutex::new(rng),
+            is_draining: AtomicBool::new(false),
+            is_log_reachable: AtomicBool::new(false),
+            sharers: AtomicU32::new(1),
+            waiting_bills: AtomicUsize::new(0),
+            config_next: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// Name of this VM.
+    pub fn vm(&self) -> &VmId {
+        &self.settings.vm.id
+    }
+
+    /// Why new requests are refused now, if they are.
+    pub fn closed(&self, now: SystemTime) -> Option<Closed> {
+        let freshness = self.freshness.load();
+        if self.is_draining.load(Ordering::Acquire) {
+            return Some(Closed::Draining);
+        }
+        if !freshness.is_caught_up {
+            return Some(Closed::Starting);
+        }
+        if !self.is_fresh(now) {
+            return Some(Closed::Stale);
+        }
+        let is_full = self.waiting_bills.load(Ordering::Relaxed) >= self.settings.limits.max_waiting_bills;
+        is_full.then_some(Closed::BillsWaiting)
+    }
+
+    /// Whether the configuration may be relied on now.
+    pub fn is_fresh(&self, now: SystemTime) -> bool {
+        let freshness = self.freshness.load();
+        let max_staleness = Duration::from_millis(self.settings.peers.max_staleness_ms);
+        let hears_majority = freshness.majority_until > now;
+        freshness.is_caught_up && membership::may_serve(self.staleness(now), hears_majority, max_staleness)
+    }
+
+    /// How long ago nothing newer than the configuration in force existed for sure.
+    pub fn staleness(&self, now: SystemTime) -> Duration {
+        now.duration_since(self.freshness.load().confirmed).unwrap_or_default()
+    }
+
+    /// Notes that nothing newer existed at `at`.
+    pub fn confirm(&self, at: SystemTime) {
+        self.freshness.rcu(|known| Freshness { confirmed: known.confirmed.max(at), is_caught_up: true, ..**known });
+    }
+
+    /// Notes until when a majority counts as heard.
+    pub fn set_majority_until(&self, until: SystemTime) {
+        self.freshness.rcu(|known| Freshness { majority_until: until, ..**known });
+    }
+
+    /// Notes that the newest offset that a majority knows has been reached.
+    pub fn catch_up(&self) {
+        self.freshness.rcu(|known| Freshness { is_caught_up: true, ..**known });
+    }
+
+    /// Begins a planned stop; tells whether it is the first call.
+    pub fn start_drain(&self) -> bool {
+        !self.is_draining.swap(true, Ordering::AcqRel)
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Acquire)
+    }
+
+    /// Notes whether the log service answers.
+    pub fn set_log_reachable(&self, reachable: bool) {
+        self.is_log_reachable.store(reachable, Ordering::Relaxed);
+    }
+
+    /// Whether the log service answered when it was last called.
+    pub fn is_log_reachable(&self) -> bool {
+        self.is_log_reachable.load(Ordering::Relaxed)
+    }
+
+    /// Notes how many live VMs share the limits of client accounts.
+    pub fn set_sharers(&self, sharers: u32) {
+        self.sharers.store(sharers.max(1), Ordering::Relaxed);
+    }
+
+    /// Live VMs that share the limits of client accounts.
+    pub fn sharers(&self) -> u32 {
+        self.sharers.load(Ordering::Relaxed)
+    }
+
+    /// Notes how many bills wait for the log service.
+    pub fn set_waiting_bills(&self, count: usize) {
+        self.waiting_bills.store(count, Ordering::Relaxed);
+    }
+
+    /// Bills that wait for the log service.
+    pub fn waiting_bills(&self) -> usize {
+        self.waiting_bills.load(Ordering::Relaxed)
+    }
+
+    /// Notes up to which offset the configuration has been replayed.
+    pub fn set_config_next(&self, next: Offset) {
+        self.config_next.store(next, Ordering::Release);
+    }
+
+    /// Offset up to which the configuration has been replayed.
+    pub fn config_next(&self) -> Offset {
+        self.config_next.load(Ordering::Acquire)
+    }
+
+    /// The limits of client accounts, locked for a moment.
+    pub fn admission(&self) -> MutexGuard<'_, Admission> {
+        lock(&self.admission)
+    }
+
+    /// The retry budget, locked for a moment.
+    pub fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        lock(&self.retries)
+    }
+
+    /// Notes how a version answered; it waits here, summed up, until the control thread takes it.
+    pub fn note_evidence(&self, subject: Subject, tally: Tally) {
+        let mut seen = lock(&self.seen);
+        let sum = seen.entry(subject).or_default();
+        *sum = sum.plus(&tally);
+    }
+
+    /// Takes what was noted since the last call.
+    pub fn take_evidence(&self) -> HashMap<Subject, Tally> {
+        std::mem::take(&mut *lock(&self.seen))
+    }
+
+    /// The random numbers, locked for a moment.
+    pub fn rng(&self) -> MutexGuard<'_, ChaCha8Rng> {
+        lock(&self.rng)
+    }
+
+    /// A new id for a request, which carries the name of this VM.
+    pub fn new_request_id(&self) -> String {
+        let mut bytes = [0; 16];
+        self.rng().fill_bytes(&mut bytes);
+        let id = uuid::Builder::from_random_bytes(bytes).into_uuid();
+        format!("{}.{id}", self.vm())
+    }
+}
+
+/// Locks a mutex; the state behind ours is whole even after a panic.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/havengrade_router/src/traffic/api.rs
@@ -0,0 +1,132 @@
+//! The shape in which model clients speak: chat requests, whole answers and streamed pieces.
+
+use std::time::SystemTime;
+
+use havengrade_core::cost::Usage;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value, json};
+
+/// A chat request; fields that we don't read are passed on as they are.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ChatRequest {
+    /// Version that the caller insists on; empty or `auto` leaves the choice to the router.
+    #[serde(default)]
+    pub model: Option<String>,
+    /// The conversation.
+    pub messages: Vec<Value>,
+    /// Whether the answer is streamed.
+    #[serde(default)]
+    pub stream: bool,
+    /// Everything else.
+    #[serde(flatten)]
+    pub rest: Map<String, Value>,
+}
+
+impl ChatRequest {
+    /// The version that the caller insists on.
+    pub(crate) fn version(&self) -> Option<String> {
+        self.model.clone().filter(|model| !model.is_empty() && model != "auto")
+    }
+
+    /// The text of the conversation, for the rating service.
+    pub(crate) fn prompt(&self) -> String {
+        let text = |message: &Value| message.get("content").and_then(Value::as_str).unwrap_or_default().to_owned();
+        self.messages.iter().map(text).collect::<Vec<_>>().join("\n")
+    }
+
+    /// The request as an engine gets it; with a beginning of the answer it goes on from there.
+    pub(crate) fn for_engine(&self, version: &str, beginning: &str) -> Value {
+        let mut messages = self.messages.clone();
+        let mut body = Value::Object(self.rest.clone());
+        if !beginning.is_empty() {
+            messages.push(json!({ "role": "assistant", "content": beginning }));
+            body["continue_final_message"] = Value::Bool(true);
+        }
+        body["model"] = Value::from(version);
+        body["messages"] = Value::Array(messages);
+        body["stream"] = Value::Bool(true);
+        body["stream_options"] = json!({ "include_usage": true });
+        body
+    }
+}
+
+/// A piece of an answer as an engine streams it.
+#[derive(Debug, Deserialize)]
+pub(crate) struct EngineChunk {
+    #[serde(default)]
+    choices: Vec<EngineChoice>,
+    #[serde(default)]
+    usage: Option<EngineUsage>,
+}
+
+#[derive(Debug, Deserialize)]
+struct EngineChoice {
+    #[serde(default)]
+    delta: EngineDelta,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct EngineDelta {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct EngineUsage {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+}
+
+impl EngineChunk {
+    pub(crate) fn content(&self) -> Option<&str> {
+        self.choices.first()?.delta.content.as_deref().filter(|content| !content.is_empty())
+    }
+
+    pub(crate) fn usage(&self) -> Option<Usage> {
+        self.usage.map(|it| Usage { input_tokens: it.prompt_tokens, output_tokens: it.completion_tokens })
+    }
+}
+
+fn seconds(at: SystemTime) -> u64 {
+    at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_secs()
+}
+
+/// A whole answer.
+pub(crate) fn completion(id: &str, version: &str, content: &str, usage: &Usage, at: SystemTime) -> Value {
+    json!({
+        "id": id,
+        "object": "chat.completion",
+        "created": seconds(at),
+        "model": version,
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": content },
+            "finish_reason": "stop",
+        }],
+        "usage": {
+            "prompt_tokens": usage.input_tokens,
+            "completion_tokens": usage.output_tokens,
+            "total_tokens": usage.input_tokens + usage.output_tokens,
+        },
+    })
+}
+
+/// A streamed piece, or the last one, which has no content.
+pub(crate) fn chunk(id: &str, version: &str, content: Option<&str>, at: SystemTime) -> Value {
+    let (delta, finish_reason) = match content {
+        Some(content) => (json!({ "content": content }), Value::Null),
+        None => (json!({}), Value::from("stop")),
+    };
+    json!({
+        "id": id,
+        "object": "chat.completion.chunk",
+        "created": seconds(at),
+        "model": version,
+        "choices": [{ "index": 0, "delta": delta, "finish_reason": finish_reason }],
+    })
+}
+
+/// The text of a whole answer that had been stored.
+pub(crate) fn content_of(completion: &Value) -> &str {
+    completion.pointer("/choices/0/message/content").and_then(Value::as_str).unwrap_or_default()
+}
--- /dev/null
+++ b/havengrade_router/src/traffic/mod.rs
@@ -0,0 +1,22 @@
+//! Traffic: callers' requests, carried to endpoints on threads of their own.
+
+mod answer;
+mod api;
+mod caller;
+mod engine;
+mod job;
+mod ledger;
+mod plain;
+mod problem;
+mod refuse;
+mod request;
+mod routes;
+mod server;
+mod table;
+
+pub use self::{
+    api::ChatRequest,
+    problem::{Problem, RunState},
+    server::serve,
+    table::{Lookup, RequestTable},
+};
--- /dev/null
+++ b/havengrade_router/src/traffic/problem.rs
@@ -0,0 +1,138 @@
+//! Errors as callers see them: `application/problem+json` with what they may rely on.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use havengrade_core::{admission::Limit, decision::Refusal};
+use http_body_util::Full;
+use hyper::{
+    Response, StatusCode,
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::shared::Closed;
+
+/// Whether a request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunState {
+    /// It did not run and never will.
+    NotRun,
+    /// It may have run.
+    MayHaveRun,
+}
+
+/// An error as a caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Problem {
+    /// Name of the kind of error.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// Status of the answer.
+    pub status: u16,
+    /// What is wrong and what to do about it.
+    pub detail: String,
+    /// Whether the request ran.
+    pub run_state: RunState,
+    /// Id of the request, where it has one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub request_id: Option<String>,
+    /// Time after which another try may succeed, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+/// Content type of a problem.
+pub(crate) const PROBLEM_JSON: &str = "application/problem+json";
+
+impl Problem {
+    /// A problem of a request that did not run.
+    pub fn not_run(status: StatusCode, kind: &str, detail: impl Into<String>) -> Self {
+        Self {
+            kind: kind.to_owned(),
+            status: status.as_u16(),
+            detail: detail.into(),
+            run_state: RunState::NotRun,
+            request_id: None,
+            retry_after_ms: None,
+        }
+    }
+
+    /// A problem of a request that may have run.
+    pub fn may_have_run(status: StatusCode, kind: &str, detail: impl Into<String>) -> Self {
+        Self { run_state: RunState::MayHaveRun, ..Self::not_run(status, kind, detail) }
+    }
+
+    /// The problem with the time after which another try may succeed.
+    #[must_use]
+    pub fn retry_after(mut self, after: Duration) -> Self {
+        self.retry_after_ms = Some(u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+        self
+    }
+
+    /// The problem with the id of its request.
+    #[must_use]
+    pub fn of_request(mut self, id: &str) -> Self {
+        self.request_id = Some(id.to_owned());
+        self
+    }
+
+    /// The problem as JSON.
+    pub fn to_json(&self) -> Bytes {
+        Bytes::from(serde_json::to_vec(self).unwrap_or_default())
+    }
+
+    /// The problem as an answer.
+    pub fn to_response(&self) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::new(self.to_json()));
+        *response.status_mut() = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(PROBLEM_JSON));
+        if let Some(millis) = self.retry_after_ms {
+            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(millis.div_ceil(1000)));
+        }
+        response
+    }
+}
+
+impl From<&Refusal> for Problem {
+    fn from(refusal: &Refusal) -> Self {
+        let (status, kind) = match refusal {
+            Refusal::Unauthenticated => (StatusCode::UNAUTHORIZED, "unauthenticated"),
+            Refusal::UnknownClass { .. } => (StatusCode::FORBIDDEN, "unknown_class"),
+            Refusal::ClassNotAllowed { .. } => (StatusCode::FORBIDDEN, "class_not_allowed"),
+            Refusal::VersionNotAllowed { .. } => (StatusCode::FORBIDDEN, "version_not_allowed"),
+            Refusal::NoVersion { .. } => (StatusCode::FORBIDDEN, "no_version"),
+            Refusal::WrongPath { .. } => (StatusCode::BAD_REQUEST, "wrong_path"),
+            Refusal::UnknownService { .. } => (StatusCode::NOT_FOUND, "unknown_service"),
+            Refusal::KeyNeeded { .. } => (StatusCode::BAD_REQUEST, "idempotency_key_needed"),
+            Refusal::BadSession { .. } => (StatusCode::BAD_REQUEST, "bad_session"),
+            Refusal::SessionEnded { .. } => (StatusCode::CONFLICT, "session_ended"),
+        };
+        Self::not_run(status, kind, refusal.to_string())
+    }
+}
+
+impl From<(Limit, Duration)> for Problem {
+    fn from((limit, after): (Limit, Duration)) -> Self {
+        let detail = match limit {
+            Limit::Concurrency => "the client account has as many requests in progress as it may; come back later",
+            Limit::Rate => "the client account has started as many requests as it may in a second; come back later",
+        };
+        Self::not_run(StatusCode::TOO_MANY_REQUESTS, "account_limit", detail).retry_after(after)
+    }
+}
+
+impl From<Closed> for Problem {
+    fn from(closed: Closed) -> Self {
+        /// Time after which another VM, or this one, will serve.
+        const COME_BACK: Duration = Duration::from_secs(1);
+        let (kind, detail) = match closed {
+            Closed::Starting => ("starting", "this VM has not caught up with the configuration yet; try another"),
+            Closed::Stale => ("stale", "this VM can't tell whether its configuration is the newest; try another"),
+            Closed::Draining => ("draining", "this VM is about to stop; try another"),
+            Closed::BillsWaiting => ("bills_waiting", "too many bills wait for the log service; come back later"),
+        };
+        Self::not_run(StatusCode::SERVICE_UNAVAILABLE, kind, detail).retry_after(COME_BACK)
+    }
+}
--- /dev/null
+++ b/havengrade_router/src/traffic/server.rs
@@ -0,0 +1,55 @@
+//! The HTTP server for callers.
+
+use std::{convert::Infallible, time::Duration};
+
+use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::time::sleep;
+
+use crate::{
+    kernel::Context,
+    net::{BoxConnection, Listener},
+    traffic::routes,
+};
+
+/// Time for which nothing is accepted after an error of the listener.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Headers that a request may have; more are refused by the library.
+const MAX_HEADERS: usize = 128;
+
+/// Accepts callers' connections until the router ends.
+pub async fn serve(cx: Context, mut listener: Box<dyn Listener>) {
+    loop {
+        match listener.accept().await {
+            Ok(connection) => cx.spawn(serve_caller(cx.clone(), connection)),
+            Err(error) => {
+                log::warn!("connection not accepted: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            },
+        }
+    }
+}
+
+async fn serve_caller(cx: Context, connection: BoxConnection) {
+    let limits = &cx.shared.settings.limits;
+    let service = service_fn(|request: Request<Incoming>| {
+        let cx = cx.clone();
+        async move { Ok::<_, Infallible>(routes::route(&cx, request).await) }
+    });
+    // Headers are read into a buffer of twice the limit, so that we can refuse those over it by our own
+    // answer; what doesn't fit even there is refused by the library.
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.read_timeout_ms))
+        .max_buf_size((limits.max_header_bytes * 2).max(MIN_BUFFER))
+        .max_headers(MAX_HEADERS)
+        .half_close(true)
+        .serve_connection(TokioIo::new(connection), service)
+        .await;
+    if let Err(error) = served {
+        log::debug!("connection of a caller ended: {error}");
+    }
+}
+
+/// Smallest buffer that the library takes, in bytes.
+const MIN_BUFFER: usize = 8192;
