Add stand-ins and a demo that runs the whole path

Cause: nothing ran from end to end. Change: havengrade_dev with the platform's stand-ins, pipes in memory for tests, a fleet in one process and a demo that checks every answer and every bill, with a withdrawal halfway.

--- /dev/null
+++ b/havengrade_dev/src/fabric.rs
@@ -0,0 +1,188 @@
+//! What connects the hosts of a fleet: real TCP on loopback, or pipes in memory that can be cut.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    pin::Pin,
+    sync::{Arc, Mutex},
+    task::{Context, Poll, Waker},
+};
+
+use async_trait::async_trait;
+use havengrade_router::{
+    net::{BoxConnection, Listener, Network, TcpNetwork},
+    shared::lock,
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf, duplex},
+    sync::mpsc,
+};
+
+/// Number of a host.
+pub type Host = u8;
+
+/// What connects the hosts of a fleet.
+pub trait Fabric: Send + Sync {
+    /// Address of a host's port, the ports being counted from 0.
+    fn address(&self, host: Host, port: u16) -> SocketAddr;
+
+    /// The network as a host sees it.
+    fn network(&self, host: Host) -> Arc<dyn Network>;
+}
+
+/// Ports that each host may have.
+const PORTS_A_HOST: u16 = 4;
+
+/// TCP on loopback: each host has ports of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct Loopback {
+    /// First port that is used.
+    pub port_base: u16,
+}
+
+impl Fabric for Loopback {
+    fn address(&self, host: Host, port: u16) -> SocketAddr {
+        (Ipv4Addr::LOCALHOST, self.port_base + u16::from(host) * PORTS_A_HOST + port).into()
+    }
+
+    fn network(&self, _host: Host) -> Arc<dyn Network> {
+        Arc::new(TcpNetwork)
+    }
+}
+
+/// Bytes that a pipe holds.
+const PIPE: usize = 64 << 10;
+
+#[derive(Default)]
+struct Wiring {
+    listeners: BTreeMap<SocketAddr, mpsc::UnboundedSender<BoxConnection>>,
+    /// Directions in which nothing gets through.
+    cuts: BTreeSet<(Host, Host)>,
+    /// Readers that wait for a cut to be mended.
+    stuck: Vec<Waker>,
+}
+
+/// Pipes in memory, which can be cut one way or both.
+#[derive(Clone, Default)]
+pub struct Pipes {
+    wiring: Arc<Mutex<Wiring>>,
+}
+
+impl Pipes {
+    /// Stops everything that one host sends to another.
+    pub fn cut(&self, from: Host, to: Host) {
+        lock(&self.wiring).cuts.insert((from, to));
+    }
+
+    /// Lets everything through again; what was stopped arrives late.
+    pub fn mend(&self) {
+        let mut wiring = lock(&self.wiring);
+        wiring.cuts.clear();
+        wiring.stuck.drain(..).for_each(Waker::wake);
+    }
+
+    fn is_cut(&self, from: Host, to: Host) -> bool {
+        lock(&self.wiring).cuts.contains(&(from, to))
+    }
+}
+
+impl Fabric for Pipes {
+    fn address(&self, host: Host, port: u16) -> SocketAddr {
+        (Ipv4Addr::new(10, 0, 0, host), 8000 + port).into()
+    }
+
+    fn network(&self, host: Host) -> Arc<dyn Network> {
+        Arc::new(PipeNetwork { pipes: self.clone(), host })
+    }
+}
+
+struct PipeNetwork {
+    pipes: Pipes,
+    host: Host,
+}
+
+fn host_of(address: SocketAddr) -> Host {
+    match address {
+        SocketAddr::V4(address) => address.ip().octets()[3],
+        SocketAddr::V6(_) => Host::MAX,
+    }
+}
+
+#[async_trait]
+impl Network for PipeNetwork {
+    async fn connect(&self, to: SocketAddr) -> io::Result<BoxConnection> {
+        let far = host_of(to);
+        if self.pipes.is_cut(self.host, far) || self.pipes.is_cut(far, self.host) {
+            // The first packet, or its answer, is lost: nothing comes until the caller gives up.
+            std::future::pending::<()>().await;
+        }
+        let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
+        let listener = lock(&self.pipes.wiring).listeners.get(&to).cloned().ok_or_else(refused)?;
+        let (near_end, far_end) = duplex(PIPE);
+        let end = |stream, from, to| Pipe { stream, pipes: self.pipes.clone(), from, to };
+        listener.send(Box::new(end(far_end, self.host, far))).map_err(|_| refused())?;
+        Ok(Box::new(end(near_end, far, self.host)))
+    }
+
+    async fn bind(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let mut wiring = lock(&self.pipes.wiring);
+        if wiring.listeners.get(&at).is_some_and(|listener| !listener.is_closed()) {
+            return Err(io::Error::from(io::ErrorKind::AddrInUse));
+        }
+        wiring.listeners.insert(at, tx);
+        Ok(Box::new(PipeListener { rx, at }))
+    }
+}
+
+struct PipeListener {
+    rx: mpsc::UnboundedReceiver<BoxConnection>,
+    at: SocketAddr,
+}
+
+#[async_trait]
+impl Listener for PipeListener {
+    async fn accept(&mut self) -> io::Result<BoxConnection> {
+        self.rx.recv().await.ok_or_else(|| io::Error::from(io::ErrorKind::NotConnected))
+    }
+
+    fn local_address(&self) -> io::Result<SocketAddr> {
+        Ok(self.at)
+    }
+}
+
+/// One end of a pipe; what it reads was sent by `from`.
+struct Pipe {
+    stream: DuplexStream,
+    pipes: Pipes,
+    from: Host,
+    to: Host,
+}
+
+impl AsyncRead for Pipe {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        {
+            let mut wiring = lock(&self.pipes.wiring);
+            if wiring.cuts.contains(&(self.from, self.to)) {
+                wiring.stuck.push(cx.waker().clone());
+                return Poll::Pending;
+            }
+        }
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Pipe {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/havengrade_dev/src/lib.rs
+++ b/havengrade_dev/src/lib.rs
@@ -1,1 +1,11 @@
-//! stub
+//! Stand-ins for the platform and a fleet of routers in one process, for demos and tests.
+
+#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
+#![cfg_attr(test, allow(clippy::unwrap_used))]
+
+pub mod caller;
+pub mod demo;
+pub mod fabric;
+pub mod fleet;
+pub mod scenario;
+pub mod stand_in;
--- /dev/null
+++ b/havengrade_dev/src/stand_in/mod.rs
@@ -0,0 +1,18 @@
+//! Small stand-ins for the platform's services and for endpoints.
+
+mod engine;
+mod log;
+mod rating;
+mod server;
+mod service;
+mod vm_list;
+
+pub(crate) use self::engine::EngineHandler;
+pub use self::{
+    engine::{EngineFault, EngineStandIn, answer_tokens, expected_answer},
+    log::{LogCalls, LogFault, LogStandIn},
+    rating::RatingStandIn,
+    server::{Handler, start},
+    service::{Run, ServiceFault, ServiceStandIn},
+    vm_list::VmListStandIn,
+};
