--- a/havengrade_dev/tests/bad_input.rs
+++ b/havengrade_dev/tests/bad_input.rs
@@ -71,7 +71,7 @@
     let got = send(&bench, "harvest", &Ask { session: Some("k1.00.00".into()), ..chat("day-log", "x") }, |_| {}).await;
     assert_problem(&got, 400, "bad_session");
     let got = send(&bench, "harvest", &lot, |request| {
-        *request.uri_mut() = format!("http://{}/v2/x", bench.callers_port(0)).parse().unwrap()
+        *request.uri_mut() = format!("http://{}/v2/x", bench.callers_port(0)).parse().unwrap();
     })
     .await;
     assert_problem(&got, 404, "unknown_path");
--- a/havengrade_dev/tests/support/mod.rs
+++ b/havengrade_dev/tests/support/mod.rs
@@ -20,17 +20,17 @@
 const CALLERS: Host = 200;
 
 /// A deployment in memory.
-pub struct Bench {
-    pub fleet: Fleet,
-    pub pipes: Pipes,
+pub(crate) struct Bench {
+    pub(crate) fleet: Fleet,
+    pub(crate) pipes: Pipes,
 }
 
 impl Bench {
-    pub async fn start(routers: u8) -> Self {
+    pub(crate) async fn start(routers: u8) -> Self {
         Self::start_tuned(routers, |_| {}).await
     }
 
-    pub async fn start_tuned(routers: u8, tune: fn(&mut Settings)) -> Self {
+    pub(crate) async fn start_tuned(routers: u8, tune: fn(&mut Settings)) -> Self {
         let pipes = Pipes::default();
         let options = FleetOptions {
             fabric: Arc::new(pipes.clone()),
@@ -43,20 +43,20 @@
         Self { fleet: Fleet::start(options).await.unwrap(), pipes }
     }
 
-    pub fn caller(&self, account: &str) -> Caller {
+    pub(crate) fn caller(&self, account: &str) -> Caller {
         Caller::new(self.pipes.network(CALLERS), account)
     }
 
-    pub fn callers_port(&self, index: u8) -> SocketAddr {
+    pub(crate) fn callers_port(&self, index: u8) -> SocketAddr {
         self.pipes.address(router_host(index), 0)
     }
 
-    pub async fn ask(&self, account: &str, index: u8, ask: &Ask) -> Got {
+    pub(crate) async fn ask(&self, account: &str, index: u8, ask: &Ask) -> Got {
         self.caller(account).ask(self.callers_port(index), ask).await.unwrap()
     }
 
     /// Sends raw bytes to a port of a router and reads until it closes the connection.
-    pub async fn raw(&self, index: u8, port: u16, bytes: &[u8]) -> Vec<u8> {
+    pub(crate) async fn raw(&self, index: u8, port: u16, bytes: &[u8]) -> Vec<u8> {
         let mut connection = self.open(index, port).await;
         // A port that closes early on bad bytes is what some tests look for.
         let _ = connection.write_all(bytes).await;
@@ -66,26 +66,26 @@
         answer
     }
 
-    pub async fn open(&self, index: u8, port: u16) -> BoxConnection {
+    pub(crate) async fn open(&self, index: u8, port: u16) -> BoxConnection {
         let network = self.pipes.network(CALLERS);
         network.connect(self.pipes.address(router_host(index), port)).await.unwrap()
     }
 
     /// Runs of a plain service's endpoints with this idempotency key.
-    pub fn runs(&self, key: &str) -> usize {
+    pub(crate) fn runs(&self, key: &str) -> usize {
         let services = self.fleet.services.values();
         services.flat_map(|service| service.runs()).filter(|run| run.key == key).count()
     }
 
     /// Whether a router takes requests.
-    pub fn is_open(&self, index: u8) -> bool {
+    pub(crate) fn is_open(&self, index: u8) -> bool {
         let vm = havengrade_dev::fleet::vm_name(index);
         let now = self.fleet.clock().now();
         self.fleet.routers[&vm].context().shared.closed(now).is_none()
     }
 }
 
-pub fn check_in(key: &str) -> Ask {
+pub(crate) fn check_in(key: &str) -> Ask {
     Ask {
         class: "check-in".into(),
         service: Some(EVENTS.into()),
@@ -95,10 +95,10 @@
     }
 }
 
-pub fn bin_tag(key: &str) -> Ask {
+pub(crate) fn bin_tag(key: &str) -> Ask {
     Ask { class: "bin-tag".into(), service: Some(CRATES.into()), ..check_in(key) }
 }
 
-pub fn chat(class: &str, prompt: &str) -> Ask {
+pub(crate) fn chat(class: &str, prompt: &str) -> Ask {
     Ask { class: class.into(), prompt: prompt.into(), ..Ask::default() }
 }
