Measure slopes: bytes, memory and processor time of one more of everything

Cause: the capacity page needs slopes that anyone can get again. Change: 'havengrade-replay measure', with an allocator that counts, thread time, the schema's own encoder and whole fleets on a virtual clock; hosts of a fleet no longer overlap beyond 40 routers.

--- a/havengrade_dev/src/fabric.rs
+++ b/havengrade_dev/src/fabric.rs
@@ -61,6 +61,8 @@
     cuts: BTreeSet<(Host, Host)>,
     /// Readers that wait for a cut to be mended.
     stuck: Vec<Waker>,
+    /// Bytes that each host read.
+    read: BTreeMap<Host, u64>,
 }
 
 /// Pipes in memory, which can be cut one way or both.
@@ -82,6 +84,11 @@
         wiring.stuck.drain(..).for_each(Waker::wake);
     }
 
+    /// Bytes that a host has read so far, from all others.
+    pub fn bytes_read(&self, host: Host) -> u64 {
+        lock(&self.wiring).read.get(&host).copied().unwrap_or_default()
+    }
+
     fn is_cut(&self, from: Host, to: Host) -> bool {
         lock(&self.wiring).cuts.contains(&(from, to))
     }
@@ -169,7 +176,10 @@
                 return Poll::Pending;
             }
         }
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        *lock(&self.pipes.wiring).read.entry(self.to).or_default() += (buf.filled().len() - before) as u64;
+        polled
     }
 }
 
--- a/havengrade_dev/src/fleet.rs
+++ b/havengrade_dev/src/fleet.rs
@@ -73,10 +73,10 @@
 const LOG_HOST: Host = 1;
 const VM_LIST_HOST: Host = 2;
 const RATING_HOST: Host = 3;
-const ROUTER_HOSTS: Host = 10;
-const SERVICE_HOSTS: Host = 50;
-const SCRIPTS_HOST: Host = 59;
-const ENGINE_HOSTS: Host = 60;
+const ROUTER_HOSTS: Host = 120;
+const SERVICE_HOSTS: Host = 4;
+const SCRIPTS_HOST: Host = 7;
+const ENGINE_HOSTS: Host = 10;
 /// Streams that an engine runs at once.
 const ENGINE_SLOTS: u32 = 8;
 /// Lag of the VM list.
--- a/havengrade_dev/src/main.rs
+++ b/havengrade_dev/src/main.rs
@@ -34,7 +34,7 @@
         /// Number of requests.
         #[arg(long, default_value_t = 200)]
         requests: usize,
-        /// First of about 300 ports on loopback that are used.
+        /// First of about 550 ports on loopback that are used.
         #[arg(long, default_value_t = 21000, value_parser = clap::value_parser!(u16).range(1024..=65000))]
         port_base: u16,
     },
@@ -46,7 +46,7 @@
         /// Requests in progress at once.
         #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u16).range(1..=512))]
         at_once: u16,
-        /// First of about 300 ports on loopback that are used.
+        /// First of about 550 ports on loopback that are used.
         #[arg(long, default_value_t = 23000, value_parser = clap::value_parser!(u16).range(1024..=65000))]
         port_base: u16,
     },
--- a/havengrade_dev/tests/support/mod.rs
+++ b/havengrade_dev/tests/support/mod.rs
@@ -17,7 +17,7 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 /// Host from which callers call.
-const CALLERS: Host = 200;
+const CALLERS: Host = 250;
 
 /// A deployment in memory.
 pub(crate) struct Bench {
--- a/havengrade_dev/tests/whole_path.rs
+++ b/havengrade_dev/tests/whole_path.rs
@@ -241,7 +241,7 @@
 #[tokio::test(start_paused = true)]
 async fn vm_without_log_and_majority_refuses_and_comes_back() {
     let bench = Bench::start(3).await;
-    for host in 1..=60 {
+    for host in 1..=249 {
         if host != havengrade_dev::fleet::router_host(0) {
             bench.pipes.cut(host, havengrade_dev::fleet::router_host(0));
         }
--- /dev/null
+++ b/havengrade_replay/src/cli.rs
@@ -0,0 +1,43 @@
+//! The command line of `havengrade-replay`.
+
+use std::path::PathBuf;
+
+use clap::{Parser, Subcommand, ValueEnum};
+
+/// Measures, capacity tables, history checks and trace replay.
+#[derive(Debug, Parser)]
+#[command(name = "havengrade-replay", version)]
+pub struct Options {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// How to print.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Format {
+    /// TOML, as `docs/capacity/slopes.toml` keeps it.
+    Toml,
+    /// JSON for programs.
+    Json,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Measure what one more of everything costs; takes about a minute.
+    Measure {
+        /// How to print.
+        #[arg(long, value_enum, default_value_t = Format::Toml)]
+        format: Format,
+    },
+    /// Write the capacity tables for some sizes.
+    Capacity {
+        /// Sizes of a deployment, in TOML.
+        #[arg(long, value_name = "FILE", required = true)]
+        sizes: Vec<PathBuf>,
+        /// Slopes, as `measure` writes them.
+        #[arg(long, value_name = "FILE", default_value = "docs/capacity/slopes.toml")]
+        slopes: PathBuf,
+    },
+}
--- a/havengrade_replay/src/lib.rs
+++ b/havengrade_replay/src/lib.rs
@@ -1,1 +1,8 @@
-//! stub
+//! Measures, capacity tables, history checks and trace replay.
+
+#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
+#![cfg_attr(test, allow(clippy::unwrap_used))]
+
+pub mod capacity;
+pub mod cli;
+pub mod measure;
