Share the asking of endpoints between VMs, and keep less of each claim

Cause: every VM asked every endpoint for its load twice a second, 268 bytes a second for each endpoint, 22 KB/s at Kilimo's 84 endpoints against a budget of 4 KB/s; and a remembered claim kept its key three times, its bill and the digest as text, 1,769 bytes, so that 128 MB held 72,000. Found on the way: a key that was only refused was never forgotten, and one that was refused first and claimed later could have been forgotten too early. Change: live VMs share the endpoints by a number that all compute alike; the VM whose turn it is asks once a second and tells the others with its heartbeats, replies carry no news; whoever hears nothing for 1.5 periods asks itself; a refused connection is told at once. The ledger keeps each key once and no bills, and forgets by when a key last changed.

--- a/havengrade_core/src/claim.rs
+++ b/havengrade_core/src/claim.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     ids::{AccountId, Attempt, ClassId, EndpointId, Incarnation, RequestId},
-    secret::Digest,
+    secret::{Digest, parse_digest},
 };
 
 /// What a claim is about: a client account's idempotency key.
@@ -82,13 +82,46 @@
     Unfounded,
 }
 
+/// What is kept of a claim in effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// The caller's number of the attempt.
+    pub attempt: Attempt,
+    /// Run of the process that holds it.
+    pub holder: Incarnation,
+    /// Id of the request.
+    pub request_id: RequestId,
+    /// Class of the request.
+    pub class: ClassId,
+    /// Endpoint that the holder sends to.
+    pub endpoint: EndpointId,
+    /// Digest of the request's body; none where the record's could not be read.
+    pub body: Option<Digest>,
+    /// When the claim was made.
+    pub at: SystemTime,
+}
+
+impl From<&Claim> for Held {
+    fn from(claim: &Claim) -> Self {
+        Self {
+            attempt: claim.attempt,
+            holder: claim.holder,
+            request_id: claim.request_id.clone(),
+            class: claim.class.clone(),
+            endpoint: claim.endpoint.clone(),
+            body: parse_digest(&claim.body_sha256),
+            at: claim.at,
+        }
+    }
+}
+
 /// All that is known of one key.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct KeyState {
     /// Attempts up to this one never run.
     pub voided_up_to: Attempt,
     /// The claim in effect.
-    pub claim: Option<Claim>,
+    pub claim: Option<Held>,
     /// The outcome, once it is settled.
     pub outcome: Option<Outcome>,
 }
@@ -97,7 +130,7 @@
     /// Applies a claim.
     pub fn claim(&mut self, claim: &Claim) -> Verdict {
         if let Some(held) = &self.claim {
-            if held.body_sha256 != claim.body_sha256 {
+            if held.body != parse_digest(&claim.body_sha256) {
                 return Verdict::OtherBody;
             }
             return Verdict::Claimed { holder: held.holder, request_id: held.request_id.clone() };
@@ -105,7 +138,7 @@
         if claim.attempt <= self.voided_up_to {
             return Verdict::Voided { up_to: self.voided_up_to };
         }
-        self.claim = Some(claim.clone());
+        self.claim = Some(Held::from(claim));
         Verdict::Effective
     }
 
@@ -150,6 +183,6 @@
 }
 
 /// The digest of a request's body as a claim carries it.
-pub fn body_digest(digest: Digest) -> String {
+pub fn body_digest(digest: &Digest) -> String {
     hex::encode(digest)
 }
--- a/havengrade_core/src/ledger.rs
+++ b/havengrade_core/src/ledger.rs
@@ -1,7 +1,8 @@
 //! The ledger: claims, refusals and outcomes with their bills, replayed in offset order.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{HashMap, VecDeque},
+    sync::Arc,
     time::{Duration, SystemTime},
 };
 
@@ -9,7 +10,7 @@
 
 use crate::{
     billing::Bill,
-    claim::{Claim, ClaimKey, KeyState, Outcome, Verdict},
+    claim::{Claim, ClaimKey, Held, KeyState, Outcome, Verdict},
     cost::Usage,
     ids::{Attempt, Incarnation, Offset, RequestId},
 };
@@ -75,10 +76,10 @@
     }
 
     /// The settlement of a claim whose holder is gone: it may have run, and owes nothing that is known.
-    pub fn abandoned(claim: &Claim, now: SystemTime) -> Self {
+    pub fn abandoned(key: &ClaimKey, claim: &Held, now: SystemTime) -> Self {
         let bill = Bill {
             request_id: claim.request_id.clone(),
-            account: claim.key.account.clone(),
+            account: key.account.clone(),
             class: claim.class.clone(),
             version: None,
             endpoint: claim.endpoint.clone(),
@@ -87,7 +88,7 @@
             at: now,
         };
         Self::Settle {
-            key: claim.key.clone(),
+            key: key.clone(),
             request_id: claim.request_id.clone(),
             outcome: Outcome::MayHaveRun,
             bill: Some(bill),
@@ -108,27 +109,24 @@
     pub records: Vec<LedgerRecord>,
 }
 
-/// A bill that counts, with the offset at which it stands.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CountedBill {
-    /// Offset of its batch.
-    pub offset: Offset,
-    /// The bill.
-    pub bill: Bill,
+/// What is known of a key, and when that last changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Entry {
+    state: KeyState,
+    changed: SystemTime,
 }
 
-/// All that the request stream says, up to an offset.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// All that the ledger says, up to an offset.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ledger {
     /// Offset after the last batch that was replayed.
     pub next_offset: Offset,
     /// The newest time in any batch.
     pub newest: Option<SystemTime>,
-    #[serde(with = "key_list")]
-    keys: HashMap<ClaimKey, KeyState>,
-    requests: HashMap<RequestId, ClaimKey>,
-    bills: HashMap<RequestId, CountedBill>,
-    ages: BTreeMap<Offset, Vec<RequestId>>,
+    keys: HashMap<Arc<ClaimKey>, Entry>,
+    requests: HashMap<RequestId, Arc<ClaimKey>>,
+    /// Keys by when they were first seen, or found to have changed since.
+    ages: VecDeque<(SystemTime, Arc<ClaimKey>)>,
     last_seq: HashMap<Incarnation, u64>,
 }
 
@@ -148,85 +146,76 @@
         }
         *last_seq = batch.seq;
         self.newest = self.newest.max(Some(batch.at));
-        Some(batch.records.iter().map(|record| self.apply(offset, record)).collect())
+        Some(batch.records.iter().map(|record| self.apply(record, batch.at)).collect())
     }
 
-    fn apply(&mut self, offset: Offset, record: &LedgerRecord) -> Verdict {
+    fn apply(&mut self, record: &LedgerRecord, at: SystemTime) -> Verdict {
         match record {
-            LedgerRecord::Claim(claim) => self.apply_claim(offset, claim),
-            LedgerRecord::Void { key, up_to, holder, request_id } => {
-                self.keys.entry(key.clone()).or_default().void(*up_to, *holder, request_id)
-            },
-            LedgerRecord::Settle { key, request_id, outcome, bill } => {
-                let verdict = self.keys.entry(key.clone()).or_default().settle(request_id, outcome);
-                if verdict == Verdict::Effective
-                    && let Some(bill) = bill
-                {
-                    self.count(offset, bill);
+            LedgerRecord::Claim(claim) => {
+                let verdict = self.entry(&claim.key, at).claim(claim);
+                if verdict == Verdict::Effective {
+                    self.note_request(claim);
                 }
                 verdict
             },
-            LedgerRecord::Ran { claim, outcome, bill } => self.apply_ran(offset, claim, outcome, bill),
-            LedgerRecord::Bill(bill) => self.count(offset, bill),
+            LedgerRecord::Void { key, up_to, holder, request_id } => {
+                self.entry(key, at).void(*up_to, *holder, request_id)
+            },
+            LedgerRecord::Settle { key, request_id, outcome, .. } => self.entry(key, at).settle(request_id, outcome),
+            LedgerRecord::Ran { claim, outcome, .. } => self.apply_ran(claim, outcome, at),
+            LedgerRecord::Bill(_) => Verdict::Unfounded,
         }
     }
 
-    fn apply_ran(&mut self, offset: Offset, claim: &Claim, outcome: &Outcome, bill: &Bill) -> Verdict {
-        let state = self.keys.entry(claim.key.clone()).or_default();
+    fn apply_ran(&mut self, claim: &Claim, outcome: &Outcome, at: SystemTime) -> Verdict {
+        let state = self.entry(&claim.key, at);
         // It is a fact that it ran, so a refusal that stands before it has no say; another claim has.
-        let held = state.claim.get_or_insert_with(|| claim.clone());
+        let held = state.claim.get_or_insert_with(|| Held::from(claim));
         if held.request_id != claim.request_id {
             return Verdict::Claimed { holder: held.holder, request_id: held.request_id.clone() };
         }
         let verdict = state.settle(&claim.request_id, outcome);
-        self.requests.insert(claim.request_id.clone(), claim.key.clone());
-        self.count(offset, bill);
+        self.note_request(claim);
         verdict
     }
 
-    fn apply_claim(&mut self, offset: Offset, claim: &Claim) -> Verdict {
-        let verdict = self.keys.entry(claim.key.clone()).or_default().claim(claim);
-        if verdict == Verdict::Effective {
-            self.requests.insert(claim.request_id.clone(), claim.key.clone());
-            self.ages.entry(offset).or_default().push(claim.request_id.clone());
+    fn note_request(&mut self, claim: &Claim) {
+        if let Some((key, _)) = self.keys.get_key_value(&claim.key) {
+            self.requests.insert(claim.request_id.clone(), key.clone());
         }
-        verdict
     }
 
-    fn count(&mut self, offset: Offset, bill: &Bill) -> Verdict {
-        if self.bills.contains_key(&bill.request_id) {
-            return Verdict::Unfounded;
+    /// The state of a key that a record is about.
+    fn entry(&mut self, key: &ClaimKey, at: SystemTime) -> &mut KeyState {
+        if !self.keys.contains_key(key) {
+            let key = Arc::new(key.clone());
+            self.ages.push_back((at, key.clone()));
+            self.keys.insert(key, Entry { state: KeyState::default(), changed: at });
         }
-        self.bills.insert(bill.request_id.clone(), CountedBill { offset, bill: bill.clone() });
-        self.ages.entry(offset).or_default().push(bill.request_id.clone());
-        Verdict::Effective
+        let entry = self.keys.get_mut(key).unwrap_or_else(|| unreachable!("it was just put there"));
+        entry.changed = entry.changed.max(at);
+        &mut entry.state
     }
 
     /// What is known of a key.
     pub fn key(&self, key: &ClaimKey) -> Option<&KeyState> {
-        self.keys.get(key)
+        self.keys.get(key).map(|entry| &entry.state)
     }
 
-    /// What is known of the key that a request holds.
-    pub fn request(&self, request_id: &str) -> Option<&KeyState> {
-        let state = self.keys.get(self.requests.get(request_id)?)?;
+    /// The key that a request holds, and what is known of it.
+    pub fn request(&self, request_id: &str) -> Option<(&ClaimKey, &KeyState)> {
+        let key = self.requests.get(request_id)?;
+        let state = self.key(key)?;
         let holds = state.claim.as_ref().is_some_and(|claim| claim.request_id == request_id);
-        holds.then_some(state)
-    }
-
-    /// The bill that counts for a request.
-    pub fn bill(&self, request_id: &str) -> Option<&CountedBill> {
-        self.bills.get(request_id)
-    }
-
-    /// All bills that count and are still remembered.
-    pub fn bills(&self) -> impl Iterator<Item = &CountedBill> {
-        self.bills.values()
+        holds.then_some((key, state))
     }
 
     /// Claims in effect that have no outcome yet.
-    pub fn unsettled(&self) -> impl Iterator<Item = &Claim> {
-        self.keys.values().filter(|state| state.outcome.is_none()).filter_map(|state| state.claim.as_ref())
+    pub fn unsettled(&self) -> impl Iterator<Item = (&ClaimKey, &Held)> {
+        self.keys.iter().filter_map(|(key, entry)| {
+            let held = entry.state.claim.as_ref()?;
+            entry.state.outcome.is_none().then_some((&**key, held))
+        })
     }
 
     /// Number of keys that are remembered.
@@ -239,52 +228,28 @@
         self.keys.is_empty()
     }
 
-    /// Forgets what is older than the horizon, counted from the newest time in the stream.
+    /// Forgets what has not changed within the horizon, counted from the newest time in the stream.
     ///
-    /// Unsettled claims are kept: to forget one would let its key run again.
+    /// Unsettled claims are kept, and what is younger than them: to forget one would let its key run again.
     pub fn forget(&mut self, horizon: Duration) {
         let Some(cutoff) = self.newest.and_then(|newest| newest.checked_sub(horizon)) else {
             return;
         };
-        let old = |ledger: &Self, id: &RequestId| {
-            let claimed = ledger.request(id).map(|state| (state.claim.as_ref().map(|claim| claim.at), &state.outcome));
-            let billed = ledger.bills.get(id).map(|counted| counted.bill.at);
-            match claimed {
-                Some((Some(at), Some(_))) => at < cutoff,
-                Some(_) => false,
-                None => billed.is_none_or(|at| at < cutoff),
+        while self.ages.front().is_some_and(|(at, _)| *at < cutoff) {
+            let Some((_, key)) = self.ages.pop_front() else { return };
+            let Some(entry) = self.keys.get(&key) else { continue };
+            if entry.changed >= cutoff {
+                self.ages.push_back((entry.changed, key));
+                continue;
             }
-        };
-        while let Some((offset, ids)) = self.ages.first_key_value().map(|(offset, ids)| (*offset, ids.clone())) {
-            if !ids.iter().all(|id| old(self, id)) {
+            if entry.state.claim.is_some() && entry.state.outcome.is_none() {
+                self.ages.push_front((entry.changed, key));
                 return;
             }
-            self.ages.remove(&offset);
-            ids.iter().for_each(|id| self.forget_request(id));
-        }
-    }
-
-    fn forget_request(&mut self, request_id: &str) {
-        self.bills.remove(request_id);
-        if let Some(key) = self.requests.remove(request_id) {
+            if let Some(held) = &entry.state.claim {
+                self.requests.remove(&held.request_id);
+            }
             self.keys.remove(&key);
         }
     }
 }
-
-/// Keys as a list, since JSON knows only strings as keys.
-mod key_list {
-    use std::collections::HashMap;
-
-    use serde::{Deserialize, Deserializer, Serialize, Serializer};
-
-    use crate::claim::{ClaimKey, KeyState};
-
-    pub(super) fn serialize<S: Serializer>(map: &HashMap<ClaimKey, KeyState>, to: S) -> Result<S::Ok, S::Error> {
-        map.iter().collect::<Vec<_>>().serialize(to)
-    }
-
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<HashMap<ClaimKey, KeyState>, D::Error> {
-        Ok(Vec::<(ClaimKey, KeyState)>::deserialize(from)?.into_iter().collect())
-    }
-}
--- a/havengrade_replay/src/measure/messages.rs
+++ b/havengrade_replay/src/measure/messages.rs
@@ -43,6 +43,7 @@
         40,
         (!uses.is_empty()).then_some(uses),
         (!tallies.is_empty()).then_some(tallies),
+        None,
     )
 }
 
--- a/havengrade_router/src/endpoints.rs
+++ b/havengrade_router/src/endpoints.rs
@@ -15,6 +15,20 @@
     selection::{EndpointState, EndpointStates},
 };
 
+/// What an endpoint reported, or that it refused the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointReport {
+    /// It runs or has queued so many requests.
+    Load {
+        /// The requests.
+        load: u32,
+        /// Whether it is about to leave.
+        leaving: bool,
+    },
+    /// It refused the connection.
+    Gone,
+}
+
 /// What is known of one endpoint.
 #[derive(Debug, Default)]
 pub struct EndpointSlot {
@@ -26,20 +40,27 @@
     failures: AtomicU32,
     /// Milliseconds since the Unix epoch; 0 where it is not ejected.
     ejected_until: AtomicU64,
+    /// When there was last a sign of it, in milliseconds since the Unix epoch; 0 for never.
+    heard: AtomicU64,
+}
+
+fn to_millis(at: SystemTime) -> u64 {
+    let since = at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn from_millis(millis: u64) -> Option<SystemTime> {
+    (millis > 0).then(|| SystemTime::UNIX_EPOCH + Duration::from_millis(millis))
 }
 
 impl EndpointSlot {
     fn state(&self) -> EndpointState {
-        let ejected_until = match self.ejected_until.load(Ordering::Relaxed) {
-            0 => None,
-            millis => Some(SystemTime::UNIX_EPOCH + Duration::from_millis(millis)),
-        };
         EndpointState {
             in_flight: self.in_flight.load(Ordering::Relaxed),
             reported: self.reported.load(Ordering::Relaxed),
             own_at_report: self.own_at_report.load(Ordering::Relaxed),
             unavailable: self.is_leaving.load(Ordering::Relaxed) || self.is_silent.load(Ordering::Relaxed),
-            ejected_until,
+            ejected_until: from_millis(self.ejected_until.load(Ordering::Relaxed)),
         }
     }
 
@@ -47,9 +68,19 @@
     pub fn report(&self, load: u32, own: u32) {
         self.reported.store(load, Ordering::Relaxed);
         self.own_at_report.store(own.min(load), Ordering::Relaxed);
+    }
+
+    /// Notes a sign of the endpoint.
+    pub fn hear(&self, now: SystemTime) {
+        self.heard.fetch_max(to_millis(now), Ordering::Relaxed);
         self.is_silent.store(false, Ordering::Relaxed);
     }
 
+    /// When there was last a sign of the endpoint.
+    pub fn heard(&self) -> Option<SystemTime> {
+        from_millis(self.heard.load(Ordering::Relaxed))
+    }
+
     /// Notes that the endpoint no longer reports.
     pub fn fall_silent(&self) {
         self.is_silent.store(true, Ordering::Relaxed);
@@ -66,16 +97,16 @@
     }
 
     /// Notes a try that succeeded.
-    pub fn succeed(&self) {
+    pub fn succeed(&self, now: SystemTime) {
         self.failures.store(0, Ordering::Relaxed);
+        self.hear(now);
     }
 
     /// Notes a try that failed; after `eject_after` in a row the endpoint is passed over for a time.
     pub fn fail(&self, eject_after: u32, eject_for: Duration, now: SystemTime) {
         let failures = self.failures.fetch_add(1, Ordering::Relaxed) + 1;
         if failures >= eject_after {
-            let until = (now + eject_for).duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-            self.ejected_until.store(u64::try_from(until.as_millis()).unwrap_or(u64::MAX), Ordering::Relaxed);
+            self.ejected_until.store(to_millis(now + eject_for), Ordering::Relaxed);
             self.failures.store(0, Ordering::Relaxed);
         }
     }
--- a/havengrade_router/src/services/endpoints.rs
+++ b/havengrade_router/src/services/endpoints.rs
@@ -1,21 +1,27 @@
 //! The service that watches endpoints: their load, their silence and their leaving.
+//!
+//! The live VMs share the endpoints among them: each endpoint is asked by one VM, which tells the others
+//! with its heartbeats.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashSet},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, SystemTime},
 };
 
 use async_trait::async_trait;
 use havengrade_core::{
-    config::{Endpoint, EndpointKind},
+    config::{Catalog, Endpoint, EndpointKind},
     ids::EndpointId,
+    secret::spread,
 };
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
 use serde::Deserialize;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
+    endpoints::{EndpointReport, EndpointSlot},
     http::{Reuse, get},
     kernel::{Context, Service, StartError, spawn},
     platform::ListedEndpoint,
@@ -24,6 +30,8 @@
 /// Name of the service.
 pub const NAME: &str = "endpoints";
 
+/// Time between two looks at whose turn it is.
+const TICK: Duration = Duration::from_millis(250);
 /// Largest load report, in bytes.
 const MAX_REPORT: usize = 64 << 10;
 
@@ -39,17 +47,19 @@
 
 /// What the service is told.
 pub enum EndpointsMessage {
-    /// Time to look at all endpoints.
+    /// Time to look whose turn it is.
     Tick,
-    /// An endpoint answered, or did not.
+    /// An endpoint answered.
     Reported {
         /// The endpoint.
         endpoint: EndpointId,
         /// Requests of ours that were there when it was asked.
         own: u32,
-        /// Its report, if one came.
-        report: Option<LoadReport>,
+        /// Its report.
+        report: EndpointReport,
     },
+    /// Reports that another VM was given.
+    Relayed(Vec<(EndpointId, EndpointReport)>),
     /// The platform's list.
     Listed(Vec<ListedEndpoint>),
 }
@@ -70,14 +80,25 @@
 
 struct EndpointsActor;
 
+/// What is kept of an endpoint that is watched.
+struct Watched {
+    slot: Arc<EndpointSlot>,
+    address: SocketAddr,
+    /// By this number the VMs share the endpoints among them.
+    place: u64,
+    since: SystemTime,
+    asked: Option<SystemTime>,
+    says_leaving: bool,
+    asking: Option<AbortOnDropHandle<()>>,
+}
+
 struct EndpointsState {
     cx: Context,
-    heard: HashMap<EndpointId, SystemTime>,
-    /// Endpoints that said of themselves that they leave.
-    says_leaving: HashSet<EndpointId>,
+    watched: BTreeMap<EndpointId, Watched>,
+    /// Configuration whose endpoints are watched.
+    catalog: Arc<Catalog>,
     /// Endpoints that the platform lists as leaving.
     listed_leaving: HashSet<EndpointId>,
-    asking: HashMap<EndpointId, AbortOnDropHandle<()>>,
     _ticker: AbortOnDropHandle<()>,
 }
 
@@ -87,14 +108,12 @@
     type Arguments = Context;
 
     async fn pre_start(&self, myself: ActorRef<Self::Msg>, cx: Context) -> Result<EndpointsState, ActorProcessingErr> {
-        let every = Duration::from_millis(cx.shared.settings.endpoints.report_ms);
         Ok(EndpointsState {
+            catalog: cx.shared.catalog.load_full(),
             cx,
-            heard: HashMap::new(),
-            says_leaving: HashSet::new(),
+            watched: BTreeMap::new(),
             listed_leaving: HashSet::new(),
-            asking: HashMap::new(),
-            _ticker: super::tick(myself, every, || EndpointsMessage::Tick),
+            _ticker: super::tick(myself, TICK, || EndpointsMessage::Tick),
         })
     }
 
@@ -105,8 +124,14 @@
         state: &mut EndpointsState,
     ) -> Result<(), ActorProcessingErr> {
         match message {
-            EndpointsMessage::Tick => state.ask_all(&myself),
-            EndpointsMessage::Reported { endpoint, own, report } => state.reported(&endpoint, own, report),
+            EndpointsMessage::Tick => state.tick(&myself),
+            EndpointsMessage::Reported { endpoint, own, report } => {
+                state.reported(&endpoint, report, Some(own));
+                state.cx.shared.note_report(endpoint, report);
+            },
+            EndpointsMessage::Relayed(reports) => {
+                reports.into_iter().for_each(|(endpoint, report)| state.reported(&endpoint, report, None));
+            },
             EndpointsMessage::Listed(listed) => state.listed(&listed),
         }
         Ok(())
@@ -114,79 +139,106 @@
 }
 
 impl EndpointsState {
-    fn ask_all(&mut self, myself: &ActorRef<EndpointsMessage>) {
-        let catalog = self.cx.shared.catalog.load_full();
-        self.forget_removed(|id| catalog.config.endpoints.contains_key(id));
-        for endpoint in catalog.config.endpoints.values() {
-            self.note_silence(&endpoint.id);
-            // Scripts know nothing of load reports; they are taken to be there.
-            let is_busy = self.asking.get(&endpoint.id).is_some_and(|task| !task.is_finished());
-            if endpoint.kind != EndpointKind::Scripts && !is_busy {
-                let task = tokio::spawn(ask(self.cx.clone(), myself.clone(), Arc::new(endpoint.clone())));
-                self.asking.insert(endpoint.id.clone(), AbortOnDropHandle::new(task));
+    fn tick(&mut self, myself: &ActorRef<EndpointsMessage>) {
+        self.follow_configuration();
+        let live = self.cx.shared.live_vms();
+        let own = live.iter().position(|vm| vm == self.cx.shared.vm()).unwrap_or_default() as u64;
+        let now = self.cx.shared.clock.now();
+        let report = Duration::from_millis(self.cx.shared.settings.endpoints.report_ms);
+        let silence = Duration::from_millis(self.cx.shared.settings.endpoints.silence_ms);
+        for (id, watched) in &mut self.watched {
+            let unheard = watched.unheard(now);
+            if unheard > silence {
+                watched.slot.fall_silent();
+            }
+            // Where its VM does not tell of it, for one that is gone itself, everyone asks.
+            let is_own_turn = watched.place % live.len().max(1) as u64 == own;
+            let is_due = is_own_turn || unheard > report * 3 / 2;
+            let was_asked = watched.asked.is_some_and(|asked| now.duration_since(asked).unwrap_or_default() < report);
+            if is_due && !was_asked {
+                watched.asked = Some(now);
+                let ask = ask(self.cx.clone(), myself.clone(), id.clone(), watched.address, watched.slot.in_flight());
+                watched.asking = Some(AbortOnDropHandle::new(tokio::spawn(ask)));
             }
         }
     }
 
-    fn forget_removed(&mut self, is_there: impl Fn(&str) -> bool) {
-        self.heard.retain(|id, _| is_there(id));
-        self.says_leaving.retain(|id| is_there(id));
-        self.asking.retain(|id, _| is_there(id));
-    }
-
-    fn note_silence(&mut self, endpoint: &str) {
-        let now = self.cx.shared.clock.now();
-        let limit = Duration::from_millis(self.cx.shared.settings.endpoints.silence_ms);
-        let Some(heard) = self.heard.get(endpoint) else {
-            self.heard.insert(endpoint.to_owned(), now);
+    /// Watches the endpoints of the configuration in force; scripts know nothing of reports and are left out.
+    fn follow_configuration(&mut self) {
+        let catalog = self.cx.shared.catalog.load_full();
+        if !self.watched.is_empty() && self.catalog.has_endpoints_of(&catalog.config) {
             return;
-        };
-        let is_silent = now.duration_since(*heard).unwrap_or_default() > limit;
-        if is_silent
-            && !self
-                .cx
-                .shared
-                .catalog
-                .load()
-                .config
-                .endpoints
-                .get(endpoint)
-                .is_some_and(|e| e.kind == EndpointKind::Scripts)
-            && let Some(slot) = self.cx.shared.endpoints.slot(endpoint)
-        {
-            slot.fall_silent();
         }
+        let mut known = std::mem::take(&mut self.watched);
+        let now = self.cx.shared.clock.now();
+        for endpoint in catalog.config.endpoints.values().filter(|endpoint| endpoint.kind != EndpointKind::Scripts) {
+            let kept = known.remove(&endpoint.id).filter(|watched| watched.address == endpoint.address);
+            let slot = self.cx.shared.endpoints.slot(&endpoint.id).unwrap_or_default();
+            let watched = kept.unwrap_or_else(|| Watched::new(endpoint, slot, now));
+            self.watched.insert(endpoint.id.clone(), watched);
+        }
+        self.catalog = catalog;
     }
 
-    fn reported(&mut self, endpoint: &str, own: u32, report: Option<LoadReport>) {
-        let Some(slot) = self.cx.shared.endpoints.slot(endpoint) else { return };
-        let Some(report) = report else { return };
-        self.heard.insert(endpoint.to_owned(), self.cx.shared.clock.now());
-        if report.leaving {
-            self.says_leaving.insert(endpoint.to_owned());
-        } else {
-            self.says_leaving.remove(endpoint);
+    fn reported(&mut self, endpoint: &str, report: EndpointReport, own: Option<u32>) {
+        let is_listed = self.listed_leaving.contains(endpoint);
+        let Some(watched) = self.watched.get_mut(endpoint) else { return };
+        match report {
+            EndpointReport::Gone => watched.slot.fall_silent(),
+            EndpointReport::Load { load, leaving } => {
+                watched.says_leaving = leaving;
+                watched.slot.report(load, own.unwrap_or_else(|| watched.slot.in_flight()));
+                watched.slot.hear(self.cx.shared.clock.now());
+                watched.slot.set_leaving(leaving || is_listed);
+            },
         }
-        slot.report(report.load, own);
-        slot.set_leaving(report.leaving || self.listed_leaving.contains(endpoint));
     }
 
     fn listed(&mut self, listed: &[ListedEndpoint]) {
         self.listed_leaving = listed.iter().filter(|vm| vm.leaving).map(|vm| vm.id.clone()).collect();
-        for vm in listed {
-            if let Some(slot) = self.cx.shared.endpoints.slot(&vm.id) {
-                slot.set_leaving(vm.leaving || self.says_leaving.contains(&vm.id));
-            }
+        for (id, watched) in &self.watched {
+            watched.slot.set_leaving(watched.says_leaving || self.listed_leaving.contains(id));
         }
     }
 }
 
-async fn ask(cx: Context, service: ActorRef<EndpointsMessage>, endpoint: Arc<Endpoint>) {
-    let own = cx.shared.endpoints.slot(&endpoint.id).map_or(0, |slot| slot.in_flight());
+impl Watched {
+    fn new(endpoint: &Endpoint, slot: Arc<EndpointSlot>, now: SystemTime) -> Self {
+        Self {
+            slot,
+            address: endpoint.address,
+            place: spread(&[&endpoint.id]),
+            since: now,
+            asked: None,
+            says_leaving: false,
+            asking: None,
+        }
+    }
+
+    /// Time since there was last a sign of it, or since it is watched.
+    fn unheard(&self, now: SystemTime) -> Duration {
+        let heard = self.slot.heard().map_or(self.since, |heard| heard.max(self.since));
+        now.duration_since(heard).unwrap_or_default()
+    }
+}
+
+async fn ask(cx: Context, service: ActorRef<EndpointsMessage>, endpoint: EndpointId, address: SocketAddr, own: u32) {
     let limit = Duration::from_millis(cx.shared.settings.endpoints.silence_ms);
-    let request = get(&format!("http://{}/load", endpoint.address));
-    let called = cx.http.call(endpoint.address, request, Reuse::Allowed, limit, MAX_REPORT).await;
-    let answer = called.and_then(|answer| answer.expect_ok(endpoint.address));
-    let report = answer.ok().and_then(|body| serde_json::from_slice(&body).ok());
-    let _ = service.cast(EndpointsMessage::Reported { endpoint: endpoint.id.clone(), own, report });
+    let request = get(&format!("http://{address}/load"));
+    let report = match cx.http.call(address, request, Reuse::Allowed, limit, MAX_REPORT).await {
+        Ok(answer) => {
+            let body = answer.expect_ok(address).ok();
+            body.and_then(|body| serde_json::from_slice::<LoadReport>(&body).ok()).map(std::convert::Into::into)
+        },
+        Err(error) => error.surely_not_sent().then_some(EndpointReport::Gone),
+    };
+    if let Some(report) = report {
+        let _ = service.cast(EndpointsMessage::Reported { endpoint, own, report });
+    }
+}
+
+impl From<LoadReport> for EndpointReport {
+    fn from(report: LoadReport) -> Self {
+        Self::Load { load: report.load, leaving: report.leaving }
+    }
 }
--- a/havengrade_router/src/services/ledger.rs
+++ b/havengrade_router/src/services/ledger.rs
@@ -60,7 +60,7 @@
     /// What is known of a key.
     Key(ClaimKey, RpcReplyPort<Option<KeyState>>),
     /// What is known of the key that a request holds.
-    Request(RequestId, RpcReplyPort<Option<KeyState>>),
+    Request(RequestId, RpcReplyPort<Option<(ClaimKey, KeyState)>>),
     /// Whether everything that was submitted is in the log.
     IsEmpty(RpcReplyPort<bool>),
     /// VMs that were heard from, so that what is left behind by others can be closed.
@@ -149,7 +149,7 @@
                 let _ = reply.send(state.ledger.key(&key).cloned());
             },
             LedgerMessage::Request(id, reply) => {
-                let _ = reply.send(state.ledger.request(&id).cloned());
+                let _ = reply.send(state.ledger.request(&id).map(|(key, state)| (key.clone(), state.clone())));
             },
             LedgerMessage::IsEmpty(reply) => {
                 let _ = reply.send(state.outbox.is_empty());
@@ -250,9 +250,9 @@
         let abandoned: Vec<LedgerRecord> = self
             .ledger
             .unsettled()
-            .filter(|claim| claim.holder != self.cx.shared.incarnation)
-            .filter(|claim| is_old(claim.at) && !self.live.contains_key(&claim.holder))
-            .map(|claim| LedgerRecord::abandoned(claim, now))
+            .filter(|(_, claim)| claim.holder != self.cx.shared.incarnation)
+            .filter(|(_, claim)| is_old(claim.at) && !self.live.contains_key(&claim.holder))
+            .map(|(key, claim)| LedgerRecord::abandoned(key, claim, now))
             .collect();
         for record in abandoned {
             let is_on_its_way = record.request_id().is_some_and(|id| self.outbox.has(id));
--- a/havengrade_router/src/services/members.rs
+++ b/havengrade_router/src/services/members.rs
@@ -8,15 +8,18 @@
 use async_trait::async_trait;
 use havengrade_core::{
     evidence::{Subject, Tally},
-    ids::{Incarnation, VmId},
+    ids::{EndpointId, Incarnation, VmId},
     membership::{Heartbeat, Member, Membership},
 };
-use havengrade_rpc::peers::{AccountUse, EvidenceTally, PeerFetch, PeerHeartbeat, PeerRecords, PeerReply, PeerRequest};
+use havengrade_rpc::peers::{
+    AccountUse, EndpointLoad, EvidenceTally, PeerFetch, PeerHeartbeat, PeerRecords, PeerReply, PeerRequest,
+};
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
+    endpoints::EndpointReport,
     kernel::{Context, Service, StartError, spawn},
     platform::{LogRecord, VmListing},
     services::{
@@ -76,8 +79,6 @@
     membership: Membership,
     seq: u64,
     next_peer: usize,
-    /// Counters that changed since the last heartbeat.
-    evidence: Vec<(Subject, Tally)>,
     /// Requests in progress at other VMs, by VM.
     uses: HashMap<VmId, Vec<AccountUse>>,
     calls: Vec<AbortOnDropHandle<()>>,
@@ -98,7 +99,6 @@
             membership: Membership::default(),
             seq: 0,
             next_peer: 0,
-            evidence: Vec::new(),
             uses: HashMap::new(),
             calls: Vec::new(),
             _list: AbortOnDropHandle::new(list),
@@ -117,7 +117,7 @@
             MembersMessage::Heard { heartbeat, asked, reply } => {
                 state.heard(heartbeat, asked);
                 if let Some(reply) = reply {
-                    let _ = reply.send(state.heartbeat());
+                    let _ = reply.send(state.heartbeat(None));
                 }
             },
             MembersMessage::Members(reply) => {
@@ -161,7 +161,7 @@
 
     fn members(&self) -> Vec<(Member, bool)> {
         let now = self.cx.shared.clock.now();
-        let mut own = to_heartbeat(&self.heartbeat());
+        let mut own = to_heartbeat(&self.heartbeat(None));
         own.seq = u64::MAX;
         let silence = self.silence();
         let with_life = |member: &Member| {
@@ -176,8 +176,8 @@
         self.membership.members().map(with_life).collect()
     }
 
-    /// Our own heartbeat.
-    fn heartbeat(&self) -> PeerHeartbeat {
+    /// Our own heartbeat; only those that we send ourselves carry news of endpoints and evidence.
+    fn heartbeat(&self, news: Option<News>) -> PeerHeartbeat {
         let shared = &self.cx.shared;
         let now = shared.clock.now();
         let revision = shared.catalog.load().config.revision;
@@ -187,8 +187,7 @@
             .filter(|(_, count)| *count > 0)
             .map(|(account, count)| AccountUse::new(account.clone(), count.cast_signed()))
             .collect();
-        let evidence: Vec<EvidenceTally> =
-            self.evidence.iter().map(|(subject, tally)| to_wire(subject, tally)).collect();
+        let News { evidence, loads } = news.unwrap_or_default();
         PeerHeartbeat::new(
             shared.vm().clone(),
             shared.incarnation.cast_signed(),
@@ -201,28 +200,38 @@
             i32::try_from(shared.requests.in_progress()).unwrap_or(i32::MAX),
             (!uses.is_empty()).then_some(uses),
             (!evidence.is_empty()).then_some(evidence),
+            (!loads.is_empty()).then_some(loads),
         )
     }
 
     async fn tick(&mut self, myself: &ActorRef<MembersMessage>) {
         self.seq += 1;
         self.calls.retain(|call| !call.is_finished());
-        self.evidence = self.own_evidence().await;
         self.share_limits();
         self.judge_majority();
         self.tell_live();
-        let heartbeat = self.heartbeat();
+        let news = News { evidence: self.own_evidence().await, loads: self.own_reports() };
+        let heartbeat = self.heartbeat(Some(news));
         for to in self.choose_peers() {
             let call = tokio::spawn(send_heartbeat(self.cx.clone(), myself.clone(), to, heartbeat.clone()));
             self.calls.push(AbortOnDropHandle::new(call));
         }
     }
 
-    async fn own_evidence(&self) -> Vec<(Subject, Tally)> {
+    fn own_reports(&self) -> Vec<EndpointLoad> {
+        let to_load = |(endpoint, report)| match report {
+            EndpointReport::Load { load, leaving } => EndpointLoad::new(endpoint, load.cast_signed(), leaving, false),
+            EndpointReport::Gone => EndpointLoad::new(endpoint, 0, false, true),
+        };
+        self.cx.shared.take_reports().into_iter().map(to_load).collect()
+    }
+
+    async fn own_evidence(&self) -> Vec<EvidenceTally> {
         let all = self.seq.is_multiple_of(FULL_EVIDENCE_EVERY);
         let Some(service) = self.cx.find::<EvidenceMessage>(evidence::NAME) else { return Vec::new() };
         let own = service.call(|reply| EvidenceMessage::Own { all, reply }, None).await;
-        own.ok().and_then(|own| own.success_or(()).ok()).unwrap_or_default()
+        let own = own.ok().and_then(|own| own.success_or(()).ok()).unwrap_or_default();
+        own.iter().map(|(subject, tally)| to_wire(subject, tally)).collect()
     }
 
     /// The VMs whose turn it is, a bounded number.
@@ -245,7 +254,10 @@
             .map(|member| member.listed.id.clone())
             .filter(|id| id != own)
             .collect();
-        self.cx.shared.set_sharers(u32::try_from(others.len() + 1).unwrap_or(u32::MAX));
+        let mut live = others.clone();
+        live.push(own.clone());
+        live.sort_unstable();
+        self.cx.shared.set_live_vms(live);
         self.uses.retain(|vm, _| others.contains(vm));
         let mut sums: BTreeMap<&String, u32> = BTreeMap::new();
         for usage in self.uses.values().flatten() {
@@ -299,6 +311,11 @@
             let tallies = tallies.iter().map(from_wire).collect();
             let _ = service.cast(EvidenceMessage::Merge(heartbeat.incarnation, tallies));
         }
+        if let Some(loads) = message.loads
+            && let Some(service) = self.cx.find::<EndpointsMessage>(endpoints::NAME)
+        {
+            let _ = service.cast(EndpointsMessage::Relayed(loads.into_iter().map(from_load).collect()));
+        }
         self.uses.insert(heartbeat.vm.clone(), message.uses.unwrap_or_default());
         self.fetch_newer(&heartbeat);
         self.membership.hear(heartbeat, now, asked);
@@ -357,6 +374,22 @@
     reply.ok()?.success_or(()).ok()
 }
 
+/// What heartbeats carry besides the state of the VM.
+#[derive(Default)]
+struct News {
+    evidence: Vec<EvidenceTally>,
+    loads: Vec<EndpointLoad>,
+}
+
+fn from_load(load: EndpointLoad) -> (EndpointId, EndpointReport) {
+    let report = if load.gone {
+        EndpointReport::Gone
+    } else {
+        EndpointReport::Load { load: load.load.max(0).cast_unsigned(), leaving: load.leaving }
+    };
+    (load.endpoint, report)
+}
+
 fn to_heartbeat(message: &PeerHeartbeat) -> Heartbeat {
     Heartbeat {
         vm: message.vm.clone(),
--- a/havengrade_router/src/settings/sections.rs
+++ b/havengrade_router/src/settings/sections.rs
@@ -195,7 +195,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct EndpointSettings {
-    /// Time between two looks at an endpoint's load, in milliseconds.
+    /// Time between two looks at an endpoint's load by the VM whose turn it is, in milliseconds.
     pub report_ms: u64,
     /// Time after which an endpoint that does not report counts as gone, in milliseconds.
     pub silence_ms: u64,
@@ -216,8 +216,8 @@
 impl Default for EndpointSettings {
     fn default() -> Self {
         Self {
-            report_ms: 500,
-            silence_ms: 2000,
+            report_ms: 1000,
+            silence_ms: 2500,
             connect_timeout_ms: 500,
             stall_ms: 2000,
             eject_after: 3,
--- a/havengrade_router/src/shared.rs
+++ b/havengrade_router/src/shared.rs
@@ -1,10 +1,10 @@
 //! What the control thread publishes and traffic reads.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, SystemTime},
 };
@@ -15,14 +15,19 @@
     append::AppendBudget,
     config::Catalog,
     evidence::{Subject, Tally, Totals},
-    ids::{Incarnation, Offset, VmId},
+    ids::{EndpointId, Incarnation, Offset, VmId},
     membership,
     retry::RetryBudget,
 };
 use rand::Rng;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
 
-use crate::{clock::Clock, endpoints::EndpointTable, settings::Settings, traffic::RequestTable};
+use crate::{
+    clock::Clock,
+    endpoints::{EndpointReport, EndpointTable},
+    settings::Settings,
+    traffic::RequestTable,
+};
 
 /// What is known about the age of the configuration in force.
 #[derive(Clone, Copy, Debug)]
@@ -70,9 +75,10 @@
     appends: Mutex<AppendBudget>,
     seen: Mutex<HashMap<Subject, Tally>>,
     rng: Mutex<ChaCha8Rng>,
+    live_vms: ArcSwap<Vec<VmId>>,
+    loads: Mutex<BTreeMap<EndpointId, EndpointReport>>,
     is_draining: AtomicBool,
     is_log_reachable: AtomicBool,
-    sharers: AtomicU32,
     waiting_bills: AtomicUsize,
     config_next: AtomicU64,
 }
@@ -100,9 +106,10 @@
             appends: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(settings.endpoints.retry_percent)),
             rng: Mutex::new(rng),
+            live_vms: ArcSwap::from_pointee(vec![settings.vm.id.clone()]),
+            loads: Mutex::default(),
             is_draining: AtomicBool::new(false),
             is_log_reachable: AtomicBool::new(false),
-            sharers: AtomicU32::new(1),
             waiting_bills: AtomicUsize::new(0),
             config_next: AtomicU64::new(0),
             settings,
@@ -178,14 +185,29 @@
         self.is_log_reachable.load(Ordering::Relaxed)
     }
 
-    /// Notes how many live VMs share the limits of client accounts.
-    pub fn set_sharers(&self, sharers: u32) {
-        self.sharers.store(sharers.max(1), Ordering::Relaxed);
+    /// Notes which VMs live, this one among them, in the order of their names.
+    pub fn set_live_vms(&self, vms: Vec<VmId>) {
+        self.live_vms.store(Arc::new(vms));
+    }
+
+    /// VMs that live, in the order of their names.
+    pub fn live_vms(&self) -> Arc<Vec<VmId>> {
+        self.live_vms.load_full()
     }
 
-    /// Live VMs that share the limits of client accounts.
+    /// Live VMs that share the limits of client accounts and of the log service.
     pub fn sharers(&self) -> u32 {
-        self.sharers.load(Ordering::Relaxed)
+        u32::try_from(self.live_vms.load().len()).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Notes an endpoint's report for the next heartbeat.
+    pub fn note_report(&self, endpoint: EndpointId, report: EndpointReport) {
+        lock(&self.loads).insert(endpoint, report);
+    }
+
+    /// Takes the reports since the last call.
+    pub fn take_reports(&self) -> BTreeMap<EndpointId, EndpointReport> {
+        std::mem::take(&mut *lock(&self.loads))
     }
 
     /// Notes that so many records more, or fewer, wait for the log service.
--- a/havengrade_router/src/traffic/ledger.rs
+++ b/havengrade_router/src/traffic/ledger.rs
@@ -54,7 +54,7 @@
 }
 
 /// What is known of the key that a request holds.
-pub(crate) async fn request(cx: &Context, id: RequestId) -> Option<KeyState> {
+pub(crate) async fn request(cx: &Context, id: RequestId) -> Option<(ClaimKey, KeyState)> {
     let service = cx.find::<LedgerMessage>(ledger::NAME)?;
     let state = service.call(|reply| LedgerMessage::Request(id, reply), Some(LOOK_UP_LIMIT)).await;
     state.ok()?.success_or(()).ok().flatten()
--- a/havengrade_router/src/traffic/refuse.rs
+++ b/havengrade_router/src/traffic/refuse.rs
@@ -49,7 +49,7 @@
 /// The end that the log already shows for a key, if it does.
 pub(crate) fn known(state: &KeyState, keyed: &Keyed) -> Option<End> {
     let claim = state.claim.as_ref()?;
-    if claim.body_sha256 != keyed.body_sha256 {
+    if claim.body != Some(keyed.body) {
         return Some(End::Failed(other_body()));
     }
     let Some(outcome) = &state.outcome else {
--- a/havengrade_router/src/traffic/request.rs
+++ b/havengrade_router/src/traffic/request.rs
@@ -16,7 +16,7 @@
     cost::Usage,
     decision::{Decision, endpoint},
     ids::{Attempt, EndpointId, Micros, VersionId},
-    secret::digest,
+    secret::{Digest, digest},
     selection::Wanted,
 };
 
@@ -28,13 +28,13 @@
     pub(crate) key: ClaimKey,
     /// Number of the attempt; none where the caller does not count.
     pub(crate) attempt: Option<Attempt>,
-    pub(crate) body_sha256: String,
+    pub(crate) body: Digest,
 }
 
 impl Keyed {
     pub(crate) fn new(account: &str, key: &str, attempt: Option<Attempt>, body: &[u8]) -> Self {
         let key = ClaimKey { account: account.to_owned(), key: key.to_owned() };
-        Self { key, attempt, body_sha256: body_digest(digest(body)) }
+        Self { key, attempt, body: digest(body) }
     }
 
     /// Number of the attempt, 1 where the caller does not count.
@@ -115,7 +115,7 @@
         let settings = &self.cx.shared.settings.endpoints;
         let Some(slot) = self.cx.shared.endpoints.slot(endpoint) else { return };
         if succeeded {
-            slot.succeed();
+            slot.succeed(self.now());
         } else {
             slot.fail(settings.eject_after, Duration::from_millis(settings.eject_ms), self.now());
         }
@@ -129,7 +129,7 @@
             holder: self.cx.shared.incarnation,
             request_id: self.entry.id.clone(),
             class: self.decision.class.id.clone(),
-            body_sha256: keyed.body_sha256.clone(),
+            body_sha256: body_digest(&keyed.body),
             endpoint: endpoint.to_owned(),
             at: self.now(),
         }
--- a/havengrade_router/src/traffic/routes.rs
+++ b/havengrade_router/src/traffic/routes.rs
@@ -223,11 +223,10 @@
     if let Some(answer) = looked_up(id, cx.shared.requests.look_up(id, &account.id)) {
         return Ok(answer);
     }
-    if let Some(state) = ledger::request(cx, id.to_owned()).await
-        && let Some(claim) = state.claim.filter(|claim| claim.key.account == account.id)
+    if let Some((_, state)) = ledger::request(cx, id.to_owned()).await.filter(|(key, _)| key.account == account.id)
         && let Some(outcome) = &state.outcome
     {
-        return Ok(match stored(outcome, &claim.request_id) {
+        return Ok(match stored(outcome, &id.to_owned()) {
             End::Answered { status, content_type, body } => whole(status, &content_type, body),
             End::Failed(problem) => from_problem(&problem),
             End::PendingElsewhere(id) => crate::traffic::answer::pending(&id),
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -19,6 +19,15 @@
   6: required i64 failed,
 }
 
+/** What an endpoint reported to the sender. */
+struct EndpointLoad {
+  1: required string endpoint,
+  2: required i32 load,
+  3: required bool leaving,
+  /** Whether it refused the connection instead. */
+  4: required bool gone,
+}
+
 /** What a VM says of itself. */
 struct PeerHeartbeat {
   1: required string vm,
@@ -32,6 +41,8 @@
   9: required i32 in_progress,
   10: optional list<AccountUse> uses,
   11: optional list<EvidenceTally> evidence,
+  /** Reports since the sender's last heartbeat; not in replies. */
+  12: optional list<EndpointLoad> loads,
 }
 
 /** A record of the configuration stream. */
