--- a/havengrade_replay/src/measure/messages.rs
+++ b/havengrade_replay/src/measure/messages.rs
@@ -1,9 +1,10 @@
 //! Bytes of messages and records.
 
-use havengrade_core::{config::ConfigRecord, ledger::LedgerRecord};
+use havengrade_core::{config::ConfigRecord, ledger::LedgerRecord, membership::ListedVm};
+use havengrade_router::platform::VmListing;
 use havengrade_rpc::{
     encode,
-    peers::{AccountUse, EvidenceTally, PeerHeartbeat, PeerRecord, PeerRecords, PeerReply, PeerRequest},
+    peers::{AccountUse, EndpointLoad, EvidenceTally, PeerHeartbeat, PeerRecord, PeerRecords, PeerReply, PeerRequest},
 };
 
 use super::{Slopes, sample};
@@ -18,6 +19,8 @@
     };
     slopes.add("heartbeat_bytes", "bytes", "client account in use", heartbeats(|count| heartbeat(count, 0)));
     slopes.add("evidence_bytes", "bytes", "changed tally", heartbeats(|count| heartbeat(0, count)));
+    slopes.add("report_entry_bytes", "bytes", "report in a heartbeat", reports(&[1, 10, 84]));
+    slopes.add("vm_list_bytes", "bytes", "listed VM", listings(&[8, 64, 390]));
     slopes.add("relay_bytes", "bytes", "relayed record", records(&[1, 8, 64]));
     slopes.add("change_bytes", "bytes", "configuration change", changes(&[1, 10, 100]));
     slopes.add("snapshot_bytes", "bytes", "endpoint", snapshots(&[70, 700, 12_000]));
@@ -47,6 +50,30 @@
     )
 }
 
+fn reports(counts: &[usize]) -> Vec<(f64, f64)> {
+    let bytes = |count: &usize| {
+        let report = |index: usize| EndpointLoad::new(format!("engine-{index}"), 7, false, false);
+        let mut message = heartbeat(0, 0);
+        message.loads = Some((0..*count).map(report).collect());
+        (*count as f64, heartbeat_bytes(message))
+    };
+    counts.iter().map(bytes).collect()
+}
+
+fn listings(counts: &[usize]) -> Vec<(f64, f64)> {
+    let bytes = |count: &usize| {
+        let listed = |index: usize| ListedVm {
+            id: format!("vm-{index}"),
+            peer_address: sample::endpoint(index).address,
+            failure_domain: format!("domain-{}", index % 27),
+            leaving: false,
+        };
+        let listing = VmListing { entries: (0..*count).map(listed).collect(), endpoints: Vec::new() };
+        (*count as f64, json(&listing).len() as f64)
+    };
+    counts.iter().map(bytes).collect()
+}
+
 fn heartbeat_bytes(heartbeat: PeerHeartbeat) -> f64 {
     encoded(&PeerRequest::Heartbeat(heartbeat))
 }
--- a/havengrade_router/src/services/members.rs
+++ b/havengrade_router/src/services/members.rs
@@ -34,8 +34,10 @@
 /// Name of the service.
 pub const NAME: &str = "members";
 
+/// Heartbeats of which one carries evidence that has changed.
+const EVIDENCE_EVERY: u64 = 4;
 /// Heartbeats after which all of the evidence is sent again.
-const FULL_EVIDENCE_EVERY: u64 = 16;
+const FULL_EVIDENCE_EVERY: u64 = 64;
 /// Configuration records that are asked of a peer at once.
 const FETCH_RECORDS: i32 = 512;
 
@@ -227,6 +229,9 @@
     }
 
     async fn own_evidence(&self) -> Vec<EvidenceTally> {
+        if !self.seq.is_multiple_of(EVIDENCE_EVERY) {
+            return Vec::new();
+        }
         let all = self.seq.is_multiple_of(FULL_EVIDENCE_EVERY);
         let Some(service) = self.cx.find::<EvidenceMessage>(evidence::NAME) else { return Vec::new() };
         let own = service.call(|reply| EvidenceMessage::Own { all, reply }, None).await;
