Check histories of faults singly and in pairs, and mend what they found

Cause: nothing showed that the promises hold when things fail together. Change: schedules of faults over recorded traffic on a paused clock, eleven checks of histories, one for each thing that must always hold, and a test of 17 faults singly and in all pairs. Two faults were in the checks and are now as strict by other means: bills of one key are looked for by the key, which bills now carry, and an operator's change in an outage waits until the log takes it.

--- a/havengrade_core/src/billing.rs
+++ b/havengrade_core/src/billing.rs
@@ -16,6 +16,8 @@
     pub request_id: RequestId,
     /// Client account that owes it.
     pub account: AccountId,
+    /// Idempotency key of the request, if it has one.
+    pub key: Option<String>,
     /// Request class.
     pub class: ClassId,
     /// Version that gave the answer; none for plain services and scripts.
--- a/havengrade_core/src/ledger.rs
+++ b/havengrade_core/src/ledger.rs
@@ -80,6 +80,7 @@
         let bill = Bill {
             request_id: claim.request_id.clone(),
             account: key.account.clone(),
+            key: Some(key.key.clone()),
             class: claim.class.clone(),
             version: None,
             endpoint: claim.endpoint.clone(),
@@ -172,7 +173,11 @@
         // It is a fact that it ran, so a refusal that stands before it has no say; another claim has.
         let held = state.claim.get_or_insert_with(|| Held::from(claim));
         if held.request_id != claim.request_id {
-            return Verdict::Claimed { holder: held.holder, request_id: held.request_id.clone() };
+            let verdict = Verdict::Claimed { holder: held.holder, request_id: held.request_id.clone() };
+            let first = held.request_id.clone();
+            // The endpoint knows the key, so its answer is the one that the first request lost.
+            state.settle(&first, outcome);
+            return verdict;
         }
         let verdict = state.settle(&claim.request_id, outcome);
         self.note_request(claim);
--- a/havengrade_dev/src/fabric.rs
+++ b/havengrade_dev/src/fabric.rs
@@ -84,6 +84,13 @@
         wiring.stuck.drain(..).for_each(Waker::wake);
     }
 
+    /// Lets everything through again from and to a host.
+    pub fn mend_host(&self, host: Host) {
+        let mut wiring = lock(&self.wiring);
+        wiring.cuts.retain(|(from, to)| *from != host && *to != host);
+        wiring.stuck.drain(..).for_each(Waker::wake);
+    }
+
     /// Bytes that a host has read so far, from all others.
     pub fn bytes_read(&self, host: Host) -> u64 {
         lock(&self.wiring).read.get(&host).copied().unwrap_or_default()
--- a/havengrade_dev/src/fleet.rs
+++ b/havengrade_dev/src/fleet.rs
@@ -124,6 +124,11 @@
     fabric.address(host, 0)
 }
 
+/// Host of the VM list.
+pub fn vm_list_host() -> Host {
+    VM_LIST_HOST
+}
+
 /// Host of the log service.
 pub fn log_host() -> Host {
     LOG_HOST
--- a/havengrade_dev/src/lib.rs
+++ b/havengrade_dev/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod demo;
 pub mod fabric;
 pub mod fleet;
+pub mod history;
 pub mod load;
 pub mod scenario;
+pub mod schedule;
 pub mod stand_in;
--- a/havengrade_dev/src/stand_in/engine.rs
+++ b/havengrade_dev/src/stand_in/engine.rs
@@ -40,6 +40,17 @@
     Refuses,
 }
 
+/// A stream that was started.
+#[derive(Clone, Debug)]
+pub struct StartedStream {
+    /// Id of the stream.
+    pub stream: String,
+    /// Version that it runs on.
+    pub version: VersionId,
+    /// When it was started.
+    pub at: Instant,
+}
+
 /// The words of an answer, the same for the same version and prompt.
 pub fn answer_tokens(version: &str, prompt: &str) -> Vec<String> {
     const SHORTEST: u64 = 8;
@@ -69,7 +80,7 @@
     next_ticket: u64,
     loads: VecDeque<(Instant, u32)>,
     faults: VecDeque<EngineFault>,
-    started: Vec<(String, VersionId)>,
+    started: Vec<StartedStream>,
     leaving: bool,
 }
 
@@ -97,8 +108,8 @@
         lock(&self.state).leaving = true;
     }
 
-    /// Ids and versions of all streams that were started.
-    pub fn started(&self) -> Vec<(String, VersionId)> {
+    /// All streams that were started.
+    pub fn started(&self) -> Vec<StartedStream> {
         lock(&self.state).started.clone()
     }
 
@@ -196,7 +207,7 @@
         let priority = call.header("x-priority").parse().unwrap_or(u8::MAX);
         {
             let mut state = lock(&self.state);
-            state.started.push((id.clone(), version));
+            state.started.push(StartedStream { stream: id.clone(), version, at: Instant::now() });
             state.streams.insert(id.clone(), generation.clone());
         }
         tokio::spawn(self.clone().generate(generation.clone(), priority));
--- a/havengrade_dev/src/stand_in/log.rs
+++ b/havengrade_dev/src/stand_in/log.rs
@@ -68,6 +68,11 @@
         lock(&self.streams).fault = fault;
     }
 
+    /// Whether an append takes effect now.
+    pub fn takes_appends(&self) -> bool {
+        !matches!(lock(&self.streams).fault, LogFault::Down | LogFault::Silent)
+    }
+
     /// How often the log was called so far.
     pub fn calls(&self) -> LogCalls {
         let streams = lock(&self.streams);
--- a/havengrade_dev/src/stand_in/mod.rs
+++ b/havengrade_dev/src/stand_in/mod.rs
@@ -9,7 +9,7 @@
 
 pub(crate) use self::engine::EngineHandler;
 pub use self::{
-    engine::{EngineFault, EngineStandIn, answer_tokens, expected_answer},
+    engine::{EngineFault, EngineStandIn, StartedStream, answer_tokens, expected_answer},
     log::{LogCalls, LogFault, LogStandIn},
     rating::RatingStandIn,
     server::{Handler, start},
--- a/havengrade_replay/src/cli.rs
+++ b/havengrade_replay/src/cli.rs
@@ -40,4 +40,14 @@
         #[arg(long, value_name = "FILE", default_value = "docs/capacity/slopes.toml")]
         slopes: PathBuf,
     },
+    /// Run a schedule of faults on a virtual clock and write its history as JSON lines.
+    Record {
+        /// Schedule, in TOML.
+        schedule: PathBuf,
+    },
+    /// Check a history; exit code 1 where something that must always hold did not.
+    Check {
+        /// History, as JSON lines.
+        history: PathBuf,
+    },
 }
--- a/havengrade_replay/src/lib.rs
+++ b/havengrade_replay/src/lib.rs
@@ -4,5 +4,6 @@
 #![cfg_attr(test, allow(clippy::unwrap_used))]
 
 pub mod capacity;
+pub mod check;
 pub mod cli;
 pub mod measure;
--- a/havengrade_replay/src/main.rs
+++ b/havengrade_replay/src/main.rs
@@ -3,13 +3,18 @@
 use std::{fs, path::Path, process::ExitCode};
 
 use clap::Parser as _;
+use havengrade_dev::{
+    history,
+    schedule::{self, Schedule},
+};
 use havengrade_replay::{
-    capacity,
+    capacity, check,
     cli::{Command, Format, Options},
     measure,
 };
 use serde::de::DeserializeOwned;
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use tokio::runtime::Builder;
 
 /// Counts what is allocated, so that memory is measured and not guessed.
 #[global_allocator]
@@ -19,6 +24,8 @@
     let result = match Options::parse().command {
         Command::Measure { format } => Ok(print_slopes(&measure::run(), format)),
         Command::Capacity { sizes, slopes } => tables(&sizes, &slopes),
+        Command::Record { schedule } => record(&schedule),
+        Command::Check { history } => check_file(&history),
     };
     match result {
         Ok(text) => {
@@ -45,6 +52,25 @@
     Ok(capacity::tables(&slopes, &sizes))
 }
 
+fn record(path: &Path) -> Result<String, String> {
+    let schedule: Schedule = read(path)?;
+    let runtime = Builder::new_current_thread().enable_all().start_paused(true).build();
+    let runtime = runtime.map_err(|error| error.to_string())?;
+    let history = runtime.block_on(schedule::run(&schedule)).map_err(|error| error.to_string())?;
+    Ok(history::to_lines(&history))
+}
+
+fn check_file(path: &Path) -> Result<String, String> {
+    let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    let history = history::from_lines(&text).map_err(|error| format!("{}: {error}", path.display()))?;
+    let violations = check::check(&history);
+    if violations.is_empty() {
+        return Ok(format!("{} events, {} checks, no violation\n", history.len(), check::CHECKS.len()));
+    }
+    let lines: Vec<String> = violations.iter().map(|it| format!("{}: {}", it.check, it.detail)).collect();
+    Err(lines.join("\n"))
+}
+
 fn read<T: DeserializeOwned>(path: &Path) -> Result<T, String> {
     let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
     toml::from_str(&text).map_err(|error| format!("{}: {error}", path.display()))
--- a/havengrade_replay/src/measure/sample.rs
+++ b/havengrade_replay/src/measure/sample.rs
@@ -139,6 +139,7 @@
     Bill {
         request_id: request_id(number),
         account: "gate-office".to_owned(),
+        key: Some(format!("0f8fad5b-d9cb-469f-a165-{number:012}")),
         class: "check-in".to_owned(),
         version: Some(version(0).id),
         endpoint: "engine-17".to_owned(),
--- a/havengrade_router/src/services/bills.rs
+++ b/havengrade_router/src/services/bills.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use havengrade_core::{ids::RequestId, ledger::LedgerRecord};
+use havengrade_core::{
+    ids::{Incarnation, RequestId},
+    ledger::LedgerRecord,
+};
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio_util::task::AbortOnDropHandle;
 
@@ -33,8 +36,12 @@
     },
     /// The log service answered that a batch is in.
     Appended(u64),
+    /// The log service did not answer; a bill may stand in the stream twice, so it is sent again.
+    Unanswered(u64),
     /// Enough peers hold the bills of these requests.
     Held(Vec<RequestId>),
+    /// VMs that were heard from.
+    Live(Vec<Incarnation>),
     /// Whether everything that was submitted is in the log.
     IsEmpty(RpcReplyPort<bool>),
     /// Time to look at what is due.
@@ -46,6 +53,10 @@
         Self::Appended(seq)
     }
 
+    fn unanswered(seq: u64) -> Self {
+        Self::Unanswered(seq)
+    }
+
     fn wake() -> Self {
         Self::Tick
     }
@@ -92,7 +103,9 @@
         match message {
             BillsMessage::Submit { record, reply } => outbox.push(*record, reply),
             BillsMessage::Appended(seq) => outbox.resolve_all(seq),
+            BillsMessage::Unanswered(seq) => outbox.send_again(seq),
             BillsMessage::Held(requests) => outbox.held(&requests),
+            BillsMessage::Live(live) => outbox.note_live(live),
             BillsMessage::IsEmpty(reply) => {
                 let _ = reply.send(outbox.is_empty());
             },
--- a/havengrade_router/src/services/ledger.rs
+++ b/havengrade_router/src/services/ledger.rs
@@ -74,6 +74,11 @@
         Self::Appended
     }
 
+    fn unanswered(_seq: u64) -> Self {
+        // The same batch goes on; a second one with its claims would find the first.
+        Self::Tick
+    }
+
     fn wake() -> Self {
         Self::Tick
     }
@@ -154,7 +159,10 @@
             LedgerMessage::IsEmpty(reply) => {
                 let _ = reply.send(state.outbox.is_empty());
             },
-            LedgerMessage::Live(live) => state.note_live(&live),
+            LedgerMessage::Live(live) => {
+                state.note_live(&live);
+                state.outbox.note_live(live);
+            },
             LedgerMessage::Tick => state.tick(&myself),
         }
         state.outbox.send_due(&myself);
--- a/havengrade_router/src/services/members.rs
+++ b/havengrade_router/src/services/members.rs
@@ -23,6 +23,7 @@
     kernel::{Context, Service, StartError, spawn},
     platform::{LogRecord, VmListing},
     services::{
+        bills::{self, BillsMessage},
         config::{self, ConfigMessage},
         endpoints::{self, EndpointsMessage},
         evidence::{self, EvidenceMessage},
@@ -299,6 +300,9 @@
         if let Some(service) = self.cx.find::<LedgerMessage>(ledger::NAME) {
             let _ = service.cast(LedgerMessage::Live(live.clone()));
         }
+        if let Some(service) = self.cx.find::<BillsMessage>(bills::NAME) {
+            let _ = service.cast(BillsMessage::Live(live.clone()));
+        }
         if let Some(service) = self.cx.find::<PeersMessage>(peers::NAME) {
             let _ = service.cast(PeersMessage::Live(live));
         }
--- a/havengrade_router/src/services/outbox.rs
+++ b/havengrade_router/src/services/outbox.rs
@@ -4,7 +4,7 @@
 
 use havengrade_core::{
     claim::Verdict,
-    ids::RequestId,
+    ids::{Incarnation, RequestId},
     ledger::{Batch, LedgerRecord},
 };
 use ractor::{ActorRef, Message, RpcReplyPort};
@@ -83,6 +83,9 @@
     /// The log service answered that a batch is in.
     fn appended(seq: u64) -> Self;
 
+    /// The log service did not answer; the batch may be in all the same.
+    fn unanswered(seq: u64) -> Self;
+
     /// Something may be due.
     fn wake() -> Self;
 }
@@ -97,11 +100,12 @@
     /// When a message to ourselves was last asked for.
     wakes_at: Option<SystemTime>,
     counted: usize,
+    live: Vec<Incarnation>,
 }
 
 impl Outbox {
     pub(super) fn new(cx: Context, stream: Stream) -> Self {
-        Self { cx, stream, queue: Vec::new(), sent: None, last_seq: 0, wakes_at: None, counted: 0 }
+        Self { cx, stream, queue: Vec::new(), sent: None, last_seq: 0, wakes_at: None, counted: 0, live: Vec::new() }
     }
 
     fn now(&self) -> SystemTime {
@@ -178,7 +182,7 @@
         let mut no_longer_held = Vec::new();
         for (mut pending, verdict) in sent.records.into_iter().zip(verdicts) {
             pending.answer(Submitted::Logged(verdict));
-            no_longer_held.extend(pending.record.request_id().filter(|_| pending.is_held).cloned());
+            no_longer_held.extend(pending.record.request_id().filter(|_| pending.offered.is_some()).cloned());
         }
         self.release(no_longer_held);
         true
@@ -190,6 +194,15 @@
         self.resolve(seq, vec![Verdict::Effective; count]);
     }
 
+    /// Puts the records of an unanswered batch back, to be sent again with those that came since.
+    ///
+    /// Only for records that may stand in the log twice; the others wait behind their batch.
+    pub(super) fn send_again(&mut self, seq: u64) {
+        if let Some(sent) = self.sent.take_if(|sent| sent.seq == seq) {
+            self.queue.splice(0..0, sent.records);
+        }
+    }
+
     /// Tells peers that they need no longer hold what is in the log now.
     fn release(&self, requests: Vec<RequestId>) {
         if requests.is_empty() {
@@ -239,6 +252,18 @@
         }
     }
 
+    /// Takes over which VMs live; when that changes, what peers hold is offered again.
+    ///
+    /// A VM that was replaced has lost what it held, and its successor can hold it again.
+    pub(super) fn note_live(&mut self, mut live: Vec<Incarnation>) {
+        live.sort_unstable();
+        if self.live == live {
+            return;
+        }
+        self.live = live;
+        self.pending().for_each(|pending| pending.is_held = false);
+    }
+
     /// Notes that enough peers hold the records about these requests.
     pub(super) fn held(&mut self, requests: &[RequestId]) {
         for pending in self.pending() {
@@ -261,6 +286,9 @@
     let Ok(data) = serde_json::to_string(&batch) else { return };
     while cx.log.append(stream, data.clone()).await.is_err() {
         sleep(RETRY_PAUSE).await;
+        if service.cast(M::unanswered(batch.seq)).is_err() {
+            return;
+        }
     }
     let _ = service.cast(M::appended(batch.seq));
 }
--- a/havengrade_router/src/services/peers.rs
+++ b/havengrade_router/src/services/peers.rs
@@ -46,6 +46,8 @@
 const REPLY_LIMIT: Duration = Duration::from_millis(1000);
 /// Time between two looks at records that are held for others.
 const TICK: Duration = Duration::from_millis(500);
+/// Copies with which a record counts as held where no more VMs can be reached.
+const LEAST_COPIES: usize = 2;
 /// Records that are held for all others together.
 const MAX_HELD: usize = 100_000;
 
@@ -291,8 +293,9 @@
     /// Appends what is held for a VM that is gone; a record that its writer appended too has no effect.
     fn pass_on_orphans(&mut self) {
         let now = self.cx.shared.clock.now();
-        let silence = Duration::from_millis(self.cx.shared.settings.peers.silence_ms);
-        let is_gone = |held: &HeldRecords| now.duration_since(held.heard).unwrap_or_default() > silence;
+        // Who lives is told with each heartbeat, so one that two of them left out is gone.
+        let limit = 2 * Duration::from_millis(self.cx.shared.settings.peers.heartbeat_ms);
+        let is_gone = |held: &HeldRecords| now.duration_since(held.heard).unwrap_or_default() > limit;
         let gone: Vec<Incarnation> =
             self.held.iter().filter(|(_, held)| is_gone(held)).map(|(writer, _)| *writer).collect();
         for writer in gone {
@@ -304,7 +307,7 @@
     }
 }
 
-/// Has the records held by so many peers, or by all where there are fewer, one after another.
+/// Has the records held by so many peers; where not as many can be reached, by all that can.
 async fn hold_at(cx: &Context, peers: &[Peer], request: PeerRequest, copies: usize) -> bool {
     let mut held = 0;
     for chunk in peers.chunks(copies.max(1)) {
@@ -314,33 +317,42 @@
             return true;
         }
     }
-    false
+    held >= copies.min(LEAST_COPIES)
 }
 
 impl Peer {
-    /// Sends a request and waits for its reply; a failed connection is made anew the next time.
+    /// Sends a request and waits for its reply.
+    ///
+    /// All requests may be sent twice, so one that fails on a connection from before, which the peer may
+    /// have closed since, is sent once more on a new one.
     async fn call(&self, cx: &Context, request: &PeerRequest) -> Option<PeerReply> {
         let mut connection = self.connection.lock().await;
-        let mut open = connection.take();
-        let exchange = async {
-            let frames = match open.as_mut() {
-                Some(frames) => frames,
-                None => open.insert(connect(cx, self.listed.peer_address).await?),
-            };
-            let bytes = encode(request).ok()?;
-            count_bytes(cx, "sent", bytes.len());
-            frames.send(Bytes::from(bytes)).await.ok()?;
-            let reply = frames.next().await?.ok()?;
-            count_bytes(cx, "received", reply.len());
-            decode(&reply).ok()
+        let bytes = Bytes::from(encode(request).ok()?);
+        let both = async {
+            if let Some(mut open) = connection.take()
+                && let Some(reply) = exchange(cx, &mut open, bytes.clone()).await
+            {
+                return Some((open, reply));
+            }
+            let mut open = connect(cx, self.listed.peer_address).await?;
+            let reply = exchange(cx, &mut open, bytes).await?;
+            Some((open, reply))
         };
-        let reply = timeout(REPLY_LIMIT, exchange).await.ok().flatten();
         // After a failure a late reply could still come; only a new connection is in step again.
-        *connection = open.filter(|_| reply.is_some());
-        reply
+        let (open, reply) = timeout(REPLY_LIMIT, both).await.ok().flatten()?;
+        *connection = Some(open);
+        Some(reply)
     }
 }
 
+async fn exchange(cx: &Context, frames: &mut Frames<BoxConnection>, bytes: Bytes) -> Option<PeerReply> {
+    count_bytes(cx, "sent", bytes.len());
+    frames.send(bytes).await.ok()?;
+    let reply = frames.next().await?.ok()?;
+    count_bytes(cx, "received", reply.len());
+    decode(&reply).ok()
+}
+
 async fn connect(cx: &Context, address: SocketAddr) -> Option<Frames<BoxConnection>> {
     let connection = cx.network.connect(address).await.ok()?;
     Some(frames(connection, cx.shared.settings.limits.max_frame_bytes))
--- a/havengrade_router/src/settings/sections.rs
+++ b/havengrade_router/src/settings/sections.rs
@@ -181,13 +181,13 @@
     pub silence_ms: u64,
     /// Time for which a VM serves without knowing that its configuration is the newest, in milliseconds.
     pub max_staleness_ms: u64,
-    /// VMs in other failure domains that hold a bill while the log service is away.
+    /// VMs that hold a bill while the log service is away, in other failure domains first.
     pub bill_copies: usize,
 }
 
 impl Default for PeerSettings {
     fn default() -> Self {
-        Self { heartbeat_ms: 500, fan_out: 10, silence_ms: 2500, max_staleness_ms: 5000, bill_copies: 2 }
+        Self { heartbeat_ms: 500, fan_out: 10, silence_ms: 2500, max_staleness_ms: 5000, bill_copies: 4 }
     }
 }
 
--- a/havengrade_router/src/traffic/answer.rs
+++ b/havengrade_router/src/traffic/answer.rs
@@ -109,6 +109,17 @@
     answer
 }
 
+/// The end of a request that the log knows.
+pub(crate) fn ended(id: &str, end: End) -> Answer {
+    let mut answer = match end {
+        End::Answered { status, content_type, body } => whole(status, &content_type, body),
+        End::Failed(problem) => from_problem(&problem),
+        End::PendingElsewhere(id) => pending(&id),
+    };
+    set(&mut answer, &REQUEST_ID, Some(id));
+    answer
+}
+
 /// What a look-up of a request found.
 pub(crate) fn looked_up(id: &str, lookup: Lookup) -> Option<Answer> {
     match lookup {
--- a/havengrade_router/src/traffic/job.rs
+++ b/havengrade_router/src/traffic/job.rs
@@ -28,8 +28,8 @@
         api::completion,
         engine::{EngineCall, EngineError, PieceSink},
         ledger, plain,
-        refuse::{lost_answer, refuse, unclaimed},
-        request::{Job, Spent},
+        refuse::{ANSWER_LOST, lost_answer, refuse, unclaimed},
+        request::{Job, Keyed, Spent},
         table::{End, Head, RequestEntry},
     },
 };
@@ -235,7 +235,11 @@
             job.is_claimed.store(true, Ordering::Release);
             Ok(())
         },
-        Submitted::Logged(verdict) => Err(Stop::Ended(unclaimed(&job.cx, keyed, verdict).await)),
+        Submitted::Logged(verdict) => match unclaimed(&job.cx, keyed, verdict).await {
+            // The first request's answer is lost, but the endpoint knows the key and can tell.
+            End::Failed(problem) if recognises && problem.kind == ANSWER_LOST => Ok(()),
+            end => Err(Stop::Ended(end)),
+        },
         Submitted::Held | Submitted::GivenUp if recognises => Ok(()),
         Submitted::Held | Submitted::GivenUp => {
             let detail = "the log service did not show the claim in time, so the request was not sent; \
@@ -263,8 +267,7 @@
         return End::Failed(problem);
     }
     let bill = job.bill(None, "", Spent::default());
-    let outcome = Outcome::MayHaveRun;
-    ledger::leave(&job.cx, LedgerRecord::Settle { key, request_id, outcome, bill: Some(bill) });
+    ledger::leave(&job.cx, outcome_record(job, keyed, Outcome::MayHaveRun, bill));
     End::Failed(after_send(job, problem))
 }
 
@@ -321,13 +324,16 @@
         return;
     };
     let outcome = to_outcome(job, end);
-    let record = if job.is_claimed.load(Ordering::Acquire) {
+    ledger::submit(&job.cx, outcome_record(job, keyed, outcome, bill)).await;
+}
+
+/// The record of an outcome: of the claim that the request holds, or of a run without one.
+fn outcome_record(job: &Job, keyed: &Keyed, outcome: Outcome, bill: Bill) -> LedgerRecord {
+    if job.is_claimed.load(Ordering::Acquire) {
         let (key, request_id) = (keyed.key.clone(), job.entry.id.clone());
-        LedgerRecord::Settle { key, request_id, outcome, bill: Some(bill) }
-    } else {
-        LedgerRecord::Ran { claim: job.claim(keyed, &bill.endpoint), outcome, bill }
-    };
-    ledger::submit(&job.cx, record).await;
+        return LedgerRecord::Settle { key, request_id, outcome, bill: Some(bill) };
+    }
+    LedgerRecord::Ran { claim: job.claim(keyed, &bill.endpoint), outcome, bill }
 }
 
 fn to_outcome(job: &Job, end: &End) -> Outcome {
--- a/havengrade_router/src/traffic/refuse.rs
+++ b/havengrade_router/src/traffic/refuse.rs
@@ -68,10 +68,13 @@
     }
 }
 
+/// Kind of the problem of a request whose answer is lost.
+pub(crate) const ANSWER_LOST: &str = "answer_lost";
+
 /// The problem of a request whose answer is lost.
 pub(crate) fn lost_answer() -> Problem {
     let detail = "the endpoint may have run the request, but its answer is lost; look there before you send another";
-    Problem::may_have_run(StatusCode::BAD_GATEWAY, "answer_lost", detail)
+    Problem::may_have_run(StatusCode::BAD_GATEWAY, ANSWER_LOST, detail)
 }
 
 fn other_body() -> Problem {
--- a/havengrade_router/src/traffic/request.rs
+++ b/havengrade_router/src/traffic/request.rs
@@ -140,6 +140,7 @@
         Bill {
             request_id: self.entry.id.clone(),
             account: self.entry.account.clone(),
+            key: self.keyed.as_ref().map(|keyed| keyed.key.key.clone()),
             class: self.decision.class.id.clone(),
             version: version.cloned(),
             endpoint: endpoint.to_owned(),
--- a/havengrade_router/src/traffic/routes.rs
+++ b/havengrade_router/src/traffic/routes.rs
@@ -7,9 +7,11 @@
 
 use bytes::Bytes;
 use havengrade_core::{
+    claim::{KeyState, Outcome},
     config::Account,
     decision::{Decision, RequestMeta, authenticate, decide},
     ids::{RequestId, VmId},
+    selection,
 };
 use havengrade_rpc::peers::{PeerAsk, PeerReply, PeerRequest};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
@@ -22,7 +24,7 @@
     services::members,
     traffic::{
         ChatRequest, Lookup, Problem,
-        answer::{Answer, Manner, answer, from_problem, looked_up, whole},
+        answer::{Answer, Manner, answer, ended, from_problem, looked_up, whole},
         caller::{self, CallerHeaders},
         job::{Work, run},
         ledger,
@@ -170,6 +172,7 @@
     if let Some(keyed) = &keyed
         && let Some(state) = ledger::key(cx, keyed.key.clone()).await
         && let Some(end) = known(&state, keyed)
+        && !can_ask_again(cx, meta, &state)
     {
         return Err(end);
     }
@@ -189,6 +192,14 @@
     }
 }
 
+/// Whether a lost answer can be had from the endpoint, which recognises the key and won't run it again.
+fn can_ask_again(cx: &Context, meta: &RequestMeta, state: &KeyState) -> bool {
+    let catalog = cx.shared.catalog.load();
+    let candidates = meta.service.as_ref().map_or(&[][..], |service| catalog.services(service));
+    let recognises = selection::home(&catalog, candidates, "").is_some();
+    recognises && state.outcome == Some(Outcome::MayHaveRun)
+}
+
 /// The key of a request that needs a claim; one that may be repeated but must not be lost is its own.
 fn keyed(cx: &Context, arrival: &Arrival) -> Option<Keyed> {
     let catalog = cx.shared.catalog.load();
@@ -226,11 +237,7 @@
     if let Some((_, state)) = ledger::request(cx, id.to_owned()).await.filter(|(key, _)| key.account == account.id)
         && let Some(outcome) = &state.outcome
     {
-        return Ok(match stored(outcome, &id.to_owned()) {
-            End::Answered { status, content_type, body } => whole(status, &content_type, body),
-            End::Failed(problem) => from_problem(&problem),
-            End::PendingElsewhere(id) => crate::traffic::answer::pending(&id),
-        });
+        return Ok(ended(id, stored(outcome, &id.to_owned())));
     }
     if let Some(answer) = looked_up(id, ask_its_vm(cx, id, &account.id).await) {
         return Ok(answer);
