Explore random schedules of faults, and give endpoints no work before a first sign

Cause: pairs at fixed times leave out what random times and triples find. Found and mended: a VM that had just started sent work to an endpoint that was leaving, since all endpoints counted as usable until they were looked at. Now an endpoint gets work after its first sign, and a VM is ready once it has asked all of them.

--- a/havengrade_replay/src/cli.rs
+++ b/havengrade_replay/src/cli.rs
@@ -50,4 +50,16 @@
         /// History, as JSON lines.
         history: PathBuf,
     },
+    /// Run random schedules of faults and print those that fail, shrunk.
+    Explore {
+        /// First seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Number of schedules.
+        #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+        count: u64,
+        /// Faults of each schedule.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(0..=10))]
+        faults: u8,
+    },
 }
--- a/havengrade_replay/src/lib.rs
+++ b/havengrade_replay/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod capacity;
 pub mod check;
 pub mod cli;
+pub mod explore;
 pub mod measure;
--- a/havengrade_replay/src/main.rs
+++ b/havengrade_replay/src/main.rs
@@ -10,7 +10,7 @@
 use havengrade_replay::{
     capacity, check,
     cli::{Command, Format, Options},
-    measure,
+    explore, measure,
 };
 use serde::de::DeserializeOwned;
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
@@ -26,6 +26,7 @@
         Command::Capacity { sizes, slopes } => tables(&sizes, &slopes),
         Command::Record { schedule } => record(&schedule),
         Command::Check { history } => check_file(&history),
+        Command::Explore { seed, count, faults } => explore_all(seed, count, faults.into()),
     };
     match result {
         Ok(text) => {
@@ -60,6 +61,18 @@
     Ok(history::to_lines(&history))
 }
 
+fn explore_all(seed: u64, count: u64, faults: usize) -> Result<String, String> {
+    let failing = explore::explore(seed..seed + count, faults);
+    if failing.is_empty() {
+        return Ok(format!("{count} schedules of {faults} faults, no violation\n"));
+    }
+    let describe = |(schedule, found): &(Schedule, Vec<check::Violation>)| {
+        let found: Vec<String> = found.iter().map(|it| format!("# {}: {}", it.check, it.detail)).collect();
+        format!("{}\n{}", found.join("\n"), toml::to_string(schedule).unwrap_or_default())
+    };
+    Err(failing.iter().map(describe).collect::<Vec<_>>().join("\n"))
+}
+
 fn check_file(path: &Path) -> Result<String, String> {
     let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
     let history = history::from_lines(&text).map_err(|error| format!("{}: {error}", path.display()))?;
--- a/havengrade_router/src/endpoints.rs
+++ b/havengrade_router/src/endpoints.rs
@@ -29,8 +29,8 @@
     Gone,
 }
 
-/// What is known of one endpoint.
-#[derive(Debug, Default)]
+/// What is known of one endpoint; until there is a sign of it, it gets no work.
+#[derive(Debug)]
 pub struct EndpointSlot {
     in_flight: AtomicU32,
     reported: AtomicU32,
@@ -44,6 +44,21 @@
     heard: AtomicU64,
 }
 
+impl Default for EndpointSlot {
+    fn default() -> Self {
+        Self {
+            in_flight: AtomicU32::default(),
+            reported: AtomicU32::default(),
+            own_at_report: AtomicU32::default(),
+            is_leaving: AtomicBool::default(),
+            is_silent: AtomicBool::new(true),
+            failures: AtomicU32::default(),
+            ejected_until: AtomicU64::default(),
+            heard: AtomicU64::default(),
+        }
+    }
+}
+
 fn to_millis(at: SystemTime) -> u64 {
     let since = at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
--- a/havengrade_router/src/services/endpoints.rs
+++ b/havengrade_router/src/services/endpoints.rs
@@ -141,6 +141,7 @@
 impl EndpointsState {
     fn tick(&mut self, myself: &ActorRef<EndpointsMessage>) {
         self.follow_configuration();
+        self.note_known();
         let live = self.cx.shared.live_vms();
         let own = live.iter().position(|vm| vm == self.cx.shared.vm()).unwrap_or_default() as u64;
         let now = self.cx.shared.clock.now();
@@ -153,7 +154,7 @@
             }
             // Where its VM does not tell of it, for one that is gone itself, everyone asks.
             let is_own_turn = watched.place % live.len().max(1) as u64 == own;
-            let is_due = is_own_turn || unheard > report * 3 / 2;
+            let is_due = is_own_turn || unheard > report * 3 / 2 || watched.slot.heard().is_none();
             let was_asked = watched.asked.is_some_and(|asked| now.duration_since(asked).unwrap_or_default() < report);
             if is_due && !was_asked {
                 watched.asked = Some(now);
@@ -163,6 +164,18 @@
         }
     }
 
+    /// Notes that every endpoint has given a sign, or has had its time for one.
+    fn note_known(&self) {
+        /// Time that an endpoint has for its first sign.
+        const FIRST_SIGN: Duration = Duration::from_millis(500);
+        let now = self.cx.shared.clock.now();
+        let had_time = |asked: SystemTime| now.duration_since(asked).unwrap_or_default() >= FIRST_SIGN;
+        let is_known = |watched: &Watched| watched.slot.heard().is_some() || watched.asked.is_some_and(had_time);
+        if self.cx.shared.is_caught_up() && self.watched.values().all(is_known) {
+            self.cx.shared.set_endpoints_known();
+        }
+    }
+
     /// Watches the endpoints of the configuration in force; scripts know nothing of reports and are left out.
     fn follow_configuration(&mut self) {
         let catalog = self.cx.shared.catalog.load_full();
@@ -171,6 +184,11 @@
         }
         let mut known = std::mem::take(&mut self.watched);
         let now = self.cx.shared.clock.now();
+        for endpoint in catalog.config.endpoints.values().filter(|endpoint| endpoint.kind == EndpointKind::Scripts) {
+            if let Some(slot) = self.cx.shared.endpoints.slot(&endpoint.id) {
+                slot.hear(now);
+            }
+        }
         for endpoint in catalog.config.endpoints.values().filter(|endpoint| endpoint.kind != EndpointKind::Scripts) {
             let kept = known.remove(&endpoint.id).filter(|watched| watched.address == endpoint.address);
             let slot = self.cx.shared.endpoints.slot(&endpoint.id).unwrap_or_default();
--- a/havengrade_router/src/shared.rs
+++ b/havengrade_router/src/shared.rs
@@ -43,7 +43,7 @@
 /// Why new requests are refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Closed {
-    /// The VM has not caught up with the configuration yet.
+    /// The VM has not caught up with the configuration, or has not looked at the endpoints yet.
     Starting,
     /// The VM can't know whether its configuration is the newest.
     Stale,
@@ -77,6 +77,7 @@
     rng: Mutex<ChaCha8Rng>,
     live_vms: ArcSwap<Vec<VmId>>,
     loads: Mutex<BTreeMap<EndpointId, EndpointReport>>,
+    are_endpoints_known: AtomicBool,
     is_draining: AtomicBool,
     is_log_reachable: AtomicBool,
     waiting_bills: AtomicUsize,
@@ -108,6 +109,7 @@
             rng: Mutex::new(rng),
             live_vms: ArcSwap::from_pointee(vec![settings.vm.id.clone()]),
             loads: Mutex::default(),
+            are_endpoints_known: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
             is_log_reachable: AtomicBool::new(false),
             waiting_bills: AtomicUsize::new(0),
@@ -127,7 +129,7 @@
         if self.is_draining.load(Ordering::Acquire) {
             return Some(Closed::Draining);
         }
-        if !freshness.is_caught_up {
+        if !freshness.is_caught_up || !self.are_endpoints_known.load(Ordering::Acquire) {
             return Some(Closed::Starting);
         }
         if !self.is_fresh(now) {
@@ -165,6 +167,16 @@
         self.freshness.rcu(|known| Freshness { is_caught_up: true, ..**known });
     }
 
+    /// Whether the newest offset has been reached once.
+    pub fn is_caught_up(&self) -> bool {
+        self.freshness.load().is_caught_up
+    }
+
+    /// Notes that the endpoints have been asked for a first sign.
+    pub fn set_endpoints_known(&self) {
+        self.are_endpoints_known.store(true, Ordering::Release);
+    }
+
     /// Begins a planned stop; tells whether it is the first call.
     pub fn start_drain(&self) -> bool {
         !self.is_draining.swap(true, Ordering::AcqRel)
