Halt roll-outs by evidence, and take them on step by step

Cause: a roll-out served its share whatever its answers were worth. Change: tests of failures and of ratings that may be looked at after every answer and need only sums, so that the counters of all VMs merge in any order; a halt is in force on each VM at once and everywhere by a record, whose id is the same from any VM; steps go on by themselves once they have gathered their evidence. Also: a holder of bills whose writer can't reach the log appends them itself, in turn (found by random schedules: a VM cut off from the log died and its holders were replaced before they noticed).

--- a/havengrade_core/src/config/items.rs
+++ b/havengrade_core/src/config/items.rs
@@ -232,6 +232,10 @@
     /// Index of the present step.
     #[serde(default)]
     pub step: usize,
+    /// Answers of the new version, since the first step, that each step needs before the next one begins
+    /// by itself; 0 leaves every step to the operators.
+    #[serde(default)]
+    pub step_evidence: u64,
     /// How far it has come.
     #[serde(default)]
     pub state: RolloutState,
--- a/havengrade_core/src/decision.rs
+++ b/havengrade_core/src/decision.rs
@@ -235,7 +235,7 @@
     let cascade = cascade.context(WrongPathSnafu { class: &class.id })?;
     let planned = cascade::plan(cfg, account, &class.id, cascade, evidence, rng.next_u64());
     ensure!(!planned.versions.is_empty(), NoVersionSnafu { class: &class.id });
-    let place = |version: &VersionId| rollout::substitute(cfg, account, version, &meta.subject);
+    let place = |version: &VersionId| rollout::substitute(cfg, account, evidence, version, &meta.subject);
     Ok(planned.versions.iter().map(place).collect())
 }
 
--- a/havengrade_core/src/evidence.rs
+++ b/havengrade_core/src/evidence.rs
@@ -1,10 +1,10 @@
 //! Evidence of how well versions answer: counters that only grow, merged over VMs.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{ClassId, Incarnation, Permille, VersionId};
+use crate::ids::{ClassId, Incarnation, Permille, RolloutId, VersionId};
 
 /// What is counted for a version in a request class.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -61,6 +61,8 @@
 /// Tallies summed over all writers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Totals {
+    /// Roll-outs that the evidence speaks against; they are halted here before the log says so.
+    pub halted: BTreeSet<RolloutId>,
     by_class: HashMap<ClassId, HashMap<VersionId, Tally>>,
 }
 
@@ -70,7 +72,8 @@
         self.by_class.get(class).and_then(|versions| versions.get(version)).copied().unwrap_or_default()
     }
 
-    fn set(&mut self, subject: &Subject, tally: Tally) {
+    /// Sets the tally of a subject.
+    pub fn set(&mut self, subject: &Subject, tally: Tally) {
         self.by_class.entry(subject.class.clone()).or_default().insert(subject.version.clone(), tally);
     }
 }
--- a/havengrade_dev/src/schedule.rs
+++ b/havengrade_dev/src/schedule.rs
@@ -9,7 +9,7 @@
 };
 
 use futures::future::join_all;
-use havengrade_router::{settings::Settings, shared::lock};
+use havengrade_router::{platform::Stream, settings::Settings, shared::lock};
 use rand::RngExt as _;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
 use serde::{Deserialize, Serialize};
@@ -308,14 +308,22 @@
         while !log.takes_appends() {
             sleep(PAUSE).await;
         }
-        let fleet = self.fleet.lock().await;
-        fleet.withdraw_at_once("withdraw", CHEAP);
-        let offset = fleet.log.records(havengrade_router::platform::Stream::Config).len() as u64 - 1;
+        self.fleet.lock().await.withdraw_at_once("withdraw", CHEAP);
+        let offset = log.records(Stream::Config).len() as u64 - 1;
+        // An operator is told "accepted" once a VM has read the change back.
+        while !self.is_read(offset).await {
+            sleep(PAUSE).await;
+        }
         let at_ms = self.now_ms();
         self.recorder.note(Event::Withdrawn { at_ms, version: CHEAP.to_owned() });
         self.recorder.note(Event::Accepted { at_ms, offset });
     }
 
+    async fn is_read(&self, offset: u64) -> bool {
+        let fleet = self.fleet.lock().await;
+        fleet.routers.values().any(|router| router.context().shared.config_next() > offset)
+    }
+
     async fn leave(&self) {
         let fleet = self.fleet.lock().await;
         fleet.engines["engine-1"].leave();
--- a/havengrade_replay/src/cli.rs
+++ b/havengrade_replay/src/cli.rs
@@ -62,4 +62,12 @@
         #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(0..=10))]
         faults: u8,
     },
+    /// Try a roll-out many times, led by the evidence and by a fixed schedule, and print JSON.
+    Rollout {
+        /// Trial, in TOML.
+        trial: PathBuf,
+        /// Runs, each with its own seed.
+        #[arg(long, default_value_t = 100, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+        seeds: u64,
+    },
 }
--- a/havengrade_replay/src/lib.rs
+++ b/havengrade_replay/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod cli;
 pub mod explore;
 pub mod measure;
+pub mod rollout;
--- a/havengrade_replay/src/main.rs
+++ b/havengrade_replay/src/main.rs
@@ -11,6 +11,7 @@
     capacity, check,
     cli::{Command, Format, Options},
     explore, measure,
+    rollout::{Leader, Trial, summarise},
 };
 use serde::de::DeserializeOwned;
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
@@ -26,6 +27,7 @@
         Command::Capacity { sizes, slopes } => tables(&sizes, &slopes),
         Command::Record { schedule } => record(&schedule),
         Command::Check { history } => check_file(&history),
+        Command::Rollout { trial, seeds } => try_rollout(&trial, seeds),
         Command::Explore { seed, count, faults } => explore_all(seed, count, faults.into()),
     };
     match result {
@@ -73,6 +75,14 @@
     Err(failing.iter().map(describe).collect::<Vec<_>>().join("\n"))
 }
 
+fn try_rollout(path: &Path, seeds: u64) -> Result<String, String> {
+    let trial: Trial = read(path)?;
+    let by_evidence = summarise(&trial, Leader::Evidence, seeds);
+    let by_schedule = summarise(&trial, Leader::Schedule, seeds);
+    let report = serde_json::json!({ "evidence": by_evidence, "schedule": by_schedule });
+    Ok(format!("{report:#}\n"))
+}
+
 fn check_file(path: &Path) -> Result<String, String> {
     let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
     let history = history::from_lines(&text).map_err(|error| format!("{}: {error}", path.display()))?;
--- a/havengrade_replay/src/measure/mod.rs
+++ b/havengrade_replay/src/measure/mod.rs
@@ -55,6 +55,11 @@
     }
 }
 
+/// A small sample configuration.
+pub(crate) fn sample_config() -> havengrade_core::config::Config {
+    sample::config(1, 1)
+}
+
 /// Measures everything; takes about a minute.
 pub fn run() -> Slopes {
     let mut slopes = Slopes::default();
--- a/havengrade_router/src/services/evidence.rs
+++ b/havengrade_router/src/services/evidence.rs
@@ -1,16 +1,25 @@
 //! The service that counts how well versions answer, here and on the other VMs.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use async_trait::async_trait;
 use havengrade_core::{
+    config::{Change, ChangeRecord, Config, Item, Rollout, RolloutState, ScopedChange},
     evidence::{Evidence, Subject, Tally},
-    ids::Incarnation,
+    ids::{ChangeId, Incarnation, Offset},
+    rollout,
 };
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::kernel::{Context, Service, StartError, spawn};
+use crate::{
+    kernel::{Context, Service, StartError, spawn},
+    services::config::{self, ConfigMessage},
+};
 
 /// Name of the service.
 pub const NAME: &str = "evidence";
@@ -54,6 +63,11 @@
     evidence: Evidence,
     own: BTreeMap<Subject, bool>,
     is_dirty: bool,
+    /// Revision for which the roll-outs were last judged.
+    judged: Option<Offset>,
+    /// Ids of the changes that were proposed.
+    proposed: BTreeSet<ChangeId>,
+    calls: Vec<AbortOnDropHandle<()>>,
     _ticker: AbortOnDropHandle<()>,
 }
 
@@ -65,7 +79,16 @@
     async fn pre_start(&self, myself: ActorRef<Self::Msg>, cx: Context) -> Result<EvidenceState, ActorProcessingErr> {
         let ticker = super::tick(myself, PUBLISH_EVERY, || EvidenceMessage::Tick);
         let evidence = Evidence::default();
-        Ok(EvidenceState { cx, evidence, own: BTreeMap::new(), is_dirty: false, _ticker: ticker })
+        Ok(EvidenceState {
+            cx,
+            evidence,
+            own: BTreeMap::new(),
+            is_dirty: false,
+            judged: None,
+            proposed: BTreeSet::new(),
+            calls: Vec::new(),
+            _ticker: ticker,
+        })
     }
 
     async fn handle(
@@ -116,8 +139,46 @@
 
     fn publish(&mut self) {
         self.take_seen();
-        if std::mem::take(&mut self.is_dirty) {
-            self.cx.shared.evidence.store(Arc::new(self.evidence.totals().clone()));
+        let catalog = self.cx.shared.catalog.load();
+        if !std::mem::take(&mut self.is_dirty) && self.judged == catalog.config.revision {
+            return;
+        }
+        self.judged = catalog.config.revision;
+        let mut totals = self.evidence.totals().clone();
+        totals.halted = rollout::halted(&catalog.config, &totals);
+        for item in catalog.config.rollouts.values() {
+            if let Some(next) = rollout::next(&catalog.config, item, &totals) {
+                self.propose(&catalog.config, &next);
+            }
+        }
+        self.cx.shared.evidence.store(Arc::new(totals));
+    }
+
+    /// Proposes how a roll-out should stand; the first VM whose record takes effect decides.
+    fn propose(&mut self, config: &Config, next: &Rollout) {
+        let item = Item::Rollout(next.clone());
+        let base = config.base_of(&item.scope());
+        let (verb, reason) = match next.state {
+            RolloutState::Halted => ("halt", "the evidence speaks against the new version"),
+            RolloutState::Running | RolloutState::Paused => ("step", "the step has gathered its evidence"),
+        };
+        // All VMs give the same change the same id, so that it stands in the log as one.
+        let change_id = format!("{verb}-{}-{}-{base:?}", next.id, next.step);
+        if !self.proposed.insert(change_id.clone()) {
+            return;
         }
+        let record = ChangeRecord {
+            change_id,
+            author: format!("havengrade on {}", self.cx.shared.vm()),
+            reason: reason.to_owned(),
+            at: self.cx.shared.clock.now(),
+            changes: vec![ScopedChange { base, change: Change::Put { item } }],
+        };
+        let Some(service) = self.cx.find::<ConfigMessage>(config::NAME) else { return };
+        self.calls.retain(|call| !call.is_finished());
+        self.calls.push(AbortOnDropHandle::new(tokio::spawn(async move {
+            // What became of it shows in the configuration; a lost record is proposed by another VM.
+            drop(service.call(|reply| ConfigMessage::Propose { record, reply }, None).await);
+        })));
     }
 }
--- a/havengrade_router/src/services/peers.rs
+++ b/havengrade_router/src/services/peers.rs
@@ -139,13 +139,18 @@
 /// Records that are held for another VM.
 struct HeldRecords {
     records: HashMap<RequestId, LedgerRecord>,
+    /// When its writer was last heard from.
     heard: SystemTime,
+    /// When its writer last gave us some.
+    taken: SystemTime,
 }
 
 struct PeersState {
     cx: Context,
     peers: HashMap<VmId, Peer>,
     held: HashMap<Incarnation, HeldRecords>,
+    /// When the log was last seen to be away.
+    log_away: Option<SystemTime>,
     calls: Vec<AbortOnDropHandle<()>>,
     _server: AbortOnDropHandle<()>,
     _ticker: AbortOnDropHandle<()>,
@@ -173,6 +178,7 @@
             cx,
             peers: HashMap::new(),
             held: HashMap::new(),
+            log_away: None,
             calls: Vec::new(),
             _server: AbortOnDropHandle::new(server),
             _ticker: super::tick(myself, TICK, || PeersMessage::Tick),
@@ -266,7 +272,9 @@
             return false;
         }
         let heard = self.cx.shared.clock.now();
-        let held = self.held.entry(writer).or_insert_with(|| HeldRecords { records: HashMap::new(), heard });
+        let held =
+            self.held.entry(writer).or_insert_with(|| HeldRecords { records: HashMap::new(), heard, taken: heard });
+        held.taken = heard;
         for record in records {
             if let Some(id) = record.request_id().cloned() {
                 held.records.insert(id, record);
@@ -290,21 +298,41 @@
         }
     }
 
-    /// Appends what is held for a VM that is gone; a record that its writer appended too has no effect.
+    /// Appends what is held for a VM that is gone, or that can't reach the log for longer than we can.
+    ///
+    /// A record that its writer, or another holder, appends too has no effect.
     fn pass_on_orphans(&mut self) {
         let now = self.cx.shared.clock.now();
+        if !self.cx.shared.is_log_reachable() {
+            self.log_away = Some(now);
+        }
         // Who lives is told with each heartbeat, so one that two of them left out is gone.
-        let limit = 2 * Duration::from_millis(self.cx.shared.settings.peers.heartbeat_ms);
-        let is_gone = |held: &HeldRecords| now.duration_since(held.heard).unwrap_or_default() > limit;
-        let gone: Vec<Incarnation> =
-            self.held.iter().filter(|(_, held)| is_gone(held)).map(|(writer, _)| *writer).collect();
-        for writer in gone {
+        let gone_after = 2 * Duration::from_millis(self.cx.shared.settings.peers.heartbeat_ms);
+        let age = |at: SystemTime| now.duration_since(at).unwrap_or_default();
+        let reachable_for = self.log_away.map_or(Duration::MAX, age);
+        let due = |(writer, held): &(&Incarnation, &HeldRecords)| {
+            let patience = self.patience(**writer);
+            let is_stuck = reachable_for > patience && age(held.taken) > patience;
+            age(held.heard) > gone_after || is_stuck
+        };
+        let due: Vec<Incarnation> = self.held.iter().filter(due).map(|(writer, _)| *writer).collect();
+        for writer in due {
             let records = self.held.remove(&writer).map(|held| held.records).unwrap_or_default();
-            for record in records.into_values() {
-                ledger::leave(&self.cx, record);
-            }
+            records.into_values().for_each(|record| ledger::leave(&self.cx, record));
         }
     }
+
+    /// Time that a writer has to append by itself; the holders wait in turn, so that one of them does it.
+    fn patience(&self, writer: Incarnation) -> Duration {
+        /// Time in which a writer that reaches the log has appended and released what is held.
+        const FIRST: Duration = Duration::from_millis(1000);
+        /// Time from one holder to the next.
+        const STEP: Duration = Duration::from_millis(500);
+        let live = self.cx.shared.live_vms();
+        let rank = live.iter().position(|vm| vm == self.cx.shared.vm()).unwrap_or_default() as u64;
+        let turn = (rank + writer) % live.len().max(1) as u64;
+        FIRST + STEP * u32::try_from(turn).unwrap_or_default()
+    }
 }
 
 /// Has the records held by so many peers; where not as many can be reached, by all that can.
