Replay traces through our decisions and baselines; plan cascades by expected cost

Cause: nobody could tell whether choosing is better than what a user would otherwise run. Change: 'havengrade-replay generate' and 'run': sample traffic of both users, one small model of engines, our own core functions and eight baselines in virtual time. Cascades whose answers are checked take the versions with the lowest expected cost, learnt from how often answers reach the target in each class.

--- a/havengrade_core/src/decision.rs
+++ b/havengrade_core/src/decision.rs
@@ -65,8 +65,10 @@
     pub is_pinned: bool,
     /// Whether it must hold a claim before it is sent.
     pub needs_claim: bool,
-    /// Quality below which a whole answer is passed on to the next version; none where it isn't checked.
-    pub check: Option<Permille>,
+    /// Quality that an answer should reach; none for plain services.
+    pub quality_target: Option<Permille>,
+    /// Whether a whole answer is rated before it is given, and a poor one passed on to the next version.
+    pub checks_answers: bool,
 }
 
 /// Why a request is not served; none of these ran.
@@ -164,7 +166,8 @@
     let cascade = class.cascade.as_ref().and_then(|cascade| catalog.config.cascades.get(cascade));
     Ok(Decision {
         route,
-        check: cascade.filter(|cascade| cascade.check_answers).map(|cascade| cascade.quality_target),
+        quality_target: cascade.map(|cascade| cascade.quality_target),
+        checks_answers: cascade.is_some_and(|cascade| cascade.check_answers),
         class: class.clone(),
         deadline: Duration::from_millis(class.deadline_ms),
         is_pinned,
--- a/havengrade_core/src/evidence.rs
+++ b/havengrade_core/src/evidence.rs
@@ -13,6 +13,8 @@
     pub rated: u64,
     /// Sum of the ratings, in thousandths.
     pub score: u64,
+    /// Rated answers that reached the quality target of their class.
+    pub passed: u64,
     /// Requests that ended.
     pub ended: u64,
     /// Requests that ended in an error of the version or its endpoint.
@@ -26,11 +28,17 @@
         Self {
             rated: self.rated + other.rated,
             score: self.score + other.score,
+            passed: self.passed + other.passed,
             ended: self.ended + other.ended,
             failed: self.failed + other.failed,
         }
     }
 
+    /// The share of answers that reach the quality target, once a prior of some weight is mixed in.
+    pub fn pass_rate(&self, prior: f64, prior_weight: f64) -> f64 {
+        (self.passed as f64 + prior * prior_weight) / (self.rated as f64 + prior_weight).max(f64::MIN_POSITIVE)
+    }
+
     /// The mean rating once a prior of some weight is mixed in.
     ///
     /// ```
--- a/havengrade_replay/src/cli.rs
+++ b/havengrade_replay/src/cli.rs
@@ -4,6 +4,8 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 
+use crate::policy::Profile;
+
 /// Measures, capacity tables, history checks and trace replay.
 #[derive(Debug, Parser)]
 #[command(name = "havengrade-replay", version)]
@@ -70,4 +72,30 @@
         #[arg(long, default_value_t = 100, value_parser = clap::value_parser!(u64).range(1..=10_000))]
         seeds: u64,
     },
+    /// Make a trace of sample traffic, as JSON lines.
+    Generate {
+        /// Traffic to make.
+        #[arg(long, value_enum)]
+        profile: Profile,
+        /// Length of the trace.
+        #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u64).range(1..=100_000))]
+        seconds: u64,
+        /// Seed of the traffic.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Replay a trace in virtual time and print JSON.
+    Run {
+        /// Trace, as JSON lines.
+        trace: PathBuf,
+        /// Name of a policy; all of them where absent.
+        #[arg(long)]
+        policy: Option<String>,
+        /// Number of engines.
+        #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u16).range(1..=1000))]
+        engines: u16,
+        /// Seed of what is random in policies and ratings.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
 }
--- a/havengrade_replay/src/lib.rs
+++ b/havengrade_replay/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod cli;
 pub mod explore;
 pub mod measure;
+pub mod policy;
 pub mod rollout;
--- a/havengrade_replay/src/main.rs
+++ b/havengrade_replay/src/main.rs
@@ -11,6 +11,7 @@
     capacity, check,
     cli::{Command, Format, Options},
     explore, measure,
+    policy::{self, Policy},
     rollout::{Leader, Trial, summarise},
 };
 use serde::de::DeserializeOwned;
@@ -28,6 +29,8 @@
         Command::Record { schedule } => record(&schedule),
         Command::Check { history } => check_file(&history),
         Command::Rollout { trial, seeds } => try_rollout(&trial, seeds),
+        Command::Generate { profile, seconds, seed } => Ok(lines(&policy::generate(profile, seconds, seed))),
+        Command::Run { trace, policy, engines, seed } => replay(&trace, policy.as_deref(), engines.into(), seed),
         Command::Explore { seed, count, faults } => explore_all(seed, count, faults.into()),
     };
     match result {
@@ -83,6 +86,26 @@
     Ok(format!("{report:#}\n"))
 }
 
+fn lines(trace: &[policy::Request]) -> String {
+    trace.iter().map(|request| serde_json::to_string(request).unwrap_or_default() + "\n").collect()
+}
+
+fn replay(path: &Path, name: Option<&str>, engines: usize, seed: u64) -> Result<String, String> {
+    let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    let trace = policy::parse(&text).map_err(|error| format!("{}: {error}", path.display()))?;
+    let chosen: Vec<Policy> = match name {
+        None => policy::POLICIES.to_vec(),
+        Some(name) => {
+            let known: Vec<&str> = policy::POLICIES.iter().map(|policy| policy.name).collect();
+            let unknown = || format!("--policy {name}: must be one of {}", known.join(", "));
+            vec![Policy::named(name).ok_or_else(unknown)?]
+        },
+    };
+    let reports: Vec<policy::Report> =
+        chosen.into_iter().map(|policy| policy::replay(&trace, policy, engines, seed)).collect();
+    Ok(format!("{}\n", serde_json::to_string_pretty(&reports).unwrap_or_default()))
+}
+
 fn check_file(path: &Path) -> Result<String, String> {
     let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
     let history = history::from_lines(&text).map_err(|error| format!("{}: {error}", path.display()))?;
--- a/havengrade_replay/src/measure/messages.rs
+++ b/havengrade_replay/src/measure/messages.rs
@@ -31,7 +31,7 @@
 fn heartbeat(uses: usize, tallies: usize) -> PeerHeartbeat {
     let uses = (0..uses).map(|index| AccountUse::new(format!("account-{index}"), 7)).collect::<Vec<_>>();
     let tally = |index: usize| {
-        EvidenceTally::new("lot-question".to_owned(), format!("model@{index}"), 4000, 3_000_000, 20_000, 30)
+        EvidenceTally::new("lot-question".to_owned(), format!("model@{index}"), 4000, 3_000_000, 20_000, 30, 3500)
     };
     let tallies = (0..tallies).map(tally).collect::<Vec<_>>();
     PeerHeartbeat::new(
--- a/havengrade_replay/src/measure/mod.rs
+++ b/havengrade_replay/src/measure/mod.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 
+use havengrade_core::config::{Base, Change, Config, ConfigRecord, ScopedChange};
 use serde::{Deserialize, Serialize};
 
 pub use self::fit::{Line, fit};
@@ -56,10 +57,16 @@
 }
 
 /// A small sample configuration.
-pub(crate) fn sample_config() -> havengrade_core::config::Config {
+pub(crate) fn sample_config() -> Config {
     sample::config(1, 1)
 }
 
+/// A record that puts new items.
+pub(crate) fn record_of(changes: Vec<Change>) -> ConfigRecord {
+    let absent = |change| ScopedChange { base: Base::Absent, change };
+    sample::change_record("first", changes.into_iter().map(absent).collect())
+}
+
 /// Measures everything; takes about a minute.
 pub fn run() -> Slopes {
     let mut slopes = Slopes::default();
--- a/havengrade_replay/src/rollout.rs
+++ b/havengrade_replay/src/rollout.rs
@@ -124,7 +124,7 @@
         return Tally { ended: 1, ..Tally::default() };
     }
     let score = (truth.quality + rng.random_range(-SPREAD..SPREAD)).clamp(0.0, 1.0) * WHOLE;
-    Tally { ended: 1, rated: 1, score: score as u64, failed: 0 }
+    Tally { ended: 1, rated: 1, score: score as u64, ..Tally::default() }
 }
 
 /// Whether an answer is worse than the old version's usually are.
--- a/havengrade_router/src/services/members.rs
+++ b/havengrade_router/src/services/members.rs
@@ -421,6 +421,7 @@
         tally.score.cast_signed(),
         tally.ended.cast_signed(),
         tally.failed.cast_signed(),
+        tally.passed.cast_signed(),
     )
 }
 
@@ -431,6 +432,7 @@
         score: tally.score.cast_unsigned(),
         ended: tally.ended.cast_unsigned(),
         failed: tally.failed.cast_unsigned(),
+        passed: tally.passed.cast_unsigned(),
     };
     (subject, tally)
 }
--- a/havengrade_router/src/traffic/job.rs
+++ b/havengrade_router/src/traffic/job.rs
@@ -92,7 +92,7 @@
         match try_version(job, chat, version, &mut spent).await {
             Ok(answer) => {
                 let score = check(job, chat, version, &answer.content).await;
-                let is_poor = score.is_some_and(|score| score < job.decision.check.unwrap_or_default());
+                let is_poor = score.is_some_and(|score| score < job.decision.quality_target.unwrap_or_default());
                 if is_poor && !is_last && job.is_repeatable() {
                     continue;
                 }
@@ -153,7 +153,7 @@
         if !job.may_send(Some(version)) {
             break;
         }
-        let is_shown = job.decision.check.is_none();
+        let is_shown = !job.decision.checks_answers;
         if collector.content.is_empty() {
             collector.head = is_shown.then(|| head(job, version, &endpoint.id));
         }
@@ -306,7 +306,7 @@
 
 /// Bills the answer, and tells the caller that it is whole once the bill is safe.
 async fn finish(job: &Job, version: &VersionId, answer: &VersionAnswer, spent: Spent) -> End {
-    let is_shown = job.decision.check.is_none();
+    let is_shown = !job.decision.checks_answers;
     if !is_shown {
         job.entry.begin(head(job, version, &answer.endpoint));
         job.entry.push(Arc::from(answer.content.as_str()));
@@ -366,13 +366,14 @@
         answer: answer.to_owned(),
     };
     let shared = job.cx.shared.clone();
+    let target = job.decision.quality_target.unwrap_or_default();
     let rate = async move {
         let score = rating.rate(&request).await.ok()?;
-        let tally = Tally { rated: 1, score: u64::from(score), ..Tally::default() };
+        let tally = Tally { rated: 1, score: u64::from(score), passed: u64::from(score >= target), ..Tally::default() };
         shared.note_evidence(subject, tally);
         Some(score)
     };
-    if job.decision.check.is_some() {
+    if job.decision.checks_answers {
         return rate.await;
     }
     let draw = job.cx.shared.rng().random_range(0..WHOLE);
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -17,6 +17,7 @@
   4: required i64 score,
   5: required i64 ended,
   6: required i64 failed,
+  7: required i64 passed,
 }
 
 /** What an endpoint reported to the sender. */
