Count a bill by its key, and explore all orders of claims and refusals

Cause: a random schedule found a request that ran and had no bill: a later attempt fetched the answer from an endpoint that knows the key, its record stood before the first attempt's outcome, and then neither record's bill counted, since a bill counted only where its record took effect. Ruled out: a lost append (both records stood in the log). Change: a bill counts if it is the first of its key, or of its request where there is no key, whatever became of its record. A test takes every order of claims, refusals and outcomes of four VMs with two attempts (256 mixes) and checks that nothing is sent twice, no 'not run' is broken and what was sent has one bill; tests of late batches and of forgetting.

--- a/havengrade_core/src/billing.rs
+++ b/havengrade_core/src/billing.rs
@@ -1,6 +1,9 @@
 //! Bills: one for each request, the first in offset order.
 
-use std::{collections::HashMap, time::SystemTime};
+use std::{
+    collections::{HashMap, HashSet},
+    time::SystemTime,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -35,20 +38,37 @@
 /// The bills that count, gathered from the streams that carry them.
 ///
 /// A bill stands in the stream of bills, or in the ledger with the outcome of its request. It may stand
-/// there more than once, since an append whose answer was lost is repeated.
+/// there more than once, since an append whose answer was lost is repeated; and attempts with one key may
+/// each leave one, since only the first in offset order counts.
+///
+/// ```
+/// # use havengrade_core::{billing::{Bill, Bills}, cost::Usage};
+/// # let bill = |id: &str, key: Option<&str>| Bill {
+/// #     request_id: id.into(), account: "gate".into(), key: key.map(str::to_owned), class: "pledge".into(),
+/// #     version: None, endpoint: "e".into(), usage: Usage::default(), cost: 1, at: std::time::SystemTime::UNIX_EPOCH,
+/// # };
+/// let mut bills = Bills::default();
+/// assert!(bills.add(&bill("vm-1.a", Some("pledge-7"))));
+/// assert!(!bills.add(&bill("vm-2.b", Some("pledge-7"))));
+/// assert!(bills.add(&bill("vm-2.c", None)));
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Bills {
     by_request: HashMap<RequestId, Bill>,
+    keys: HashSet<(AccountId, String)>,
 }
 
 impl Bills {
-    /// Adds a bill unless its request has one; tells whether it counts.
+    /// Adds a bill unless its request, or its key, has one; tells whether it counts.
     pub fn add(&mut self, bill: &Bill) -> bool {
-        let is_first = !self.by_request.contains_key(&bill.request_id);
-        if is_first {
-            self.by_request.insert(bill.request_id.clone(), bill.clone());
+        let key = bill.key.as_ref().map(|key| (bill.account.clone(), key.clone()));
+        let has_one = key.as_ref().is_some_and(|key| self.keys.contains(key));
+        if has_one || self.by_request.contains_key(&bill.request_id) {
+            return false;
         }
-        is_first
+        self.keys.extend(key);
+        self.by_request.insert(bill.request_id.clone(), bill.clone());
+        true
     }
 
     /// The bill of a request.
--- /dev/null
+++ b/havengrade_core/tests/claims.rs
@@ -0,0 +1,206 @@
+//! Claims, refusals and outcomes: every order of a few records, and what each may never lead to.
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, SystemTime},
+};
+
+use havengrade_core::{
+    billing::{Bill, Bills},
+    claim::{Claim, ClaimKey, Outcome, Verdict},
+    cost::Usage,
+    ledger::{Batch, Ledger, LedgerRecord},
+};
+
+fn now() -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_secs(1000)
+}
+
+fn key() -> ClaimKey {
+    ClaimKey { account: "gate".into(), key: "ticket".into() }
+}
+
+fn claim(holder: u64, attempt: u32) -> Claim {
+    Claim {
+        key: key(),
+        attempt,
+        holder,
+        request_id: format!("r{holder}-{attempt}"),
+        class: "check-in".into(),
+        body_sha256: "00".repeat(32),
+        endpoint: "e".into(),
+        at: now(),
+    }
+}
+
+fn bill(claim: &Claim) -> Bill {
+    Bill {
+        request_id: claim.request_id.clone(),
+        account: "gate".into(),
+        key: Some("ticket".into()),
+        class: "check-in".into(),
+        version: None,
+        endpoint: "e".into(),
+        usage: Usage::default(),
+        cost: 0,
+        at: now(),
+    }
+}
+
+/// What a VM may do next with an attempt, as the router does it.
+#[derive(Clone, Debug, PartialEq)]
+enum Vm {
+    Claiming(Claim),
+    Refusing(Claim),
+    /// Its claim counts, so it has sent.
+    Sent(Claim),
+    /// It told its caller "not run".
+    ToldNotRun(Claim),
+    Done,
+}
+
+/// A state of the exploration: the ledger, the VMs, and what has happened outside.
+#[derive(Clone)]
+struct World {
+    ledger: Ledger,
+    vms: Vec<Vm>,
+    sent: Vec<Claim>,
+    bills: Bills,
+    offset: u64,
+}
+
+impl World {
+    fn append(&mut self, writer: u64, record: &LedgerRecord) -> Verdict {
+        let batch = Batch { writer, seq: self.offset + 1, at: now(), records: vec![record.clone()] };
+        let verdict = self.ledger.replay(self.offset, &batch).unwrap().remove(0);
+        if let Some(bill) = record.bill() {
+            self.bills.add(bill);
+        }
+        self.offset += 1;
+        verdict
+    }
+
+    /// Takes one VM's next step, which appends a record.
+    fn step(&mut self, index: usize) -> bool {
+        let next = match self.vms[index].clone() {
+            Vm::Claiming(claim) => match self.append(claim.holder, &LedgerRecord::Claim(claim.clone())) {
+                Verdict::Effective => {
+                    self.sent.push(claim.clone());
+                    Vm::Sent(claim)
+                },
+                Verdict::Voided { .. } => Vm::ToldNotRun(claim),
+                _ => Vm::Done,
+            },
+            Vm::Refusing(claim) => {
+                let (up_to, holder, request_id) = (claim.attempt, claim.holder, claim.request_id.clone());
+                let record = LedgerRecord::Void { key: key(), up_to, holder, request_id };
+                match self.append(claim.holder, &record) {
+                    Verdict::Effective => Vm::ToldNotRun(claim),
+                    _ => Vm::Done,
+                }
+            },
+            Vm::Sent(claim) => {
+                let outcome = Outcome::Answered { status: 200, content_type: String::new(), body: "receipt".into() };
+                let (request_id, bill) = (claim.request_id.clone(), Some(bill(&claim)));
+                self.append(claim.holder, &LedgerRecord::Settle { key: key(), request_id, outcome, bill });
+                Vm::Done
+            },
+            Vm::ToldNotRun(_) | Vm::Done => return false,
+        };
+        self.vms[index] = next;
+        true
+    }
+
+    fn check(&self) {
+        assert!(self.sent.len() <= 1, "sent twice: {:?}", self.sent);
+        for vm in &self.vms {
+            let Vm::ToldNotRun(told) = vm else { continue };
+            let broken = self.sent.iter().find(|sent| sent.attempt <= told.attempt);
+            assert!(broken.is_none(), "{told:?} was told not run, but {broken:?} was sent");
+        }
+        assert!(self.bills.len() <= 1);
+    }
+}
+
+/// Explores all orders in which the VMs can take their steps; gives how many ends there are.
+fn explore(world: &World, ends: &mut BTreeSet<String>) -> usize {
+    world.check();
+    let mut count = 0;
+    for index in 0..world.vms.len() {
+        let mut next = world.clone();
+        if next.step(index) {
+            count += explore(&next, ends);
+        }
+    }
+    if count == 0 {
+        assert_eq!(world.bills.len(), world.sent.len(), "what was sent has one bill");
+        ends.insert(format!("{:?}", world.sent));
+        return 1;
+    }
+    count
+}
+
+fn world(vms: Vec<Vm>) -> World {
+    World { ledger: Ledger::default(), vms, sent: Vec::new(), bills: Bills::default(), offset: 0 }
+}
+
+#[test]
+fn no_order_of_claims_and_refusals_runs_twice_or_breaks_a_not_run() {
+    let mut ends = BTreeSet::new();
+    let mut count = 0;
+    // Each of four VMs claims or refuses, for attempts 1 to 2; every mix of them, in every order.
+    for mix in 0..4_u32.pow(4) {
+        let vm = |index: u64| {
+            let choice = mix / 4_u32.pow(u32::try_from(index).unwrap()) % 4;
+            let claim = claim(index, 1 + choice / 2);
+            if choice.is_multiple_of(2) { Vm::Claiming(claim) } else { Vm::Refusing(claim) }
+        };
+        count += explore(&world((0..4).map(vm).collect()), &mut ends);
+    }
+    // Some orders send nothing, and each attempt of each VM is the one that sends in some order.
+    assert!(count > 10_000, "{count} orders");
+    assert_eq!(ends.len(), 1 + 4 * 2);
+}
+
+#[test]
+fn batch_that_lands_after_a_later_one_has_no_effect() {
+    let mut ledger = Ledger::default();
+    let batch = |seq, record| Batch { writer: 1, seq, at: now(), records: vec![record] };
+    ledger.replay(0, &batch(2, LedgerRecord::Claim(claim(1, 2)))).unwrap();
+    assert_eq!(ledger.replay(1, &batch(1, LedgerRecord::Claim(claim(1, 1)))), None);
+    assert_eq!(ledger.replay(2, &batch(2, LedgerRecord::Claim(claim(1, 2)))), None);
+    assert_eq!(ledger.key(&key()).unwrap().claim.as_ref().unwrap().attempt, 2);
+}
+
+#[test]
+fn keys_are_forgotten_by_when_they_last_changed_and_never_while_open() {
+    let mut ledger = Ledger::default();
+    let horizon = Duration::from_secs(100);
+    let batch = |seq: u64, at: u64, record| Batch {
+        writer: 1,
+        seq,
+        at: now() + Duration::from_secs(at),
+        records: vec![record],
+    };
+    let void = LedgerRecord::Void { key: key(), up_to: 1, holder: 1, request_id: "r".into() };
+    ledger.replay(0, &batch(1, 0, void)).unwrap();
+    ledger.replay(1, &batch(2, 90, LedgerRecord::Claim(claim(1, 2)))).unwrap();
+    let other = |number: u64| {
+        let key = ClaimKey { key: format!("other-{number}"), ..key() };
+        LedgerRecord::Void { key, up_to: 1, holder: 9, request_id: "other".into() }
+    };
+    ledger.replay(2, &batch(3, 150, other(1))).unwrap();
+    ledger.forget(horizon);
+    assert!(ledger.key(&key()).is_some(), "it changed 60 s ago");
+    ledger.replay(3, &batch(4, 250, other(2))).unwrap();
+    ledger.forget(horizon);
+    assert!(ledger.key(&key()).is_some(), "its claim is open");
+    let outcome = Outcome::MayHaveRun;
+    let settle = LedgerRecord::Settle { key: key(), request_id: claim(1, 2).request_id, outcome, bill: None };
+    ledger.replay(4, &batch(5, 251, settle)).unwrap();
+    ledger.replay(5, &batch(6, 400, other(3))).unwrap();
+    ledger.forget(horizon);
+    assert!(ledger.key(&key()).is_none());
+    assert!(ledger.request(&claim(1, 2).request_id).is_none());
+}
--- a/havengrade_dev/src/stand_in/log.rs
+++ b/havengrade_dev/src/stand_in/log.rs
@@ -5,7 +5,6 @@
 use async_trait::async_trait;
 use havengrade_core::{
     billing::Bills,
-    claim::Verdict,
     config::ConfigRecord,
     ledger::{Batch, Ledger, LedgerRecord},
 };
@@ -112,13 +111,7 @@
     /// The bills that count in all streams.
     pub fn bills(&self) -> Bills {
         let mut bills = Bills::default();
-        let mut ledger = Ledger::default();
-        for (offset, batch) in (0..).zip(self.batches(Stream::Ledger)) {
-            let verdicts = ledger.replay(offset, &batch).unwrap_or_default();
-            let effective = batch.records.iter().zip(verdicts).filter(|(_, verdict)| *verdict == Verdict::Effective);
-            effective.filter_map(|(record, _)| record.bill()).for_each(|bill| _ = bills.add(bill));
-        }
-        for batch in self.batches(Stream::Bills) {
+        for batch in self.batches(Stream::Ledger).chain(self.batches(Stream::Bills)) {
             batch.records.iter().filter_map(LedgerRecord::bill).for_each(|bill| _ = bills.add(bill));
         }
         bills
