Test decoders, settings and starts; notice sooner that a holder's writer is gone

The harness began a drain on a VM that was cut off from its callers, who can't have been in progress there; it now waits until the cut is over.

--- a/havengrade_core/tests/config_replay.rs
+++ b/havengrade_core/tests/config_replay.rs
@@ -133,7 +133,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default() })]
 
     /// What is in force is always valid, although each change is checked only where it can do harm.
     #[test]
--- a/havengrade_dev/src/fabric.rs
+++ b/havengrade_dev/src/fabric.rs
@@ -84,6 +84,11 @@
         wiring.stuck.drain(..).for_each(Waker::wake);
     }
 
+    /// Whether anything is stopped from or to a host.
+    pub fn is_host_cut(&self, host: Host) -> bool {
+        lock(&self.wiring).cuts.iter().any(|(from, to)| *from == host || *to == host)
+    }
+
     /// Lets everything through again from and to a host.
     pub fn mend_host(&self, host: Host) {
         let mut wiring = lock(&self.wiring);
--- a/havengrade_dev/src/schedule.rs
+++ b/havengrade_dev/src/schedule.rs
@@ -330,6 +330,11 @@
     }
 
     async fn drain(&self, vm: u8) {
+        const PAUSE: Duration = Duration::from_millis(100);
+        // A process that is paused does not see the signal; requests on their way to it are not there yet.
+        while self.pipes.is_host_cut(router_host(vm)) {
+            sleep(PAUSE).await;
+        }
         let taken = self.fleet.lock().await.routers.remove(&vm_name(vm));
         let Some(router) = taken else { return };
         router.context().shared.start_drain();
--- a/havengrade_dev/tests/whole_path.rs
+++ b/havengrade_dev/tests/whole_path.rs
@@ -10,7 +10,7 @@
     scenario::{CHEAP, STRONG},
     stand_in::{EngineFault, LogFault, ServiceFault, expected_answer},
 };
-use havengrade_router::traffic::RunState;
+use havengrade_router::{platform::Stream, traffic::RunState};
 use support::{Bench, bin_tag, chat, check_in};
 use tokio::time::sleep;
 
@@ -288,3 +288,41 @@
     assert!(is_whole);
     assert_eq!(got.text(), Some(expected_answer(STRONG, "the year")));
 }
+
+#[tokio::test(start_paused = true)]
+async fn new_vm_starts_from_a_snapshot_when_the_first_records_are_gone() {
+    let mut bench = Bench::start_tuned(3, |settings| settings.log_service.snapshot_every = 10).await;
+    for number in 0..40 {
+        bench.fleet.withdraw_at_once(&format!("w{number}"), CHEAP);
+        sleep(Duration::from_millis(50)).await;
+    }
+    sleep(Duration::from_secs(2)).await;
+    let records = bench.fleet.log.records(Stream::Config);
+    let newest = records.iter().rposition(|record| record.contains("\"record\":\"snapshot\"")).unwrap();
+    bench.fleet.log.forget_before(Stream::Config, newest as u64);
+    bench.fleet.kill_router(2);
+    sleep(Duration::from_millis(10)).await;
+    bench.fleet.start_router(2).await.unwrap();
+    bench.fleet.wait_ready().await.unwrap();
+    let configs: Vec<_> =
+        bench.fleet.routers.values().map(|router| router.context().shared.catalog.load_full()).collect();
+    assert_eq!(configs[0].config.endpoints, configs[2].config.endpoints);
+    assert!(!configs[2].config.is_active(CHEAP));
+    bench.fleet.withdraw_at_once("after", STRONG);
+    sleep(Duration::from_secs(2)).await;
+    assert!(bench.fleet.routers.values().all(|it| !it.context().shared.catalog.load().config.is_active(STRONG)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn new_vm_starts_from_its_peers_while_the_log_is_away() {
+    let mut bench = Bench::start(5).await;
+    sleep(Duration::from_secs(2)).await;
+    bench.fleet.log.set_fault(LogFault::Down);
+    bench.fleet.kill_router(4);
+    sleep(Duration::from_secs(3)).await;
+    bench.fleet.start_router(4).await.unwrap();
+    sleep(Duration::from_secs(6)).await;
+    assert!(bench.is_open(4));
+    let got = bench.ask("harvest", 4, &chat("lot-question", "ripe?")).await;
+    assert_eq!(got.text(), Some(expected_answer(CHEAP, "ripe?")));
+}
--- a/havengrade_router/src/services/members.rs
+++ b/havengrade_router/src/services/members.rs
@@ -39,6 +39,8 @@
 const EVIDENCE_EVERY: u64 = 4;
 /// Heartbeats after which all of the evidence is sent again.
 const FULL_EVIDENCE_EVERY: u64 = 64;
+/// Heartbeats after which a VM that is not heard from no longer looks after what others hold for it.
+const LIVE_HEARTBEATS: u32 = 3;
 /// Configuration records that are asked of a peer at once.
 const FETCH_RECORDS: i32 = 512;
 
@@ -291,12 +293,7 @@
     }
 
     fn tell_live(&self) {
-        let now = self.cx.shared.clock.now();
-        let live: Vec<Incarnation> = self
-            .membership
-            .live(self.silence(), now)
-            .filter_map(|member| member.heartbeat.as_ref().map(|heartbeat| heartbeat.incarnation))
-            .collect();
+        let live = self.incarnations(self.silence());
         if let Some(service) = self.cx.find::<LedgerMessage>(ledger::NAME) {
             let _ = service.cast(LedgerMessage::Live(live.clone()));
         }
@@ -304,10 +301,29 @@
             let _ = service.cast(BillsMessage::Live(live.clone()));
         }
         if let Some(service) = self.cx.find::<PeersMessage>(peers::NAME) {
+            let prompt = LIVE_HEARTBEATS * Duration::from_millis(self.cx.shared.settings.peers.heartbeat_ms);
+            let live = self.incarnations(prompt);
             let _ = service.cast(PeersMessage::Live(live));
         }
     }
 
+    /// Runs of the processes that were heard from within a time.
+    fn incarnations(&self, limit: Duration) -> Vec<Incarnation> {
+        let live = self.membership.live(limit, self.cx.shared.clock.now());
+        live.filter_map(|member| member.heartbeat.as_ref().map(|heartbeat| heartbeat.incarnation)).collect()
+    }
+
+    /// Tells that the process that a VM ran before is gone, where a heartbeat shows that it runs another.
+    fn note_successor(&self, heartbeat: &Heartbeat) {
+        let known = self.membership.members().find(|member| member.listed.id == heartbeat.vm);
+        let Some(last) = known.and_then(|member| member.heartbeat.as_ref()) else { return };
+        if last.incarnation != heartbeat.incarnation
+            && let Some(service) = self.cx.find::<PeersMessage>(peers::NAME)
+        {
+            let _ = service.cast(PeersMessage::Gone(last.incarnation));
+        }
+    }
+
     fn heard(&mut self, message: PeerHeartbeat, asked: Option<SystemTime>) {
         let now = self.cx.shared.clock.now();
         let heartbeat = to_heartbeat(&message);
@@ -328,6 +344,7 @@
         }
         self.uses.insert(heartbeat.vm.clone(), message.uses.unwrap_or_default());
         self.fetch_newer(&heartbeat);
+        self.note_successor(&heartbeat);
         self.membership.hear(heartbeat, now, asked);
     }
 
--- a/havengrade_router/src/services/peers.rs
+++ b/havengrade_router/src/services/peers.rs
@@ -112,6 +112,8 @@
     },
     /// VMs that were heard from.
     Live(Vec<Incarnation>),
+    /// A process is gone, since its VM runs another.
+    Gone(Incarnation),
     /// Number of records that are held for others.
     CountHeld(RpcReplyPort<usize>),
     /// Time to look at what is held.
@@ -201,6 +203,12 @@
             },
             PeersMessage::Release { writer, requests } => state.release(writer, &requests),
             PeersMessage::Live(live) => state.note_live(&live),
+            PeersMessage::Gone(writer) => {
+                if let Some(held) = state.held.get_mut(&writer) {
+                    held.heard = SystemTime::UNIX_EPOCH;
+                }
+                state.pass_on_orphans();
+            },
             PeersMessage::CountHeld(reply) => {
                 let _ = reply.send(state.held.values().map(|held| held.records.len()).sum());
             },
--- /dev/null
+++ b/havengrade_router/tests/settings.rs
@@ -0,0 +1,73 @@
+//! Faulty settings: all faults at once, each with its key, value and remedy.
+#![allow(clippy::unwrap_used)]
+
+use havengrade_router::settings::{Fault, Settings, SettingsError, parse};
+
+fn faults(text: &str) -> Vec<Fault> {
+    match parse(text).unwrap_err() {
+        SettingsError::Faulty { faults } => faults,
+        SettingsError::Malformed { source } => panic!("{source}"),
+    }
+}
+
+#[test]
+fn all_faults_are_found_together() {
+    let text = r#"
+        [vm]
+        id = "a/b"
+        zone = "x"
+        [listen]
+        callers = "127.0.0.1:9000"
+        operators = "127.0.0.1:9000"
+        peers = "nowhere"
+        [limits]
+        max_requests = 0
+        max_body_bytes = "big"
+        [claims]
+        batch_window_ms = 5000
+        [peers]
+        heartbeat_ms = 9000
+        [logging]
+        level = "loud"
+        [nonsense]
+        a = 1
+        [[operators]]
+        name = "ana"
+        key_sha256 = "12"
+    "#;
+    let faults = faults(text);
+    let keys: Vec<&str> = faults.iter().map(|fault| fault.key.as_str()).collect();
+    for key in [
+        "vm.id",
+        "vm.zone",
+        "listen.operators",
+        "listen.peers",
+        "limits.max_requests",
+        "limits.max_body_bytes",
+        "claims.batch_window_ms",
+        "peers.heartbeat_ms",
+        "logging.level",
+        "nonsense",
+        "operators.key_sha256",
+    ] {
+        assert!(keys.contains(&key), "{key} is not among {keys:?}");
+    }
+    assert_eq!(keys.len(), 11, "{keys:?}");
+    for fault in &faults {
+        assert!(!fault.value.is_empty() && !fault.remedy.is_empty(), "{fault:?}");
+    }
+}
+
+#[test]
+fn what_is_left_out_takes_its_default() {
+    let settings = parse("[vm]\nid = \"vm-9\"\n").unwrap();
+    let mut expected = Settings::default();
+    expected.vm.id = "vm-9".into();
+    assert_eq!(settings, expected);
+}
+
+#[test]
+fn text_that_is_no_toml_is_told_with_its_place() {
+    let error = parse("[vm\n").unwrap_err().to_string();
+    assert!(error.contains("line 1"), "{error}");
+}
