Split the services for peers and members, and start services of one kind one way

Change: modules for requests to peers, requests of peers and the shape of heartbeats; kernel::service for actors that need nothing but the context. Behaviour unchanged.

--- a/havengrade_router/src/kernel.rs
+++ b/havengrade_router/src/kernel.rs
@@ -90,6 +90,31 @@
     async fn start(&self, cx: &Context) -> Result<ActorCell, StartError>;
 }
 
+/// A service that is an actor and needs nothing but the context.
+struct ActorService<A> {
+    name: &'static str,
+    make: fn() -> A,
+}
+
+/// A service whose actor is given the context and nothing else.
+pub(crate) fn service<A>(name: &'static str, make: fn() -> A) -> Box<dyn Service>
+where
+    A: ractor::Actor<Arguments = Context>,
+{
+    Box::new(ActorService { name, make })
+}
+
+#[async_trait]
+impl<A: ractor::Actor<Arguments = Context>> Service for ActorService<A> {
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    async fn start(&self, cx: &Context) -> Result<ActorCell, StartError> {
+        spawn(self.name, cx, (self.make)(), cx.clone()).await
+    }
+}
+
 /// The services that have been started.
 #[derive(Default)]
 pub struct Kernel {
--- a/havengrade_router/src/router.rs
+++ b/havengrade_router/src/router.rs
@@ -17,16 +17,16 @@
 use crate::{
     clock::Clock,
     http::HttpClient,
-    kernel::{BindSnafu, Context, Kernel, Service, StartError},
+    kernel::{BindSnafu, Context, Kernel, Service, StartError, service},
     net::Network,
     platform::{HttpLogService, HttpRating, HttpVmList, LogService, Rating, VmList},
     services::{
-        bills::{self, BillsMessage, BillsService},
-        config::ConfigService,
-        endpoints::EndpointsService,
-        evidence::EvidenceService,
-        ledger::{self, LedgerMessage, LedgerService},
-        members::MembersService,
+        bills::{self, BillsActor, BillsMessage},
+        config::{self, ConfigActor},
+        endpoints::{self, EndpointsActor},
+        evidence::{self, EvidenceActor},
+        ledger::{self, LedgerActor, LedgerMessage},
+        members::{self, MembersActor},
         operators::OperatorsService,
         peers::PeersService,
     },
@@ -131,13 +131,13 @@
 
 fn services() -> Vec<Box<dyn Service>> {
     vec![
-        Box::new(EvidenceService),
-        Box::new(EndpointsService),
-        Box::new(LedgerService),
-        Box::new(BillsService),
-        Box::new(ConfigService),
+        service(evidence::NAME, || EvidenceActor),
+        service(endpoints::NAME, || EndpointsActor),
+        service(ledger::NAME, || LedgerActor),
+        service(bills::NAME, || BillsActor),
+        service(config::NAME, || ConfigActor),
         Box::new(PeersService),
-        Box::new(MembersService),
+        service(members::NAME, || MembersActor),
         Box::new(OperatorsService),
     ]
 }
--- a/havengrade_router/src/services/bills.rs
+++ b/havengrade_router/src/services/bills.rs
@@ -2,16 +2,15 @@
 
 use std::time::Duration;
 
-use async_trait::async_trait;
 use havengrade_core::{
     ids::{Incarnation, RequestId},
     ledger::LedgerRecord,
 };
-use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
-    kernel::{Context, Service, StartError, spawn},
+    kernel::Context,
     platform::Stream,
     services::{
         outbox::{Outbox, OutboxMessage, Submitted},
@@ -62,23 +61,11 @@
     }
 }
 
-/// The service.
-pub struct BillsService;
+/// The actor of the service.
+pub(crate) struct BillsActor;
 
-#[async_trait]
-impl Service for BillsService {
-    fn name(&self) -> &'static str {
-        NAME
-    }
-
-    async fn start(&self, cx: &Context) -> Result<ActorCell, StartError> {
-        spawn(NAME, cx, BillsActor, cx.clone()).await
-    }
-}
-
-struct BillsActor;
-
-struct BillsState {
+/// State of the service.
+pub(crate) struct BillsState {
     outbox: Outbox,
     _ticker: AbortOnDropHandle<()>,
 }
--- a/havengrade_router/src/services/config.rs
+++ b/havengrade_router/src/services/config.rs
@@ -6,17 +6,16 @@
     time::{Duration, SystemTime},
 };
 
-use async_trait::async_trait;
 use havengrade_core::{
     config::{ChangeOutcome, ChangeRecord, Config, ConfigRecord, Effect},
     ids::{ChangeId, Offset},
 };
-use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
-    kernel::{Context, Service, StartError, spawn},
+    kernel::Context,
     platform::{LogRecord, LogSlice, Stream},
 };
 
@@ -76,23 +75,11 @@
     pub snapshot: Option<Box<Config>>,
 }
 
-/// The service.
-pub struct ConfigService;
+/// The actor of the service.
+pub(crate) struct ConfigActor;
 
-#[async_trait]
-impl Service for ConfigService {
-    fn name(&self) -> &'static str {
-        NAME
-    }
-
-    async fn start(&self, cx: &Context) -> Result<ActorCell, StartError> {
-        spawn(NAME, cx, ConfigActor, cx.clone()).await
-    }
-}
-
-struct ConfigActor;
-
-struct ConfigState {
+/// State of the service.
+pub(crate) struct ConfigState {
     cx: Context,
     config: Config,
     kept: VecDeque<LogRecord>,
--- a/havengrade_router/src/services/endpoints.rs
+++ b/havengrade_router/src/services/endpoints.rs
@@ -10,20 +10,19 @@
     time::{Duration, SystemTime},
 };
 
-use async_trait::async_trait;
 use havengrade_core::{
     config::{Catalog, Endpoint, EndpointKind},
     ids::EndpointId,
     secret::spread,
 };
-use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
 use serde::Deserialize;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
     endpoints::{EndpointReport, EndpointSlot},
     http::{Reuse, get},
-    kernel::{Context, Service, StartError, spawn},
+    kernel::Context,
     platform::ListedEndpoint,
 };
 
@@ -64,21 +63,8 @@
     Listed(Vec<ListedEndpoint>),
 }
 
-/// The service.
-pub struct EndpointsService;
-
-#[async_trait]
-impl Service for EndpointsService {
-    fn name(&self) -> &'static str {
-        NAME
-    }
-
-    async fn start(&self, cx: &Context) -> Result<ActorCell, StartError> {
-        spawn(NAME, cx, EndpointsActor, cx.clone()).await
-    }
-}
-
-struct EndpointsActor;
+/// The actor of the service.
+pub(crate) struct EndpointsActor;
 
 /// What is kept of an endpoint that is watched.
 struct Watched {
@@ -92,7 +78,8 @@
     asking: Option<AbortOnDropHandle<()>>,
 }
 
-struct EndpointsState {
+/// State of the service.
+pub(crate) struct EndpointsState {
     cx: Context,
     watched: BTreeMap<EndpointId, Watched>,
     /// Configuration whose endpoints are watched.
--- a/havengrade_router/src/services/evidence.rs
+++ b/havengrade_router/src/services/evidence.rs
@@ -6,18 +6,17 @@
     time::Duration,
 };
 
-use async_trait::async_trait;
 use havengrade_core::{
     config::{Change, ChangeRecord, Config, Item, Rollout, RolloutState, ScopedChange},
     evidence::{Evidence, Subject, Tally},
     ids::{ChangeId, Incarnation, Offset},
     rollout,
 };
-use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
-    kernel::{Context, Service, StartError, spawn},
+    kernel::Context,
     services::config::{self, ConfigMessage},
 };
 
@@ -42,23 +41,11 @@
     Tick,
 }
 
-/// The service.
-pub struct EvidenceService;
+/// The actor of the service.
+pub(crate) struct EvidenceActor;
 
-#[async_trait]
-impl Service for EvidenceService {
-    fn name(&self) -> &'static str {
-        NAME
-    }
-
-    async fn start(&self, cx: &Context) -> Result<ActorCell, StartError> {
-        spawn(NAME, cx, EvidenceActor, cx.clone()).await
-    }
-}
-
-struct EvidenceActor;
-
-struct EvidenceState {
+/// State of the service.
+pub(crate) struct EvidenceState {
     cx: Context,
     evidence: Evidence,
     own: BTreeMap<Subject, bool>,
--- a/havengrade_router/src/services/ledger.rs
+++ b/havengrade_router/src/services/ledger.rs
@@ -9,18 +9,17 @@
     time::{Duration, SystemTime},
 };
 
-use async_trait::async_trait;
 use havengrade_core::{
     claim::{ClaimKey, KeyState, Verdict},
     ids::{Attempt, Incarnation, Offset, RequestId},
     ledger::{Batch, Ledger, LedgerRecord},
 };
-use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
-    kernel::{Context, Service, StartError, spawn},
+    kernel::Context,
     platform::{LogSlice, Stream},
     services::{
         outbox::{Outbox, OutboxMessage, Submitted},
@@ -84,23 +83,11 @@
     }
 }
 
-/// The service.
-pub struct LedgerService;
+/// The actor of the service.
+pub(crate) struct LedgerActor;
 
-#[async_trait]
-impl Service for LedgerService {
-    fn name(&self) -> &'static str {
-        NAME
-    }
-
-    async fn start(&self, cx: &Context) -> Result<ActorCell, StartError> {
-        spawn(NAME, cx, LedgerActor, cx.clone()).await
-    }
-}
-
-struct LedgerActor;
-
-struct LedgerState {
+/// State of the service.
+pub(crate) struct LedgerState {
     cx: Context,
     ledger: Ledger,
     next: Arc<AtomicU64>,
--- a/havengrade_router/src/services/members.rs
+++ b/havengrade_router/src/services/members/mod.rs
@@ -1,26 +1,27 @@
 //! The service that knows which VMs live and what each has in force.
 
+mod wire;
+
 use std::{
     collections::{BTreeMap, HashMap},
     time::{Duration, SystemTime},
 };
 
-use async_trait::async_trait;
 use havengrade_core::{
-    evidence::{Subject, Tally},
-    ids::{EndpointId, Incarnation, VmId},
+    ids::{Incarnation, VmId},
     membership::{Heartbeat, Member, Membership},
 };
 use havengrade_rpc::peers::{
     AccountUse, EndpointLoad, EvidenceTally, PeerFetch, PeerHeartbeat, PeerRecords, PeerReply, PeerRequest,
 };
-use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
 
+use self::wire::{from_load, from_wire, to_heartbeat, to_wire};
 use crate::{
     endpoints::EndpointReport,
-    kernel::{Context, Service, StartError, spawn},
+    kernel::Context,
     platform::{LogRecord, VmListing},
     services::{
         bills::{self, BillsMessage},
@@ -63,23 +64,11 @@
     Tick,
 }
 
-/// The service.
-pub struct MembersService;
-
-#[async_trait]
-impl Service for MembersService {
-    fn name(&self) -> &'static str {
-        NAME
-    }
+/// The actor of the service.
+pub(crate) struct MembersActor;
 
-    async fn start(&self, cx: &Context) -> Result<ActorCell, StartError> {
-        spawn(NAME, cx, MembersActor, cx.clone()).await
-    }
-}
-
-struct MembersActor;
-
-struct MembersState {
+/// State of the service.
+pub(crate) struct MembersState {
     cx: Context,
     membership: Membership,
     seq: u64,
@@ -107,7 +96,7 @@
             uses: HashMap::new(),
             calls: Vec::new(),
             _list: AbortOnDropHandle::new(list),
-            _ticker: super::tick(myself, every, || MembersMessage::Tick),
+            _ticker: crate::services::tick(myself, every, || MembersMessage::Tick),
         })
     }
 
@@ -414,50 +403,3 @@
     evidence: Vec<EvidenceTally>,
     loads: Vec<EndpointLoad>,
 }
-
-fn from_load(load: EndpointLoad) -> (EndpointId, EndpointReport) {
-    let report = if load.gone {
-        EndpointReport::Gone
-    } else {
-        EndpointReport::Load { load: load.load.max(0).cast_unsigned(), leaving: load.leaving }
-    };
-    (load.endpoint, report)
-}
-
-fn to_heartbeat(message: &PeerHeartbeat) -> Heartbeat {
-    Heartbeat {
-        vm: message.vm.clone(),
-        incarnation: message.incarnation.cast_unsigned(),
-        seq: message.seq.cast_unsigned(),
-        config_next: message.config_next.cast_unsigned(),
-        revision: message.revision.map(i64::cast_unsigned),
-        staleness: Duration::from_millis(message.staleness_ms.max(0).cast_unsigned()),
-        ready: message.ready,
-        draining: message.draining,
-        in_progress: message.in_progress.max(0).cast_unsigned(),
-    }
-}
-
-fn to_wire(subject: &Subject, tally: &Tally) -> EvidenceTally {
-    EvidenceTally::new(
-        subject.class.clone(),
-        subject.version.clone(),
-        tally.rated.cast_signed(),
-        tally.score.cast_signed(),
-        tally.ended.cast_signed(),
-        tally.failed.cast_signed(),
-        tally.passed.cast_signed(),
-    )
-}
-
-fn from_wire(tally: &EvidenceTally) -> (Subject, Tally) {
-    let subject = Subject { class: tally.request_class.clone(), version: tally.version.clone() };
-    let tally = Tally {
-        rated: tally.rated.cast_unsigned(),
-        score: tally.score.cast_unsigned(),
-        ended: tally.ended.cast_unsigned(),
-        failed: tally.failed.cast_unsigned(),
-        passed: tally.passed.cast_unsigned(),
-    };
-    (subject, tally)
-}
--- a/havengrade_router/src/services/peers.rs
+++ b/havengrade_router/src/services/peers/mod.rs
@@ -1,53 +1,40 @@
 //! The service that speaks with the other VMs: one connection each way, one reply to each request.
 
+mod client;
+mod server;
+
 use std::{
     collections::HashMap,
-    net::SocketAddr,
-    sync::Arc,
     time::{Duration, SystemTime},
 };
 
 use async_trait::async_trait;
-use bytes::Bytes;
-use futures::{SinkExt as _, StreamExt as _, future::join_all};
 use havengrade_core::{
     ids::{Incarnation, RequestId, VmId},
     ledger::LedgerRecord,
     membership::ListedVm,
 };
-use havengrade_rpc::{
-    Frames, decode, encode, frames,
-    peers::{
-        PeerAnswer, PeerAsk, PeerDone, PeerDrain, PeerFetch, PeerHeld, PeerHold, PeerRecord, PeerRecords, PeerRelease,
-        PeerReply, PeerRequest,
-    },
-};
+use havengrade_rpc::peers::{PeerHold, PeerRelease, PeerReply, PeerRequest};
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef, RpcReplyPort};
 use snafu::ResultExt as _;
-use tokio::{sync::Mutex, time::timeout};
 use tokio_util::task::AbortOnDropHandle;
 
+use self::{
+    client::{Peer, hold_at},
+    server::serve,
+};
 use crate::{
     kernel::{BindSnafu, Context, Service, StartError, spawn},
-    net::{BoxConnection, Listener},
-    services::{
-        bills::BillsMessage,
-        config::{self, ConfigMessage},
-        ledger::LedgerMessage,
-        members::{self, MembersMessage},
-    },
-    traffic::{Lookup, ledger},
+    net::Listener,
+    services::{bills::BillsMessage, ledger::LedgerMessage},
+    traffic::ledger,
 };
 
 /// Name of the service.
 pub const NAME: &str = "peers";
 
-/// Time that a peer has for a reply.
-const REPLY_LIMIT: Duration = Duration::from_millis(1000);
 /// Time between two looks at records that are held for others.
 const TICK: Duration = Duration::from_millis(500);
-/// Copies with which a record counts as held where no more VMs can be reached.
-const LEAST_COPIES: usize = 2;
 /// Records that are held for all others together.
 const MAX_HELD: usize = 100_000;
 
@@ -158,13 +145,6 @@
     _ticker: AbortOnDropHandle<()>,
 }
 
-/// Another VM.
-#[derive(Clone)]
-struct Peer {
-    listed: ListedVm,
-    connection: Arc<Mutex<Option<Frames<BoxConnection>>>>,
-}
-
 impl Actor for PeersActor {
     type Msg = PeersMessage;
     type State = PeersState;
@@ -183,7 +163,7 @@
             log_away: None,
             calls: Vec::new(),
             _server: AbortOnDropHandle::new(server),
-            _ticker: super::tick(myself, TICK, || PeersMessage::Tick),
+            _ticker: crate::services::tick(myself, TICK, || PeersMessage::Tick),
         })
     }
 
@@ -224,8 +204,12 @@
         let mut known = std::mem::take(&mut self.peers);
         for listed in vms.into_iter().filter(|vm| vm.id != *self.cx.shared.vm()) {
             let kept = known.remove(&listed.id).filter(|peer| peer.listed.peer_address == listed.peer_address);
-            let connection = kept.map(|peer| peer.connection).unwrap_or_default();
-            self.peers.insert(listed.id.clone(), Peer { listed, connection });
+            let id = listed.id.clone();
+            let peer = match kept {
+                Some(peer) => peer.listed_as(listed),
+                None => Peer::new(listed),
+            };
+            self.peers.insert(id, peer);
         }
     }
 
@@ -342,157 +326,3 @@
         FIRST + STEP * u32::try_from(turn).unwrap_or_default()
     }
 }
-
-/// Has the records held by so many peers; where not as many can be reached, by all that can.
-async fn hold_at(cx: &Context, peers: &[Peer], request: PeerRequest, copies: usize) -> bool {
-    let mut held = 0;
-    for chunk in peers.chunks(copies.max(1)) {
-        let replies = join_all(chunk.iter().map(|peer| peer.call(cx, &request))).await;
-        held += replies.iter().filter(|reply| matches!(reply, Some(PeerReply::Held(it)) if it.held)).count();
-        if held >= copies {
-            return true;
-        }
-    }
-    held >= copies.min(LEAST_COPIES)
-}
-
-impl Peer {
-    /// Sends a request and waits for its reply.
-    ///
-    /// All requests may be sent twice, so one that fails on a connection from before, which the peer may
-    /// have closed since, is sent once more on a new one.
-    async fn call(&self, cx: &Context, request: &PeerRequest) -> Option<PeerReply> {
-        let mut connection = self.connection.lock().await;
-        let bytes = Bytes::from(encode(request).ok()?);
-        let both = async {
-            if let Some(mut open) = connection.take()
-                && let Some(reply) = exchange(cx, &mut open, bytes.clone()).await
-            {
-                return Some((open, reply));
-            }
-            let mut open = connect(cx, self.listed.peer_address).await?;
-            let reply = exchange(cx, &mut open, bytes).await?;
-            Some((open, reply))
-        };
-        // After a failure a late reply could still come; only a new connection is in step again.
-        let (open, reply) = timeout(REPLY_LIMIT, both).await.ok().flatten()?;
-        *connection = Some(open);
-        Some(reply)
-    }
-}
-
-async fn exchange(cx: &Context, frames: &mut Frames<BoxConnection>, bytes: Bytes) -> Option<PeerReply> {
-    count_bytes(cx, "sent", bytes.len());
-    frames.send(bytes).await.ok()?;
-    let reply = frames.next().await?.ok()?;
-    count_bytes(cx, "received", reply.len());
-    decode(&reply).ok()
-}
-
-async fn connect(cx: &Context, address: SocketAddr) -> Option<Frames<BoxConnection>> {
-    let connection = cx.network.connect(address).await.ok()?;
-    Some(frames(connection, cx.shared.settings.limits.max_frame_bytes))
-}
-
-fn count_bytes(cx: &Context, direction: &'static str, bytes: usize) {
-    metrics::counter!("havengrade_peer_bytes", "vm" => cx.shared.vm().clone(), "direction" => direction)
-        .increment(bytes as u64);
-}
-
-/// Accepts connections of other VMs.
-async fn serve(cx: Context, mut listener: Box<dyn Listener>) {
-    let mut connections = tokio::task::JoinSet::new();
-    loop {
-        while connections.try_join_next().is_some() {}
-        match listener.accept().await {
-            Ok(connection) => drop(connections.spawn(serve_peer(cx.clone(), connection))),
-            Err(error) => {
-                log::warn!(service = NAME; "connection not accepted: {error}");
-                tokio::time::sleep(super::ACCEPT_PAUSE).await;
-            },
-        }
-    }
-}
-
-async fn serve_peer(cx: Context, connection: BoxConnection) {
-    let mut frames = frames(connection, cx.shared.settings.limits.max_frame_bytes);
-    while let Some(frame) = frames.next().await {
-        let request = match frame.map_err(|error| error.to_string()).and_then(|frame| {
-            count_bytes(&cx, "received", frame.len());
-            decode::<PeerRequest>(&frame).map_err(|error| error.to_string())
-        }) {
-            Ok(request) => request,
-            Err(error) => {
-                log::warn!(service = NAME; "connection of a peer closed, since its message can't be read: {error}");
-                return;
-            },
-        };
-        let Some(reply) = answer(&cx, request).await else { return };
-        let Ok(bytes) = encode(&reply) else { return };
-        count_bytes(&cx, "sent", bytes.len());
-        if frames.send(Bytes::from(bytes)).await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn answer(cx: &Context, request: PeerRequest) -> Option<PeerReply> {
-    match request {
-        PeerRequest::Heartbeat(heartbeat) => {
-            let members = cx.find::<MembersMessage>(members::NAME)?;
-            let reply =
-                members.call(|reply| MembersMessage::Heard { heartbeat, asked: None, reply: Some(reply) }, None).await;
-            reply.ok()?.success_or(()).ok().map(PeerReply::Heartbeat)
-        },
-        PeerRequest::Fetch(fetch) => fetch_records(cx, &fetch).await.map(PeerReply::Records),
-        PeerRequest::Hold(hold) => take_records(cx, hold).await.map(|held| PeerReply::Held(PeerHeld::new(held))),
-        PeerRequest::Release(release) => {
-            let PeerRelease { writer, request_ids } = release;
-            let peers = cx.find::<PeersMessage>(NAME)?;
-            let message = PeersMessage::Release { writer: writer.cast_unsigned(), requests: request_ids };
-            peers.cast(message).ok()?;
-            Some(PeerReply::Done(PeerDone::new()))
-        },
-        PeerRequest::Ask(ask) => Some(PeerReply::Answer(ask_here(cx, &ask))),
-        PeerRequest::Drain(PeerDrain { operator_name }) => {
-            log::info!(service = NAME, operator = operator_name.as_str(); "drain asked for through a peer");
-            cx.shared.start_drain();
-            Some(PeerReply::Done(PeerDone::new()))
-        },
-    }
-}
-
-async fn fetch_records(cx: &Context, fetch: &PeerFetch) -> Option<PeerRecords> {
-    let service = cx.find::<ConfigMessage>(config::NAME)?;
-    let from = fetch.from_offset.cast_unsigned();
-    let limit = usize::try_from(fetch.limit).unwrap_or_default();
-    let fetched = service.call(|reply| ConfigMessage::Fetch { from, limit, reply }, Some(REPLY_LIMIT)).await;
-    let fetched = fetched.ok()?.success_or(()).ok()?;
-    let records = fetched
-        .records
-        .into_iter()
-        .map(|record| PeerRecord::new(record.offset.cast_signed(), record.data.into_bytes()))
-        .collect();
-    let snapshot = fetched.snapshot.and_then(|snapshot| serde_json::to_vec(&snapshot).ok());
-    Some(PeerRecords::new(records, fetched.next.cast_signed(), snapshot))
-}
-
-async fn take_records(cx: &Context, hold: PeerHold) -> Option<bool> {
-    let peers = cx.find::<PeersMessage>(NAME)?;
-    let parse = |bytes: &Vec<u8>| serde_json::from_slice(bytes).ok();
-    let records: Option<Vec<LedgerRecord>> = hold.records.iter().map(parse).collect();
-    let Some(records) = records else { return Some(false) };
-    let writer = hold.writer.cast_unsigned();
-    let held = peers.call(|reply| PeersMessage::Held { writer, records, reply }, Some(REPLY_LIMIT)).await;
-    held.ok()?.success_or(()).ok()
-}
-
-fn ask_here(cx: &Context, ask: &PeerAsk) -> PeerAnswer {
-    match cx.shared.requests.look_up(&ask.request_id, &ask.account) {
-        Lookup::Unknown => PeerAnswer::new("unknown".to_owned(), None, None, None),
-        Lookup::Pending => PeerAnswer::new("pending".to_owned(), None, None, None),
-        Lookup::Ended { status, content_type, body } => {
-            PeerAnswer::new("answered".to_owned(), i32::from(status), content_type, body.to_vec())
-        },
-    }
-}
--- /dev/null
+++ b/havengrade_router/src/services/peers/server.rs
@@ -0,0 +1,125 @@
+//! Requests of other VMs, and our replies.
+
+use bytes::Bytes;
+use futures::{SinkExt as _, StreamExt as _};
+use havengrade_core::ledger::LedgerRecord;
+use havengrade_rpc::{
+    decode, encode, frames,
+    peers::{
+        PeerAnswer, PeerAsk, PeerDone, PeerDrain, PeerFetch, PeerHeld, PeerHold, PeerRecord, PeerRecords, PeerRelease,
+        PeerReply, PeerRequest,
+    },
+};
+
+use super::{
+    NAME, PeersMessage,
+    client::{REPLY_LIMIT, count_bytes},
+};
+use crate::{
+    kernel::Context,
+    net::{BoxConnection, Listener},
+    services::{
+        ACCEPT_PAUSE,
+        config::{self, ConfigMessage},
+        members::{self, MembersMessage},
+    },
+    traffic::Lookup,
+};
+
+/// Accepts connections of other VMs.
+pub(super) async fn serve(cx: Context, mut listener: Box<dyn Listener>) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        match listener.accept().await {
+            Ok(connection) => drop(connections.spawn(serve_peer(cx.clone(), connection))),
+            Err(error) => {
+                log::warn!(service = NAME; "connection not accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            },
+        }
+    }
+}
+
+async fn serve_peer(cx: Context, connection: BoxConnection) {
+    let mut frames = frames(connection, cx.shared.settings.limits.max_frame_bytes);
+    while let Some(frame) = frames.next().await {
+        let request = match frame.map_err(|error| error.to_string()).and_then(|frame| {
+            count_bytes(&cx, "received", frame.len());
+            decode::<PeerRequest>(&frame).map_err(|error| error.to_string())
+        }) {
+            Ok(request) => request,
+            Err(error) => {
+                log::warn!(service = NAME; "connection of a peer closed, since its message can't be read: {error}");
+                return;
+            },
+        };
+        let Some(reply) = answer(&cx, request).await else { return };
+        let Ok(bytes) = encode(&reply) else { return };
+        count_bytes(&cx, "sent", bytes.len());
+        if frames.send(Bytes::from(bytes)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn answer(cx: &Context, request: PeerRequest) -> Option<PeerReply> {
+    match request {
+        PeerRequest::Heartbeat(heartbeat) => {
+            let members = cx.find::<MembersMessage>(members::NAME)?;
+            let reply =
+                members.call(|reply| MembersMessage::Heard { heartbeat, asked: None, reply: Some(reply) }, None).await;
+            reply.ok()?.success_or(()).ok().map(PeerReply::Heartbeat)
+        },
+        PeerRequest::Fetch(fetch) => fetch_records(cx, &fetch).await.map(PeerReply::Records),
+        PeerRequest::Hold(hold) => take_records(cx, hold).await.map(|held| PeerReply::Held(PeerHeld::new(held))),
+        PeerRequest::Release(release) => {
+            let PeerRelease { writer, request_ids } = release;
+            let peers = cx.find::<PeersMessage>(NAME)?;
+            let message = PeersMessage::Release { writer: writer.cast_unsigned(), requests: request_ids };
+            peers.cast(message).ok()?;
+            Some(PeerReply::Done(PeerDone::new()))
+        },
+        PeerRequest::Ask(ask) => Some(PeerReply::Answer(ask_here(cx, &ask))),
+        PeerRequest::Drain(PeerDrain { operator_name }) => {
+            log::info!(service = NAME, operator = operator_name.as_str(); "drain asked for through a peer");
+            cx.shared.start_drain();
+            Some(PeerReply::Done(PeerDone::new()))
+        },
+    }
+}
+
+async fn fetch_records(cx: &Context, fetch: &PeerFetch) -> Option<PeerRecords> {
+    let service = cx.find::<ConfigMessage>(config::NAME)?;
+    let from = fetch.from_offset.cast_unsigned();
+    let limit = usize::try_from(fetch.limit).unwrap_or_default();
+    let fetched = service.call(|reply| ConfigMessage::Fetch { from, limit, reply }, Some(REPLY_LIMIT)).await;
+    let fetched = fetched.ok()?.success_or(()).ok()?;
+    let records = fetched
+        .records
+        .into_iter()
+        .map(|record| PeerRecord::new(record.offset.cast_signed(), record.data.into_bytes()))
+        .collect();
+    let snapshot = fetched.snapshot.and_then(|snapshot| serde_json::to_vec(&snapshot).ok());
+    Some(PeerRecords::new(records, fetched.next.cast_signed(), snapshot))
+}
+
+async fn take_records(cx: &Context, hold: PeerHold) -> Option<bool> {
+    let peers = cx.find::<PeersMessage>(NAME)?;
+    let parse = |bytes: &Vec<u8>| serde_json::from_slice(bytes).ok();
+    let records: Option<Vec<LedgerRecord>> = hold.records.iter().map(parse).collect();
+    let Some(records) = records else { return Some(false) };
+    let writer = hold.writer.cast_unsigned();
+    let held = peers.call(|reply| PeersMessage::Held { writer, records, reply }, Some(REPLY_LIMIT)).await;
+    held.ok()?.success_or(()).ok()
+}
+
+fn ask_here(cx: &Context, ask: &PeerAsk) -> PeerAnswer {
+    match cx.shared.requests.look_up(&ask.request_id, &ask.account) {
+        Lookup::Unknown => PeerAnswer::new("unknown".to_owned(), None, None, None),
+        Lookup::Pending => PeerAnswer::new("pending".to_owned(), None, None, None),
+        Lookup::Ended { status, content_type, body } => {
+            PeerAnswer::new("answered".to_owned(), i32::from(status), content_type, body.to_vec())
+        },
+    }
+}
