Settle an abandoned claim by one VM, and correct the prediction of idle fleets

Cause: every VM settled each claim of a VM that was gone, as many records as there are VMs. The capacity page predicted 27% too much for 4 VMs, because the three plain services that stood beside the measured engines were counted twice.

--- a/havengrade_dev/tests/whole_path.rs
+++ b/havengrade_dev/tests/whole_path.rs
@@ -326,3 +326,30 @@
     let got = bench.ask("harvest", 4, &chat("lot-question", "ripe?")).await;
     assert_eq!(got.text(), Some(expected_answer(CHEAP, "ripe?")));
 }
+
+#[tokio::test(start_paused = true)]
+async fn claim_of_a_vm_that_died_is_settled_once_as_may_have_run() {
+    let mut bench = Bench::start_tuned(4, |settings| settings.claims.abandoned_s = 10).await;
+    sleep(Duration::from_secs(2)).await;
+    for endpoint in ["events-1", "events-2"] {
+        bench.fleet.services[endpoint].add_fault(ServiceFault::Slow(Duration::from_secs(60)));
+    }
+    let caller = bench.caller("gate");
+    let address = bench.callers_port(0);
+    let ask = check_in("ticket-1");
+    let lost = caller.ask(address, &ask);
+    let kill = async {
+        sleep(Duration::from_millis(500)).await;
+        bench.fleet.kill_router(0);
+    };
+    let (lost, ()) = tokio::join!(lost, kill);
+    assert!(lost.is_err());
+    sleep(Duration::from_secs(30)).await;
+    let got = bench.ask("gate", 1, &Ask { attempt: Some(2), ..check_in("ticket-1") }).await;
+    assert_eq!(got.problem().unwrap().kind, "answer_lost");
+    assert_eq!(bench.runs("ticket-1"), 1);
+    let records = bench.fleet.log.records(Stream::Ledger);
+    let settled = records.iter().filter(|record| record.contains("may_have_run")).count();
+    assert_eq!(settled, 1, "one VM settles it");
+    assert_eq!(bench.fleet.log.bills().len(), 1);
+}
--- a/havengrade_replay/src/capacity/rows.rs
+++ b/havengrade_replay/src/capacity/rows.rs
@@ -15,6 +15,10 @@
 const CHANGED_TALLIES: f64 = 0.25;
 /// Length of the outage that held bills are worked out for, in seconds.
 const OUTAGE: f64 = 600.0;
+/// Copies of a bill that waits for the log: the writer's and those of its peers.
+const COPIES: f64 = 5.0;
+/// Plain services that stood beside the engines where the slope of reports was measured.
+const SERVICES: f64 = 3.0;
 /// Microseconds of a second.
 const MICROS: f64 = 1e6;
 
@@ -51,7 +55,7 @@
 
 /// Both streams are waited on, and the list of a single VM is read.
 fn tails(slopes: &Slopes) -> f64 {
-    slopes.at("poll_bytes", 0.0)
+    slopes.at("poll_bytes", -SERVICES)
 }
 
 fn list(slopes: &Slopes, sizes: &Sizes) -> f64 {
@@ -142,8 +146,8 @@
         row("bills", "a stream that no VM reads", 0.0, 0.0, unclaimed_here * slopes.per("bill_bytes")),
         row(
             "bills in an outage of 10 minutes",
-            "held here and by two peers",
-            3.0 * unclaimed_here * OUTAGE * slopes.per("bill_bytes"),
+            "held here and by four others",
+            COPIES * unclaimed_here * OUTAGE * slopes.per("bill_bytes"),
             0.0,
             0.0,
         ),
--- a/havengrade_replay/tests/capacity_page.rs
+++ b/havengrade_replay/tests/capacity_page.rs
@@ -36,6 +36,5 @@
         .take_while(|line| line.starts_with('|'))
         .map(|line| line.trim_end_matches("% |").rsplit(' ').next().unwrap().parse().unwrap())
         .collect();
-    // At 4 VMs the fixed part of each message, which the slopes leave out, weighs most.
-    assert!(errors.len() >= 6 && errors[1..].iter().all(|error| error.abs() <= 25), "{errors:?}");
+    assert!(errors.len() >= 6 && errors.iter().all(|error| error.abs() <= 25), "{errors:?}");
 }
--- a/havengrade_router/src/services/ledger.rs
+++ b/havengrade_router/src/services/ledger.rs
@@ -13,6 +13,7 @@
     claim::{ClaimKey, KeyState, Verdict},
     ids::{Attempt, Incarnation, Offset, RequestId},
     ledger::{Batch, Ledger, LedgerRecord},
+    secret::spread,
 };
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::time::sleep;
@@ -242,11 +243,19 @@
         let limit = Duration::from_secs(self.cx.shared.settings.claims.abandoned_s);
         self.live.retain(|_, heard| now.duration_since(*heard).unwrap_or_default() < limit);
         let is_old = |at: SystemTime| now.duration_since(at).unwrap_or_default() >= limit;
+        // One VM settles each of them; the others only where it has not done so for as long again.
+        let live = self.cx.shared.live_vms();
+        let own = live.iter().position(|vm| vm == self.cx.shared.vm()).unwrap_or_default() as u64;
+        let is_ours = |key: &ClaimKey, at: SystemTime| {
+            let turn = spread(&[&key.account, &key.key]) % live.len().max(1) as u64;
+            turn == own || now.duration_since(at).unwrap_or_default() >= 2 * limit
+        };
         let abandoned: Vec<LedgerRecord> = self
             .ledger
             .unsettled()
             .filter(|(_, claim)| claim.holder != self.cx.shared.incarnation)
             .filter(|(_, claim)| is_old(claim.at) && !self.live.contains_key(&claim.holder))
+            .filter(|(key, claim)| is_ours(key, claim.at))
             .map(|(key, claim)| LedgerRecord::abandoned(key, claim, now))
             .collect();
         for record in abandoned {
