Give stand-ins plain calls and replies

Cause: calls and replies of stand-ins were wrapped to hide them, which a reader has to see through. Change: 'Call' and 'Reply' are public types with docs. Behaviour unchanged.

--- a/havengrade_dev/src/stand_in/engine.rs
+++ b/havengrade_dev/src/stand_in/engine.rs
@@ -20,7 +20,7 @@
     time::{Instant, sleep},
 };
 
-use super::server::{Handler, HandlerCall, HandlerReply, bytes, json};
+use super::server::{Call, Handler, Reply, bytes, json};
 
 /// Time that a token takes while the engine is empty.
 const TOKEN_TIME: Duration = Duration::from_millis(2);
@@ -179,7 +179,7 @@
         self.leave_slot();
     }
 
-    fn start(self: &Arc<Self>, call: &super::server::Call) -> HandlerReply {
+    fn start(self: &Arc<Self>, call: &Call) -> Reply {
         let Ok(body) = serde_json::from_slice::<Value>(&call.body) else {
             return bytes(StatusCode::BAD_REQUEST, "text/plain", "not JSON".into());
         };
@@ -217,14 +217,14 @@
         attach(generation, 0, fault)
     }
 
-    fn resume(&self, id: &str, from: usize) -> HandlerReply {
+    fn resume(&self, id: &str, from: usize) -> Reply {
         match lock(&self.state).streams.get(id) {
             Some(generation) => attach(generation.clone(), from, None),
             None => bytes(StatusCode::NOT_FOUND, "text/plain", "no such stream".into()),
         }
     }
 
-    fn cancel(&self, id: &str) -> HandlerReply {
+    fn cancel(&self, id: &str) -> Reply {
         if let Some(generation) = lock(&self.state).streams.get(id) {
             generation.is_cancelled.send_replace(true);
         }
@@ -249,7 +249,7 @@
     has_ended: bool,
 }
 
-fn attach(generation: Arc<Generation>, from: usize, fault: Option<EngineFault>) -> HandlerReply {
+fn attach(generation: Arc<Generation>, from: usize, fault: Option<EngineFault>) -> Reply {
     let breaks_at = match fault {
         Some(EngineFault::BreaksAfter(count) | EngineFault::DiesAfter(count)) => Some(count),
         Some(EngineFault::Refuses) | None => None,
@@ -262,7 +262,7 @@
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
     let content_type = hyper::header::HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(hyper::header::CONTENT_TYPE, content_type);
-    HandlerReply(Some(response))
+    Some(response)
 }
 
 impl Reader {
@@ -300,7 +300,7 @@
 
 #[async_trait]
 impl Handler for EngineHandler {
-    async fn handle(&self, HandlerCall(call): HandlerCall) -> HandlerReply {
+    async fn handle(&self, call: Call) -> Reply {
         let engine = &self.0;
         if call.path == "/load" {
             let report = value!({ "load": engine.lagging_load(), "leaving": lock(&engine.state).leaving });
--- a/havengrade_dev/src/stand_in/log.rs
+++ b/havengrade_dev/src/stand_in/log.rs
@@ -18,7 +18,7 @@
     time::{Instant, sleep, timeout_at},
 };
 
-use super::server::{Handler, HandlerCall, HandlerReply, bytes, json};
+use super::server::{Call, Handler, Reply, bytes, json};
 
 /// What is wrong with the log service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -159,7 +159,7 @@
 
 #[async_trait]
 impl Handler for LogStandIn {
-    async fn handle(&self, HandlerCall(call): HandlerCall) -> HandlerReply {
+    async fn handle(&self, call: Call) -> Reply {
         let fault = lock(&self.streams).fault;
         match fault {
             LogFault::Down => return bytes(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "down".into()),
@@ -173,7 +173,7 @@
         if call.method == Method::POST {
             let offset = self.append(stream, String::from_utf8_lossy(&call.body).into_owned());
             if fault == LogFault::LosesAnswers {
-                return HandlerReply(None);
+                return None;
             }
             return json(StatusCode::OK, &serde_json::json!({ "offset": offset }));
         }
@@ -182,7 +182,7 @@
         let slice = self.read(stream, call.number("from"), max, wait).await;
         // An outage that began while the read waited takes its answer along.
         if lock(&self.streams).fault == LogFault::Down {
-            return HandlerReply(None);
+            return None;
         }
         json(StatusCode::OK, &serde_json::to_value(slice).unwrap_or_default())
     }
--- a/havengrade_dev/src/stand_in/mod.rs
+++ b/havengrade_dev/src/stand_in/mod.rs
@@ -12,7 +12,7 @@
     engine::{EngineFault, EngineStandIn, StartedStream, answer_tokens, expected_answer},
     log::{LogCalls, LogFault, LogStandIn},
     rating::RatingStandIn,
-    server::{Handler, start},
+    server::{Call, Handler, Reply, start},
     service::{Run, ServiceFault, ServiceStandIn},
     vm_list::VmListStandIn,
 };
--- a/havengrade_dev/src/stand_in/rating.rs
+++ b/havengrade_dev/src/stand_in/rating.rs
@@ -11,7 +11,7 @@
 use hyper::StatusCode;
 use serde_json::json as value;
 
-use super::server::{Handler, HandlerCall, HandlerReply, bytes, json};
+use super::server::{Call, Handler, Reply, bytes, json};
 
 /// Spread of the ratings around a version's quality, in thousandths to either side.
 const SPREAD: u64 = 100;
@@ -37,7 +37,7 @@
 
 #[async_trait]
 impl Handler for RatingStandIn {
-    async fn handle(&self, HandlerCall(call): HandlerCall) -> HandlerReply {
+    async fn handle(&self, call: Call) -> Reply {
         match serde_json::from_slice::<RatingRequest>(&call.body) {
             Ok(request) => json(StatusCode::OK, &value!({ "score": self.rate(&request) })),
             Err(error) => bytes(StatusCode::BAD_REQUEST, "text/plain", error.to_string().into()),
--- a/havengrade_dev/src/stand_in/server.rs
+++ b/havengrade_dev/src/stand_in/server.rs
@@ -12,26 +12,31 @@
 use tokio_util::task::AbortOnDropHandle;
 
 /// An answer of a stand-in; `None` closes the connection without one.
-pub(crate) type Reply = Option<Response<UnsyncBoxBody<Bytes, io::Error>>>;
+pub type Reply = Option<Response<UnsyncBoxBody<Bytes, io::Error>>>;
 
 /// A call of a stand-in.
-pub(crate) struct Call {
-    pub(crate) method: Method,
-    pub(crate) path: String,
-    pub(crate) query: String,
-    pub(crate) headers: hyper::HeaderMap,
-    pub(crate) body: Bytes,
+pub struct Call {
+    /// Its method.
+    pub method: Method,
+    /// Its path.
+    pub path: String,
+    /// Its query, without the question mark.
+    pub query: String,
+    /// Its headers.
+    pub headers: hyper::HeaderMap,
+    /// Its body.
+    pub body: Bytes,
 }
 
 impl Call {
     /// A number in the query, or 0.
-    pub(crate) fn number(&self, name: &str) -> u64 {
+    pub fn number(&self, name: &str) -> u64 {
         let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
         pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok()).unwrap_or_default()
     }
 
     /// A header, or nothing.
-    pub(crate) fn header(&self, name: &str) -> &str {
+    pub fn header(&self, name: &str) -> &str {
         self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
 }
@@ -40,18 +45,9 @@
 #[async_trait]
 pub trait Handler: Send + Sync + 'static {
     /// Answers a call.
-    #[doc(hidden)]
-    async fn handle(&self, call: HandlerCall) -> HandlerReply;
+    async fn handle(&self, call: Call) -> Reply;
 }
 
-/// A call as a handler gets it.
-#[doc(hidden)]
-pub struct HandlerCall(pub(crate) Call);
-
-/// A reply as a handler gives it.
-#[doc(hidden)]
-pub struct HandlerReply(pub(crate) Reply);
-
 /// Starts a stand-in at an address; it ends when the handle is dropped.
 ///
 /// # Errors
@@ -90,21 +86,21 @@
         headers: head.headers,
         body,
     };
-    let HandlerReply(reply) = handler.handle(HandlerCall(call)).await;
+    let reply = handler.handle(call).await;
     reply.ok_or_else(|| io::Error::from(io::ErrorKind::ConnectionAborted))
 }
 
 /// A JSON answer.
-pub(crate) fn json(status: StatusCode, value: &Value) -> HandlerReply {
+pub(crate) fn json(status: StatusCode, value: &Value) -> Reply {
     bytes(status, "application/json", Bytes::from(value.to_string()))
 }
 
 /// An answer of bytes.
-pub(crate) fn bytes(status: StatusCode, content_type: &'static str, body: Bytes) -> HandlerReply {
+pub(crate) fn bytes(status: StatusCode, content_type: &'static str, body: Bytes) -> Reply {
     let body = Full::new(body).map_err(|never: Infallible| match never {}).boxed_unsync();
     let mut response = Response::new(body);
     *response.status_mut() = status;
     let content_type = hyper::header::HeaderValue::from_static(content_type);
     response.headers_mut().insert(hyper::header::CONTENT_TYPE, content_type);
-    HandlerReply(Some(response))
+    Some(response)
 }
--- a/havengrade_dev/src/stand_in/service.rs
+++ b/havengrade_dev/src/stand_in/service.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json as value};
 use tokio::time::sleep;
 
-use super::server::{Handler, HandlerCall, HandlerReply, json};
+use super::server::{Call, Handler, Reply, json};
 
 /// What goes wrong with one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,7 +95,7 @@
 
 #[async_trait]
 impl Handler for ServiceStandIn {
-    async fn handle(&self, HandlerCall(call): HandlerCall) -> HandlerReply {
+    async fn handle(&self, call: Call) -> Reply {
         if call.path == "/load" {
             let state = lock(&self.state);
             return json(StatusCode::OK, &value!({ "load": state.in_progress, "leaving": state.leaving }));
@@ -112,7 +112,7 @@
         }
         lock(&self.state).in_progress -= 1;
         if fault == Some(ServiceFault::LosesAnswer) {
-            return HandlerReply(None);
+            return None;
         }
         json(StatusCode::OK, &answer)
     }
--- a/havengrade_dev/src/stand_in/vm_list.rs
+++ b/havengrade_dev/src/stand_in/vm_list.rs
@@ -7,7 +7,7 @@
 use hyper::StatusCode;
 use tokio::time::Instant;
 
-use super::server::{Handler, HandlerCall, HandlerReply, json};
+use super::server::{Call, Handler, Reply, json};
 
 /// The VM list: what is set shows only after a lag.
 pub struct VmListStandIn {
@@ -40,7 +40,7 @@
 
 #[async_trait]
 impl Handler for VmListStandIn {
-    async fn handle(&self, _call: HandlerCall) -> HandlerReply {
+    async fn handle(&self, _call: Call) -> Reply {
         json(StatusCode::OK, &serde_json::to_value(self.visible()).unwrap_or_default())
     }
 }
