--- a/havengrade_core/src/config/items.rs
+++ b/havengrade_core/src/config/items.rs
@@ -120,7 +120,8 @@
     pub deadline_ms: u64,
     /// Whether running a request twice does no harm.
     pub repeatable: bool,
-    /// Whether an accepted request outlives its caller's connection and its VM.
+    /// Whether an answer is kept in the log, so that its caller can fetch it from any VM, also when the one
+    /// that gave it is gone. A request in progress ends with its VM, and may be asked again.
     #[serde(default)]
     pub durable: bool,
     /// Cascade that answers the class; none for classes of plain services.
--- a/havengrade_dev/src/load.rs
+++ b/havengrade_dev/src/load.rs
@@ -96,10 +96,11 @@
     };
     let fleet = Fleet::start(fleet).await.context(StartSnafu)?;
     let router = fabric.address(router_host(0), 0);
-    let engine = endpoint_address(&fabric, "engine-1");
-    let events = endpoint_address(&fabric, "events-1");
-    let chat = compare(options, engine, router, chat_request).await;
-    let claimed = compare(options, events, router, claimed_request).await;
+    // The endpoints that the router chooses from get the direct calls in turn.
+    let engines = ["engine-1", "engine-2"].map(|id| endpoint_address(&fabric, id));
+    let events = ["events-1", "events-2"].map(|id| endpoint_address(&fabric, id));
+    let chat = compare(options, &engines, router, chat_request).await;
+    let claimed = compare(options, &events, router, claimed_request).await;
     let records = fleet.log.batched_records();
     let records_per_append = records as f64 / fleet.log.calls().appends.max(1) as f64;
     Ok(LoadReport { chat, claimed, records_per_append })
@@ -107,7 +108,8 @@
 
 type MakeRequest = fn(SocketAddr, usize) -> Request<Full<Bytes>>;
 
-async fn compare(options: &LoadOptions, direct: SocketAddr, routed: SocketAddr, make: MakeRequest) -> Comparison {
+async fn compare(options: &LoadOptions, direct: &[SocketAddr], routed: SocketAddr, make: MakeRequest) -> Comparison {
+    let routed = &[routed];
     // A first round that is not counted fills pools and caches on both ways.
     let warm_up = LoadOptions { requests: options.requests / 10, ..*options };
     measure(&warm_up, direct, make, 0).await;
@@ -123,11 +125,14 @@
     }
 }
 
-async fn measure(options: &LoadOptions, to: SocketAddr, make: MakeRequest, first: usize) -> Times {
+async fn measure(options: &LoadOptions, to: &[SocketAddr], make: MakeRequest, first: usize) -> Times {
     let client = HttpClient::new(Arc::new(TcpNetwork), Duration::from_secs(1));
     let started = Instant::now();
     let numbers = stream::iter(first..first + options.requests);
-    let call = |number| call(client.clone(), to, make(to, number));
+    let call = |number: usize| {
+        let to = to[number % to.len()];
+        call(client.clone(), to, make(to, number))
+    };
     let times: Vec<Option<(Duration, Duration)>> = numbers.map(call).buffer_unordered(options.at_once).collect().await;
     let elapsed = started.elapsed();
     let [mut first, mut whole] = [(); 2].map(|()| histogram());
