Let callers read their answers before a planned stop ends

Cause: found while following a random schedule: a planned stop ended callers' connections as soon as no request was in progress, so that a caller who reads slowly lost the rest of an answer that was already whole.

--- a/havengrade_dev/src/fabric.rs
+++ b/havengrade_dev/src/fabric.rs
@@ -52,7 +52,7 @@
 }
 
 /// Bytes that a pipe holds.
-const PIPE: usize = 64 << 10;
+const PIPE: usize = 4 << 10;
 
 #[derive(Default)]
 struct Wiring {
--- a/havengrade_dev/src/history.rs
+++ b/havengrade_dev/src/history.rs
@@ -74,12 +74,15 @@
         /// What the caller found in it.
         content: Content,
     },
-    /// The connection broke before an answer came.
+    /// No connection came about, or it broke before an answer came.
     Lost {
         /// When, in milliseconds.
         at_ms: u64,
         /// Number of the attempt.
         id: u64,
+        /// Whether there was a connection, so that something may have been sent.
+        #[serde(default = "was_sent")]
+        sent: bool,
     },
     /// A plain service ran a call.
     Ran {
@@ -154,6 +157,10 @@
     },
 }
 
+fn was_sent() -> bool {
+    true
+}
+
 /// Takes events down.
 #[derive(Debug, Default)]
 pub struct Recorder {
--- a/havengrade_dev/src/schedule/causes.rs
+++ b/havengrade_dev/src/schedule/causes.rs
@@ -145,8 +145,6 @@
         self.recorder.note(Event::DrainBegan { at_ms: self.now_ms(), vm: vm_name(vm) });
         router.drained().await;
         self.recorder.note(Event::DrainEnded { at_ms: self.now_ms(), vm: vm_name(vm) });
-        // Answers that are whole are still being written when the last request ends.
-        sleep(Duration::from_millis(100)).await;
         router.stop().await;
         self.restart(vm).await;
     }
--- a/havengrade_dev/src/schedule/traffic.rs
+++ b/havengrade_dev/src/schedule/traffic.rs
@@ -99,7 +99,9 @@
         const POLLS: u32 = 100;
         const PAUSE: Duration = Duration::from_millis(200);
         let address = self.pipes.address(router_host(vm), 0);
-        let mut got = tokio::time::timeout(LIMIT, caller.ask(address, ask)).await.ok().and_then(Result::ok);
+        let asked = tokio::time::timeout(LIMIT, caller.ask(address, ask)).await;
+        let sent = !matches!(&asked, Ok(Err(error)) if error.surely_not_sent());
+        let mut got = asked.ok().and_then(Result::ok);
         for poll in 0..POLLS {
             let Some(pending) = got.as_ref().filter(|got| got.status == 202) else { break };
             let request_id = pending.header("x-request-id").to_owned();
@@ -111,7 +113,7 @@
         }
         let at_ms = self.now_ms();
         let Some(got) = got else {
-            self.recorder.note(Event::Lost { at_ms, id });
+            self.recorder.note(Event::Lost { at_ms, id, sent });
             return None;
         };
         let version = Some(got.header("x-havengrade-version").to_owned()).filter(|version| !version.is_empty());
--- a/havengrade_dev/tests/whole_path.rs
+++ b/havengrade_dev/tests/whole_path.rs
@@ -8,11 +8,14 @@
 use havengrade_dev::{
     caller::Ask,
     scenario::{CHEAP, STRONG},
-    stand_in::{EngineFault, LogFault, ServiceFault, expected_answer},
+    stand_in::{EngineFault, LogFault, ServiceFault, answer_tokens, expected_answer},
 };
 use havengrade_router::{platform::Stream, traffic::RunState};
 use support::{Bench, bin_tag, chat, check_in};
-use tokio::time::sleep;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    time::sleep,
+};
 
 #[tokio::test(start_paused = true)]
 async fn chat_is_answered_whole_and_billed_once() {
@@ -368,3 +371,31 @@
     }
     assert_eq!(bench.fleet.log.bills().len(), 10);
 }
+
+#[tokio::test(start_paused = true)]
+async fn planned_stop_waits_for_a_caller_who_reads_slowly() {
+    let mut bench = Bench::start(1).await;
+    let mut prompts = (0..).map(|number| format!("day {number}"));
+    let prompt = prompts.find(|prompt| answer_tokens(CHEAP, prompt).len() > 28).unwrap();
+    let body = format!("{{\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"{prompt}\"}}]}}");
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer harvest.demo\r\n\
+         x-havengrade-class: lot-question\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut connection = bench.open(0, 0).await;
+    connection.write_all(request.as_bytes()).await.unwrap();
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(bench.fleet.log.bills().len(), 1, "the answer is whole, but more than the pipe holds");
+    let router = bench.fleet.routers.remove("vm-1").unwrap();
+    router.context().shared.start_drain();
+    assert!(router.drained().await);
+    let read = async {
+        sleep(Duration::from_secs(1)).await;
+        let mut answer = Vec::new();
+        connection.read_to_end(&mut answer).await.unwrap();
+        String::from_utf8(answer).unwrap()
+    };
+    let (answer, ()) = tokio::join!(read, router.stop());
+    assert!(answer.contains("data: [DONE]"), "{answer}");
+}
--- a/havengrade_replay/src/check/endpoints.rs
+++ b/havengrade_replay/src/check/endpoints.rs
@@ -35,7 +35,8 @@
             .events
             .iter()
             .filter_map(|event| match event {
-                Event::Lost { id, .. } => Some(*id),
+                // What was never sent is not in progress at the VM.
+                Event::Lost { id, sent: true, .. } => Some(*id),
                 _ => None,
             })
             .collect();
@@ -66,6 +67,6 @@
     });
     let Some(ended_ms) = ended_ms else { return false };
     history.events.iter().any(|event| {
-        matches!(event, Event::Lost { at_ms, id: lost } if *lost == id && (began_ms..=ended_ms + CLOSING_MS).contains(at_ms))
+        matches!(event, Event::Lost { at_ms, id: lost, .. } if *lost == id && (began_ms..=ended_ms + CLOSING_MS).contains(at_ms))
     })
 }
--- a/havengrade_router/src/kernel.rs
+++ b/havengrade_router/src/kernel.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use ractor::{ActorCell, ActorRef, Message, SpawnErr, registry};
 use snafu::{ResultExt as _, Snafu};
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{net::Network, platform, shared::Shared};
 
@@ -56,6 +56,10 @@
     pub http: crate::http::HttpClient,
     /// Ends the tasks of traffic.
     pub end: CancellationToken,
+    /// Makes callers' connections end with the answer that they are at.
+    pub closing: CancellationToken,
+    /// Callers' connections.
+    pub connections: TaskTracker,
     /// Number of the router within the process, since the registry of actors is the process's.
     pub number: u64,
 }
--- a/havengrade_router/src/router.rs
+++ b/havengrade_router/src/router.rs
@@ -11,8 +11,14 @@
 use havengrade_core::drain::{DrainState, DrainStep};
 use ractor::{ActorRef, rpc::CallResult};
 use snafu::ResultExt as _;
-use tokio::{runtime::Handle, time::sleep};
-use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
+use tokio::{
+    runtime::Handle,
+    time::{sleep, timeout},
+};
+use tokio_util::{
+    sync::CancellationToken,
+    task::{AbortOnDropHandle, TaskTracker},
+};
 
 use crate::{
     clock::Clock,
@@ -38,6 +44,9 @@
 /// Time between two looks at whether a planned stop is over.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 
+/// Time that callers have to read the answers that they were given.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
+
 /// Routers that were started in this process.
 static ROUTERS: AtomicU64 = AtomicU64::new(0);
 
@@ -114,10 +123,15 @@
         in_progress + usize::from(is_left)
     }
 
-    /// Stops the router in order.
+    /// Stops the router in order; callers' connections end with the answer that they are at.
     pub async fn stop(self) {
-        self.cx.end.cancel();
         drop(self.server);
+        self.cx.closing.cancel();
+        self.cx.connections.close();
+        if timeout(CLOSE_LIMIT, self.cx.connections.wait()).await.is_err() {
+            log::warn!(vm = self.cx.shared.vm().as_str(); "callers read too slowly, their connections are cut");
+        }
+        self.cx.end.cancel();
         self.kernel.stop().await;
         log::info!(vm = self.cx.shared.vm().as_str(); "router stopped");
     }
@@ -155,5 +169,16 @@
     });
     let shared = Arc::new(Shared::new(Arc::new(settings), parts.clock, parts.seed));
     let number = ROUTERS.fetch_add(1, Ordering::Relaxed);
-    Context { shared, network: parts.network, log, vm_list, rating, http, end: CancellationToken::new(), number }
+    Context {
+        shared,
+        network: parts.network,
+        log,
+        vm_list,
+        rating,
+        http,
+        end: CancellationToken::new(),
+        closing: CancellationToken::new(),
+        connections: TaskTracker::new(),
+        number,
+    }
 }
--- a/havengrade_router/src/traffic/server.rs
+++ b/havengrade_router/src/traffic/server.rs
@@ -1,6 +1,6 @@
 //! The HTTP server for callers.
 
-use std::{convert::Infallible, time::Duration};
+use std::{convert::Infallible, pin::pin, time::Duration};
 
 use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -21,7 +21,10 @@
 pub async fn serve(cx: Context, mut listener: Box<dyn Listener>) {
     loop {
         match listener.accept().await {
-            Ok(connection) => cx.spawn(serve_caller(cx.clone(), connection)),
+            Ok(connection) => {
+                let served = cx.end.clone().run_until_cancelled_owned(serve_caller(cx.clone(), connection));
+                cx.connections.spawn(served);
+            },
             Err(error) => {
                 log::warn!("connection not accepted: {error}");
                 sleep(ACCEPT_PAUSE).await;
@@ -38,14 +41,23 @@
     });
     // Headers are read into a buffer of twice the limit, so that we can refuse those over it by our own
     // answer; what doesn't fit even there is refused by the library.
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.read_timeout_ms))
-        .max_buf_size((limits.max_header_bytes * 2).max(MIN_BUFFER))
-        .max_headers(MAX_HEADERS)
-        .half_close(true)
-        .serve_connection(TokioIo::new(connection), service)
-        .await;
+    let mut connection = pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(limits.read_timeout_ms))
+            .max_buf_size((limits.max_header_bytes * 2).max(MIN_BUFFER))
+            .max_headers(MAX_HEADERS)
+            .half_close(true)
+            .serve_connection(TokioIo::new(connection), service)
+    );
+    let served = tokio::select! {
+        biased;
+        served = connection.as_mut() => served,
+        () = cx.closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        },
+    };
     if let Err(error) = served {
         log::debug!("connection of a caller ended: {error}");
     }
