--- a/havengrade_core/src/config/file.rs
+++ b/havengrade_core/src/config/file.rs
@@ -4,8 +4,8 @@
 use snafu::{ResultExt, Snafu, ensure};
 
 use crate::config::{
-    Account, Base, Cascade, Change, Config, Endpoint, Invalid, Item, MigrationRule, ModelVersion, RequestClass,
-    Rollout, Scope, ScopedChange, SessionKey, validate,
+    Account, Cascade, Change, Config, Endpoint, Invalid, Item, MigrationRule, ModelVersion, RequestClass, Rollout,
+    Scope, ScopedChange, SessionKey, validate,
 };
 
 /// Why a change file can't be used.
@@ -79,7 +79,7 @@
     /// ```
     pub fn parse(text: &str) -> Result<Self, FileError> {
         let file: Self = toml::from_str(text).context(MalformedSnafu)?;
-        let scopes: Vec<(Scope, Base)> = file.changes().iter().map(|change| (change.scope(), Base::Any)).collect();
+        let scopes: Vec<Scope> = file.changes().iter().map(Change::scope).collect();
         ensure!(!scopes.is_empty(), EmptySnafu);
         let faults = validate::scopes_once(&scopes);
         ensure!(faults.is_empty(), TwiceSnafu { faults });
--- a/havengrade_core/src/config/validate.rs
+++ b/havengrade_core/src/config/validate.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     config::{
-        Account, Base, Cascade, Change, Config, Endpoint, EndpointKind, Item, MigrationRule, MigrationState,
-        ModelVersion, RequestClass, Rollout, Scope, ScopeKind, SessionKey, VersionState,
+        Account, Cascade, Change, Config, Endpoint, EndpointKind, Item, MigrationRule, MigrationState, ModelVersion,
+        RequestClass, Rollout, Scope, ScopeKind, SessionKey, VersionState,
     },
     secret,
 };
@@ -257,12 +257,12 @@
 }
 
 /// Faults that a change file can show before any record is written.
-pub(crate) fn scopes_once(scopes: &[(Scope, Base)]) -> Vec<Invalid> {
+pub(crate) fn scopes_once(scopes: &[Scope]) -> Vec<Invalid> {
     let mut seen = std::collections::BTreeSet::new();
     scopes
         .iter()
-        .filter(|(scope, _)| !seen.insert(scope.clone()))
-        .map(|(scope, _)| fault(scope.to_string(), "stands twice in the file; keep one"))
+        .filter(|scope| !seen.insert((*scope).clone()))
+        .map(|scope| fault(scope.to_string(), "stands twice in the file; keep one"))
         .collect()
 }
 
--- a/havengrade_replay/src/capacity/mod.rs
+++ b/havengrade_replay/src/capacity/mod.rs
@@ -5,6 +5,8 @@
 
 use std::fmt::Write as _;
 
+use havengrade_router::settings::LogServiceSettings;
+
 use self::rows::{Row, Side, idle_bytes, rows};
 pub use self::sizes::Sizes;
 use crate::measure::Slopes;
@@ -140,12 +142,11 @@
 }
 
 fn failures(text: &mut String, slopes: &Slopes, sizes: &Sizes) {
-    /// Records between two snapshots.
-    const SNAPSHOT_EVERY: f64 = 1000.0;
+    let snapshot_every = LogServiceSettings::default().snapshot_every as f64;
     let snapshot = slopes.at("snapshot_bytes", sizes.endpoints);
-    let start_bytes = snapshot + SNAPSHOT_EVERY * slopes.per("change_bytes");
+    let start_bytes = snapshot + snapshot_every * slopes.per("change_bytes");
     let start_ms =
-        (slopes.at("snapshot_time", sizes.endpoints) + SNAPSHOT_EVERY * slopes.per("replay_time")).max(0.0) / 1000.0;
+        (slopes.at("snapshot_time", sizes.endpoints) + snapshot_every * slopes.per("replay_time")).max(0.0) / 1000.0;
     let ledger = sizes.requests_per_day * sizes.claimed_share * sizes.horizon_s / 86_400.0;
     let ledger_s = ledger * slopes.per("ledger_time") / 1e6;
     let burst_ms = 30.0 * slopes.at("change_time", sizes.endpoints) / 1000.0;
--- a/havengrade_replay/src/capacity/rows.rs
+++ b/havengrade_replay/src/capacity/rows.rs
@@ -1,24 +1,20 @@
 //! The rows of the capacity tables: slope times size.
 
+use havengrade_router::{services::members::EVIDENCE_EVERY, settings::PeerSettings};
+
 use super::Sizes;
 use crate::measure::Slopes;
 
 /// Seconds of a day.
 const DAY: f64 = 86_400.0;
-/// Heartbeats a second.
-const HEARTBEATS: f64 = 2.0;
-/// VMs that a heartbeat goes to at the most.
-const FAN_OUT: f64 = 10.0;
-/// Heartbeats of which one carries evidence.
-const EVIDENCE_EVERY: f64 = 4.0;
 /// Tallies that change between two heartbeats with evidence, as a share of all.
 const CHANGED_TALLIES: f64 = 0.25;
 /// Length of the outage that held bills are worked out for, in seconds.
 const OUTAGE: f64 = 600.0;
-/// Copies of a bill that waits for the log: the writer's and those of its peers.
-const COPIES: f64 = 5.0;
 /// Plain services that stood beside the engines where the slope of reports was measured.
 const SERVICES: f64 = 3.0;
+/// Milliseconds of a second.
+const MILLIS: f64 = 1e3;
 /// Microseconds of a second.
 const MICROS: f64 = 1e6;
 
@@ -42,9 +38,19 @@
     pub(crate) bytes: f64,
 }
 
+/// The settings that a router has unless told otherwise.
+fn peers() -> PeerSettings {
+    PeerSettings::default()
+}
+
+/// VMs that a heartbeat goes to at the most.
+fn fan_out() -> f64 {
+    peers().fan_out as f64
+}
+
 /// Heartbeats that a VM sends, and about as many that it is sent, each second.
 fn exchanges(sizes: &Sizes) -> f64 {
-    HEARTBEATS * FAN_OUT.min(sizes.vms - 1.0)
+    MILLIS / peers().heartbeat_ms as f64 * fan_out().min(sizes.vms - 1.0)
 }
 
 /// Bytes a second that an idle VM is predicted to read.
@@ -74,7 +80,7 @@
 
 fn evidence_bytes(slopes: &Slopes, sizes: &Sizes) -> f64 {
     let changed = sizes.classes * sizes.versions * CHANGED_TALLIES;
-    exchanges(sizes) / EVIDENCE_EVERY * changed * slopes.per("evidence_bytes")
+    exchanges(sizes) / EVIDENCE_EVERY as f64 * changed * slopes.per("evidence_bytes")
 }
 
 pub(crate) fn rows(slopes: &Slopes, sizes: &Sizes) -> Vec<Row> {
@@ -108,7 +114,7 @@
             "heartbeats",
             "bounded fan-out, both ways at once",
             sizes.vms * slopes.per("member_memory"),
-            slopes.at("idle_core", sizes.vms.min(FAN_OUT + 1.0)),
+            slopes.at("idle_core", sizes.vms.min(fan_out() + 1.0)),
             heartbeats(slopes, sizes),
         ),
         row("load reports", "endpoints shared between live VMs, relayed", 0.0, 0.0, reports(slopes, sizes)),
@@ -147,7 +153,7 @@
         row(
             "bills in an outage of 10 minutes",
             "held here and by four others",
-            COPIES * unclaimed_here * OUTAGE * slopes.per("bill_bytes"),
+            (1.0 + peers().bill_copies as f64) * unclaimed_here * OUTAGE * slopes.per("bill_bytes"),
             0.0,
             0.0,
         ),
--- a/havengrade_router/src/services/members/mod.rs
+++ b/havengrade_router/src/services/members/mod.rs
@@ -37,7 +37,7 @@
 pub const NAME: &str = "members";
 
 /// Heartbeats of which one carries evidence that has changed.
-const EVIDENCE_EVERY: u64 = 4;
+pub const EVIDENCE_EVERY: u64 = 4;
 /// Heartbeats after which all of the evidence is sent again.
 const FULL_EVIDENCE_EVERY: u64 = 64;
 /// Heartbeats after which a VM that is not heard from no longer looks after what others hold for it.
--- a/havengrade_router/src/services/peers/mod.rs
+++ b/havengrade_router/src/services/peers/mod.rs
@@ -101,8 +101,6 @@
     Live(Vec<Incarnation>),
     /// A process is gone, since its VM runs another.
     Gone(Incarnation),
-    /// Number of records that are held for others.
-    CountHeld(RpcReplyPort<usize>),
     /// Time to look at what is held.
     Tick,
 }
@@ -189,9 +187,6 @@
                 }
                 state.pass_on_orphans();
             },
-            PeersMessage::CountHeld(reply) => {
-                let _ = reply.send(state.held.values().map(|held| held.records.len()).sum());
-            },
             PeersMessage::Tick => state.pass_on_orphans(),
         }
         state.calls.retain(|call| !call.is_finished());
