--- a/havengrade_core/src/evidence.rs
+++ b/havengrade_core/src/evidence.rs
@@ -129,6 +129,11 @@
         writers.and_then(|writers| writers.get(&writer)).copied().unwrap_or_default()
     }
 
+    /// What there are tallies of.
+    pub fn subjects(&self) -> impl Iterator<Item = &Subject> {
+        self.by_writer.keys()
+    }
+
     /// The sums over all writers.
     pub fn totals(&self) -> &Totals {
         &self.totals
--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod attempt;
 pub mod directory;
+pub mod peers;
 pub mod placement;
 pub mod rollout;
 pub mod route;
--- /dev/null
+++ b/havengrade_core/src/published/peers.rs
@@ -0,0 +1,123 @@
+//! What the other VMs say of their work in progress, summed up by endpoint.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, SystemTime},
+};
+
+use crate::ids::{EndpointId, Incarnation, VmId};
+
+/// Time after which a VM's report no longer says what it has in progress.
+pub const REPORT_LIFE: Duration = Duration::from_millis(2500);
+/// Time after which a VM that is not heard from is forgotten.
+pub const SILENCE_LIMIT: Duration = Duration::from_secs(8);
+
+/// Another VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Run of its process.
+    pub incarnation: Incarnation,
+    /// IP number and port at which it hears reports.
+    pub address: SocketAddr,
+}
+
+/// Work in progress at an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Requests.
+    pub requests: u32,
+    /// Prompt tokens that still have to be read, in those of the largest model.
+    pub tokens: u32,
+}
+
+/// A VM's report of its work in progress.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkReport {
+    /// The VM.
+    pub peer: Peer,
+    /// Number of the report within the VM's run, rising.
+    pub seq: u64,
+    /// Work by endpoint; where an endpoint is missing there is none.
+    pub work: Vec<(EndpointId, Work)>,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    peer: Peer,
+    seq: u64,
+    heard: SystemTime,
+    has_reported: bool,
+    work: Vec<(EndpointId, Work)>,
+}
+
+/// The other VMs that are known, and their work.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    by_vm: HashMap<VmId, Known>,
+    sums: HashMap<EndpointId, Work>,
+}
+
+impl Peers {
+    /// Takes a VM from the kept list; it counts as heard from, so that it has time to report.
+    pub fn list(&mut self, peer: Peer, now: SystemTime) {
+        let is_known = self.by_vm.get(&peer.vm).is_some_and(|known| known.peer.incarnation == peer.incarnation);
+        if !is_known {
+            let known = Known { peer, seq: 0, heard: now, has_reported: false, work: Vec::new() };
+            self.by_vm.insert(known.peer.vm.clone(), known);
+        }
+    }
+
+    /// Takes a report; one that is older than another from the same run has no effect.
+    pub fn report(&mut self, report: WorkReport, now: SystemTime) {
+        let known = self.by_vm.get(&report.peer.vm);
+        let is_old = known.is_some_and(|known| {
+            known.peer.incarnation == report.peer.incarnation && known.has_reported && known.seq >= report.seq
+        });
+        if is_old {
+            return;
+        }
+        let WorkReport { peer, seq, work } = report;
+        self.by_vm.insert(peer.vm.clone(), Known { peer, seq, heard: now, has_reported: true, work });
+        self.sum_up(now);
+    }
+
+    /// Forgets VMs that are silent and work that is no longer reported.
+    pub fn expire(&mut self, now: SystemTime) {
+        self.by_vm.retain(|_, known| now < known.heard + SILENCE_LIMIT);
+        self.sum_up(now);
+    }
+
+    fn sum_up(&mut self, now: SystemTime) {
+        self.sums.clear();
+        for known in self.by_vm.values().filter(|known| now < known.heard + REPORT_LIFE) {
+            for (endpoint, work) in &known.work {
+                let sum = self.sums.entry(endpoint.clone()).or_default();
+                sum.requests += work.requests;
+                sum.tokens = sum.tokens.saturating_add(work.tokens);
+            }
+        }
+    }
+
+    /// The work that other VMs have in progress at an endpoint.
+    pub fn work(&self, endpoint: &str) -> Work {
+        self.sums.get(endpoint).copied().unwrap_or_default()
+    }
+
+    /// All VMs that are known.
+    pub fn all(&self) -> impl Iterator<Item = &Peer> {
+        self.by_vm.values().map(|known| &known.peer)
+    }
+
+    /// How many VMs are known.
+    pub fn len(&self) -> usize {
+        self.by_vm.len()
+    }
+
+    /// Whether no VM is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_vm.is_empty()
+    }
+}
--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -1,13 +1,13 @@
 //! Roll-outs of a service's software: which requests go to the new version, and when it is judged.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     time::{Duration, SystemTime},
 };
 
 use crate::{
-    evidence::Tally,
-    ids::{ServiceId, SessionId},
+    evidence::{Evidence, Subject, Tally},
+    ids::{Incarnation, ServiceId, SessionId},
     published::{directory::SoftwareVersion, route::RouteId},
     rollout::failure_bet,
     secret::spread,
@@ -65,16 +65,28 @@
     order: RolloutOrder,
     since: SystemTime,
     outcome: RolloutOutcome,
-    evidence: HashMap<RouteId, Pair>,
+    /// What all VMs saw, by route and version; all versions but the new one count as `OLD`.
+    evidence: Evidence,
+    /// Smoothed logarithm of the old version's time to the first byte here, in milliseconds.
+    old_latency: HashMap<RouteId, f64>,
 }
 
-/// What was seen of the old and the new version on a route.
-#[derive(Clone, Copy, Debug, Default)]
-struct Pair {
-    old: Tally,
-    new: Tally,
-    /// Smoothed logarithm of the old version's time to the first byte, in milliseconds.
-    old_latency: Option<f64>,
+/// Stands for all versions but the new one in evidence.
+const OLD: &str = "";
+
+/// A VM's counters for a version of a service on a route, since the roll-out was ordered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteEvidence {
+    /// The service.
+    pub service: ServiceId,
+    /// The new version, or an empty text for all others.
+    pub version: SoftwareVersion,
+    /// The route.
+    pub route: RouteId,
+    /// Answers.
+    pub ended: u64,
+    /// Answers that failed or were slow.
+    pub failed: u64,
 }
 
 /// Weight of a new measurement in the smoothed latency.
@@ -148,7 +160,8 @@
         }
         let written = self.statuses.get(&order.service).filter(|status| status.version == order.version);
         let outcome = written.map_or(RolloutOutcome::Running, |status| status.outcome);
-        let running = Running { since: now, outcome, evidence: HashMap::new(), order };
+        let running =
+            Running { since: now, outcome, evidence: Evidence::default(), old_latency: HashMap::new(), order };
         self.by_service.insert(running.order.service.clone(), running);
         true
     }
@@ -231,11 +244,28 @@
         self.sessions.retain(|_, pin| now < pin.used + session_time);
     }
 
-    /// Counts an answer of a service.
-    pub fn note(&mut self, service: &str, sample: Sample<'_>) {
+    /// Counts an answer of a service that this VM, of run `own`, saw.
+    pub fn note(&mut self, service: &str, sample: Sample<'_>, own: Incarnation) {
         if let Some(running) = self.by_service.get_mut(service) {
-            running.note(sample);
+            running.note(sample, own);
+        }
+    }
+
+    /// Takes another VM's counters; they only grow, so older ones have no effect.
+    pub fn merge(&mut self, writer: Incarnation, seen: &RouteEvidence) {
+        let Some(running) = self.by_service.get_mut(&seen.service) else { return };
+        if seen.version != OLD && seen.version != running.order.version {
+            return;
         }
+        let subject = Subject { class: seen.route.clone(), version: seen.version.clone() };
+        let tally = Tally { ended: seen.ended, failed: seen.failed, ..Tally::default() };
+        running.evidence.merge(&subject, writer, tally);
+    }
+
+    /// The counters of this VM, of run `own`, for orders that are under way.
+    pub fn own_evidence(&self, own: Incarnation) -> Vec<RouteEvidence> {
+        let running = self.by_service.values().filter(|running| running.outcome == RolloutOutcome::Running);
+        running.flat_map(|running| running.own_evidence(own)).collect()
     }
 
     /// What should be written now, for all services.
@@ -270,29 +300,44 @@
         (share * SLOTS as f64) as u64
     }
 
-    fn note(&mut self, sample: Sample<'_>) {
+    fn note(&mut self, sample: Sample<'_>, own: Incarnation) {
         let is_new = sample.version == self.order.version;
-        let pair = self.evidence.entry(sample.route.to_owned()).or_default();
         let latency = sample.latency.map(|latency| latency.as_secs_f64().mul_add(1000.0, 1.0).ln());
-        let is_slow = match (latency, pair.old_latency) {
-            (Some(latency), Some(usual)) => latency > usual + SLOW_FACTOR.ln(),
-            _ => false,
-        };
-        let tally = if is_new { &mut pair.new } else { &mut pair.old };
-        tally.ended += 1;
-        tally.failed += u64::from(sample.failed || is_slow);
+        let usual = self.old_latency.get(sample.route).copied();
+        let is_slow = matches!((latency, usual), (Some(latency), Some(usual)) if latency > usual + SLOW_FACTOR.ln());
+        let version = if is_new { sample.version } else { OLD };
+        let subject = Subject { class: sample.route.to_owned(), version: version.to_owned() };
+        let failed = u64::from(sample.failed || is_slow);
+        self.evidence.record(&subject, own, Tally { ended: 1, failed, ..Tally::default() });
         if let (false, Some(latency)) = (is_new, latency) {
-            let usual = pair.old_latency.unwrap_or(latency);
-            pair.old_latency = Some(usual + LATENCY_WEIGHT * (latency - usual));
+            let usual = usual.unwrap_or(latency);
+            self.old_latency.insert(sample.route.to_owned(), usual + LATENCY_WEIGHT * (latency - usual));
         }
     }
 
+    fn own_evidence(&self, own: Incarnation) -> Vec<RouteEvidence> {
+        let subjects = self.evidence.subjects();
+        let counted = subjects.map(|subject| (subject, self.evidence.own(subject, own)));
+        let seen = counted.filter(|(_, tally)| tally.ended > 0);
+        seen.map(|(subject, tally)| RouteEvidence {
+            service: self.order.service.clone(),
+            version: subject.version.clone(),
+            route: subject.class.clone(),
+            ended: tally.ended,
+            failed: tally.failed,
+        })
+        .collect()
+    }
+
     /// Logarithm of the odds that the new version is worse, on all routes together or on one of them.
     fn odds(&self) -> f64 {
-        let bets = self.evidence.values().map(|pair| failure_bet(&pair.new, &pair.old));
-        let (sum, most) = bets.fold((0.0f64, f64::MIN), |(sum, most), bet| (sum + bet, most.max(bet)));
+        let totals = self.evidence.totals();
+        let routes: BTreeSet<&RouteId> = self.evidence.subjects().map(|subject| &subject.class).collect();
+        let bet = |route: &&RouteId| failure_bet(&totals.get(route, &self.order.version), &totals.get(route, OLD));
+        let (sum, most) =
+            routes.iter().map(bet).fold((0.0f64, f64::MIN), |(sum, most), bet| (sum + bet, most.max(bet)));
         // Looking at the routes one by one as well is paid for by their number.
-        let choices = (self.evidence.len() as f64).max(1.0).ln();
+        let choices = (routes.len() as f64).max(1.0).ln();
         sum.max(most - choices)
     }
 
--- a/havengrade_core/src/published/route.rs
+++ b/havengrade_core/src/published/route.rs
@@ -110,6 +110,29 @@
     pub models: Vec<ModelPrice>,
 }
 
+impl PublishedService {
+    /// Work that a token of a model is, where one of the dearest model is 1.
+    ///
+    /// What a model costs stands for the work that it is, since nothing else is told of it.
+    ///
+    /// ```
+    /// use havengrade_core::published::route::{ModelPrice, PublishedService};
+    ///
+    /// let models = vec![
+    ///     ModelPrice { name: "small".into(), cost: 0.1 },
+    ///     ModelPrice { name: "large".into(), cost: 0.4 },
+    /// ];
+    /// let service = PublishedService { models, ..PublishedService::default() };
+    /// assert_eq!(service.work_of(Some("small")), 0.25);
+    /// assert_eq!(service.work_of(None), 1.0);
+    /// ```
+    pub fn work_of(&self, model: Option<&str>) -> f64 {
+        let dearest = self.models.iter().map(|model| model.cost).fold(0.0, f64::max);
+        let named = self.models.iter().find(|known| Some(known.name.as_str()) == model);
+        named.filter(|_| dearest > 0.0).map_or(1.0, |known| known.cost / dearest)
+    }
+}
+
 /// A client account and the keys by which its requests are known.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PublishedAccount {
--- a/havengrade_router/src/endpoints.rs
+++ b/havengrade_router/src/endpoints.rs
@@ -33,6 +33,8 @@
 #[derive(Debug)]
 pub struct EndpointSlot {
     in_flight: AtomicU32,
+    /// Prompt tokens that requests of ours in progress there still have to read.
+    unread: AtomicU32,
     reported: AtomicU32,
     own_at_report: AtomicU32,
     is_leaving: AtomicBool,
@@ -48,6 +50,7 @@
     fn default() -> Self {
         Self {
             in_flight: AtomicU32::default(),
+            unread: AtomicU32::default(),
             reported: AtomicU32::default(),
             own_at_report: AtomicU32::default(),
             is_leaving: AtomicBool::default(),
@@ -59,12 +62,14 @@
     }
 }
 
-fn to_millis(at: SystemTime) -> u64 {
+/// Milliseconds since the Unix epoch.
+pub(crate) fn to_millis(at: SystemTime) -> u64 {
     let since = at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn from_millis(millis: u64) -> Option<SystemTime> {
+/// A time that was written as milliseconds since the Unix epoch; 0 is none.
+pub(crate) fn from_millis(millis: u64) -> Option<SystemTime> {
     (millis > 0).then(|| SystemTime::UNIX_EPOCH + Duration::from_millis(millis))
 }
 
@@ -111,6 +116,11 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Prompt tokens that requests of ours in progress there still have to read.
+    pub fn unread(&self) -> u32 {
+        self.unread.load(Ordering::Relaxed)
+    }
+
     /// Notes a try that succeeded.
     pub fn succeed(&self, now: SystemTime) {
         self.failures.store(0, Ordering::Relaxed);
@@ -131,10 +141,19 @@
 #[derive(Debug)]
 pub struct InFlight {
     slot: Arc<EndpointSlot>,
+    unread: u32,
+}
+
+impl InFlight {
+    /// Notes that the endpoint has read the request's prompt.
+    pub fn note_read(&mut self) {
+        self.slot.unread.fetch_sub(std::mem::take(&mut self.unread), Ordering::Relaxed);
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        self.note_read();
         self.slot.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
@@ -160,9 +179,22 @@
 
     /// Notes a request in progress at an endpoint.
     pub fn enter(&self, endpoint: &str) -> InFlight {
+        self.enter_with(endpoint, 0)
+    }
+
+    /// Notes a request in progress at an endpoint, which has to read so many prompt tokens.
+    pub fn enter_with(&self, endpoint: &str, unread: u32) -> InFlight {
         let slot = self.slot(endpoint).unwrap_or_default();
         slot.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlight { slot }
+        slot.unread.fetch_add(unread, Ordering::Relaxed);
+        InFlight { slot, unread }
+    }
+
+    /// Calls `look` with every endpoint.
+    pub fn for_each(&self, mut look: impl FnMut(&EndpointId, &EndpointSlot)) {
+        for (endpoint, slot) in self.slots.load().iter() {
+            look(endpoint, slot);
+        }
     }
 }
 
--- a/havengrade_router/src/net.rs
+++ b/havengrade_router/src/net.rs
@@ -1,11 +1,11 @@
 //! The network as a trait object, so that tests can put a small fake in its place.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, sync::Arc};
 
 use async_trait::async_trait;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpStream, UdpSocket},
 };
 
 /// A connection, whatever carries it.
@@ -26,6 +26,16 @@
     fn local_address(&self) -> io::Result<SocketAddr>;
 }
 
+/// A socket for datagrams, which may be lost on their way.
+#[async_trait]
+pub trait Datagrams: Send + Sync {
+    /// Sends one datagram.
+    async fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()>;
+
+    /// Waits for the next datagram and writes it into `buf`; gives its length.
+    async fn receive(&self, buf: &mut [u8]) -> io::Result<usize>;
+}
+
 /// Something that makes and accepts connections.
 #[async_trait]
 pub trait Network: Send + Sync {
@@ -34,6 +44,11 @@
 
     /// Listens at an address.
     async fn bind(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>>;
+
+    /// Opens a socket for datagrams.
+    async fn datagrams(&self, _at: SocketAddr) -> io::Result<Arc<dyn Datagrams>> {
+        Err(io::Error::new(io::ErrorKind::Unsupported, "this network carries no datagrams"))
+    }
 }
 
 /// The machine's TCP.
@@ -51,6 +66,21 @@
     async fn bind(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
         Ok(Box::new(TcpListener::bind(at).await?))
     }
+
+    async fn datagrams(&self, at: SocketAddr) -> io::Result<Arc<dyn Datagrams>> {
+        Ok(Arc::new(UdpSocket::bind(at).await?))
+    }
+}
+
+#[async_trait]
+impl Datagrams for UdpSocket {
+    async fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
+        self.send_to(bytes, to).await.map(drop)
+    }
+
+    async fn receive(&self, buf: &mut [u8]) -> io::Result<usize> {
+        self.recv(buf).await
+    }
 }
 
 #[async_trait]
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -11,21 +11,23 @@
 
 use arc_swap::ArcSwap;
 use havengrade_core::{
-    ids::ServiceId,
+    ids::{Incarnation, ServiceId},
     published::{
         attempt,
         directory::ListedEndpoint,
+        peers::Peers,
         rollout::{RolloutBounds, Rollouts},
         route::RouteTable,
     },
     retry::RetryBudget,
 };
+use rand::Rng as _;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
     clock::Clock,
-    endpoints::EndpointTable,
+    endpoints::{EndpointTable, from_millis, to_millis},
     kernel::ServiceContext,
     net::Network,
     published::{channels::Channels, ports::Dialect},
@@ -34,7 +36,7 @@
 };
 
 /// Retries that a VM may save up for each service; small, since all VMs share the operators' allowance.
-const SAVED_RETRIES: u64 = 2;
+const SAVED_RETRIES: u64 = 4;
 
 /// Endpoints by the service that they belong to.
 pub type EndpointsByService = HashMap<ServiceId, Vec<ListedEndpoint>>;
@@ -43,6 +45,8 @@
 pub struct Published {
     /// Settings of the router.
     pub settings: Settings,
+    /// Run of this process.
+    pub incarnation: Incarnation,
     /// The clock.
     pub clock: Clock,
     /// How requests and answers are written.
@@ -59,8 +63,10 @@
     pub in_progress: AtomicUsize,
     confirmed: AtomicU64,
     knows_endpoints: AtomicBool,
-    is_draining: AtomicBool,
+    /// When a planned stop began, in milliseconds since the Unix epoch; 0 for not yet.
+    drain_since: AtomicU64,
     rollouts: Mutex<Rollouts>,
+    peers: Mutex<Peers>,
     retries: Mutex<HashMap<ServiceId, RetryBudget>>,
     rng: Mutex<ChaCha8Rng>,
 }
@@ -75,7 +81,10 @@
         seed: u64,
     ) -> Self {
         let connect_timeout = Duration::from_millis(settings.endpoints.connect_timeout_ms);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
         Self {
+            // The sign is given up so that ids pass through the schema's signed integers.
+            incarnation: rng.next_u64() >> 1,
             clock,
             dialect,
             routes: ArcSwap::default(),
@@ -85,24 +94,23 @@
             in_progress: AtomicUsize::new(0),
             confirmed: AtomicU64::new(0),
             knows_endpoints: AtomicBool::new(false),
-            is_draining: AtomicBool::new(false),
+            drain_since: AtomicU64::new(0),
             rollouts: Mutex::default(),
+            peers: Mutex::default(),
             retries: Mutex::default(),
-            rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            rng: Mutex::new(rng),
             settings,
         }
     }
 
     /// Notes that nothing newer than the configuration in force existed at `at`.
     pub fn confirm(&self, at: SystemTime) {
-        let since = at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        self.confirmed.fetch_max(u64::try_from(since.as_millis()).unwrap_or(u64::MAX), Ordering::AcqRel);
+        self.confirmed.fetch_max(to_millis(at), Ordering::AcqRel);
     }
 
     /// When nothing newer than the configuration in force existed, as far as is known.
     pub fn confirmed(&self) -> Option<SystemTime> {
-        let millis = self.confirmed.load(Ordering::Acquire);
-        (millis > 0).then(|| SystemTime::UNIX_EPOCH + Duration::from_millis(millis))
+        from_millis(self.confirmed.load(Ordering::Acquire))
     }
 
     /// Whether a request with a key may be sent to an endpoint now.
@@ -121,14 +129,22 @@
         self.knows_endpoints.store(true, Ordering::Release);
     }
 
-    /// Begins a planned stop; tells whether it is the first call.
-    pub fn start_drain(&self) -> bool {
-        !self.is_draining.swap(true, Ordering::AcqRel)
+    /// Begins a planned stop; later calls have no effect.
+    pub fn start_drain(&self, now: SystemTime) {
+        let begun = self.drain_since.compare_exchange(0, to_millis(now), Ordering::AcqRel, Ordering::Acquire);
+        if begun.is_ok() {
+            log::info!(vm = self.settings.vm.id.as_str(); "planned stop begins");
+        }
+    }
+
+    /// When a planned stop began, if one did.
+    pub fn drain_since(&self) -> Option<SystemTime> {
+        from_millis(self.drain_since.load(Ordering::Acquire))
     }
 
     /// Whether a planned stop has begun.
     pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Acquire)
+        self.drain_since().is_some()
     }
 
     /// Whether new connections are welcome.
@@ -143,6 +159,11 @@
         lock(&self.rollouts)
     }
 
+    /// The other VMs, locked for a moment.
+    pub fn peers(&self) -> MutexGuard<'_, Peers> {
+        lock(&self.peers)
+    }
+
     /// The operators' bounds on roll-outs.
     pub fn rollout_bounds(&self) -> RolloutBounds {
         let settings = &self.settings.published;
--- a/havengrade_router/src/published/events.rs
+++ b/havengrade_router/src/published/events.rs
@@ -66,7 +66,7 @@
     channel: Channel,
     body: Incoming,
     buf: BytesMut,
-    _in_flight: InFlight,
+    in_flight: InFlight,
     sent: SystemTime,
 }
 
@@ -79,6 +79,7 @@
     async fn read(&mut self) -> Result<Option<Piece>, Broken> {
         loop {
             if let Some(piece) = take_events(&mut self.buf) {
+                self.in_flight.note_read();
                 return Ok(Some(piece));
             }
             match self.body.frame().await {
@@ -126,7 +127,7 @@
     guard: &mut Option<InProgress>,
 ) -> Result<Response<AnswerBody>, RunState> {
     let Opened { endpoint, channel, head, body, in_flight, sent, .. } = opened;
-    let mut source = Source { endpoint, channel, body, buf: BytesMut::new(), _in_flight: in_flight, sent };
+    let mut source = Source { endpoint, channel, body, buf: BytesMut::new(), in_flight, sent };
     let now = cx.shared.clock.now();
     let patience = job.route.target.mul_f64(FIRST_EVENT_FACTOR).min(job.time_left(now));
     let first = match source.next(patience).await {
@@ -250,16 +251,16 @@
             if job.is_keyed() && !self.cx.shared.may_use_key(now) {
                 return None;
             }
-            let endpoint = choose(&self.cx, job, now)?;
+            let chosen = choose(&self.cx, job, now)?;
             if !self.cx.shared.take_retry(&job.service) {
                 log::info!(request = job.id.as_str(); "stream not taken up: the retry budget is spent");
                 return None;
             }
-            job.tried.push(endpoint.id.clone());
+            job.tried.push(chosen.endpoint.id.clone());
             let opened = tokio::select! {
                 biased;
                 () = self.tx.closed() => return None,
-                opened = open(&self.cx, job, endpoint, last_id.as_deref()) => opened,
+                opened = open(&self.cx, job, chosen, last_id.as_deref()) => opened,
             };
             match opened {
                 Ok(opened) if opened.head.status.is_success() => {
@@ -285,7 +286,7 @@
             after_event = self.last_id.as_deref().unwrap_or_default();
             "stream taken up"
         );
-        Source { endpoint, channel, body, buf: BytesMut::new(), _in_flight: in_flight, sent }
+        Source { endpoint, channel, body, buf: BytesMut::new(), in_flight, sent }
     }
 
     fn finish(self, job: &Job, source: Source) {
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -11,7 +11,8 @@
     published::{
         attempt::{Attempts, Promise, RunState},
         directory::ListedEndpoint,
-        placement::{Candidate, Placement, place},
+        peers::Work,
+        placement::{Candidate, Placement, Prompt, place},
         rollout::Sample,
         route::{AnswerShape, PublishedRoute, Repeat, RouteTable},
         size,
@@ -34,6 +35,7 @@
         context::PublishedContext,
         events,
         ports::{CallerFacts, EndpointHead, SendOrder},
+        program::is_too_late,
         refuse::{AnswerBody, Refusal, whole},
     },
 };
@@ -216,6 +218,9 @@
     let account = find_account(cx, &routes, &route, &facts, arrived)?;
     let service = route.service_for(&id).ok_or(Refusal::NoEndpoint)?.clone();
     let patience = facts.patience.unwrap_or(route.time_limit).min(route.time_limit);
+    if is_too_late(cx, patience, arrived) {
+        return Err(Refusal::Stopping);
+    }
     let limits = routes.limits();
     let body = match timeout(patience, Limited::new(body, limits.body_bytes).collect()).await {
         Ok(Ok(collected)) => collected.to_bytes(),
@@ -332,7 +337,7 @@
     if job.is_keyed() && !cx.shared.may_use_key(now) {
         return Err(job.refusal(Refusal::Stale, Refusal::Lost));
     }
-    let Some(endpoint) = choose(cx, job, now) else {
+    let Some(chosen) = choose(cx, job, now) else {
         return Err(job.refusal(Refusal::NoEndpoint, Refusal::Lost));
     };
     let has_paid = std::mem::take(&mut job.has_paid);
@@ -340,41 +345,66 @@
         log::info!(request = job.id.as_str(), service = job.service.as_str(); "no retry: the budget is spent");
         return Err(job.refusal(Refusal::NoEndpoint, Refusal::Lost));
     }
-    job.tried.push(endpoint.id.clone());
+    job.tried.push(chosen.endpoint.id.clone());
     if let Some(session) = &job.facts.session {
-        cx.shared.rollouts().pin(session, &endpoint.version, now);
+        cx.shared.rollouts().pin(session, &chosen.endpoint.version, now);
     }
-    Ok(open(cx, job, endpoint, None).await)
+    Ok(open(cx, job, chosen, None).await)
+}
+
+/// An endpoint for a try, and the prompt tokens that it will have to read.
+#[derive(Clone, Debug)]
+pub(super) struct Chosen {
+    /// The endpoint.
+    pub(super) endpoint: ListedEndpoint,
+    /// Prompt tokens, in those of the largest model.
+    pub(super) tokens: u32,
 }
 
 /// The endpoint for the next try.
-pub(super) fn choose(cx: &PublishedContext, job: &Job, now: SystemTime) -> Option<ListedEndpoint> {
+pub(super) fn choose(cx: &PublishedContext, job: &Job, now: SystemTime) -> Option<Chosen> {
     let usable = cx.shared.usable.load();
     let endpoints = usable.get(&job.service)?;
     let session = job.facts.session.as_deref();
     let allowed = cx.shared.rollouts().allowed(&job.service, &job.id, session, cx.shared.rollout_bounds(), now);
-    let candidate = |endpoint| Candidate { endpoint, state: cx.shared.states.state(&endpoint.id) };
-    let versioned: Vec<_> = endpoints.iter().filter(|e| allowed.includes(&e.version)).map(candidate).collect();
+    let versioned: Vec<_> =
+        endpoints.iter().filter(|e| allowed.includes(&e.version)).map(|e| candidate(cx, e)).collect();
+    let prompt = prompt(cx, job);
+    let domain = &cx.shared.settings.vm.failure_domain;
+    let placement = Placement { failure_domain: domain, tried: &job.tried, prompt: prompt.as_ref(), now };
+    let placed = place(&versioned, placement, &mut *cx.shared.rng())?;
+    Some(Chosen { endpoint: placed.endpoint.clone(), tokens: placed.tokens })
+}
+
+fn candidate<'a>(cx: &PublishedContext, endpoint: &'a ListedEndpoint) -> Candidate<'a> {
+    let own = cx.shared.states.slot(&endpoint.id);
+    let (requests, tokens) = own.map_or((0, 0), |slot| (slot.in_flight(), slot.unread()));
+    let others = cx.shared.peers().work(&endpoint.id);
+    let work = Work { requests: requests + others.requests, tokens: tokens.saturating_add(others.tokens) };
+    Candidate { endpoint, state: cx.shared.states.state(&endpoint.id), work }
+}
+
+/// The prompt of a generation, weighed by how much work its model is.
+fn prompt(cx: &PublishedContext, job: &Job) -> Option<Prompt> {
+    let total = job.facts.tokens?.prompt;
+    let routes = cx.shared.routes.load();
+    let weight = routes.service(&job.service).map_or(1.0, |service| service.work_of(job.model.as_deref()));
+    let weigh = |tokens: u32| (f64::from(tokens) * weight) as u32;
+    let shared = job.facts.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let shared_tokens = shared.iter().map(|part| part.tokens).sum::<u32>().min(total);
     // What is cached is cached for one model.
-    let shared_part = job.facts.prompt_parts.iter().rev().nth(1);
-    let shared_part = shared_part.map(|part| format!("{}/{}", job.model.as_deref().unwrap_or_default(), part.id));
-    let placement = Placement {
-        failure_domain: &cx.shared.settings.vm.failure_domain,
-        tried: &job.tried,
-        shared_part: shared_part.as_deref(),
-        now,
-    };
-    place(&versioned, placement, &mut *cx.shared.rng()).cloned()
+    let shared_part = shared.last().map(|part| format!("{}/{}", job.model.as_deref().unwrap_or_default(), part.id));
+    Some(Prompt { shared_part, shared_tokens: weigh(shared_tokens), own_tokens: weigh(total - shared_tokens) })
 }
 
 /// Sends a request to an endpoint and waits for the head of its answer.
 pub(super) async fn open(
     cx: &PublishedContext,
     job: &Job,
-    endpoint: ListedEndpoint,
+    Chosen { endpoint, tokens }: Chosen,
     resume_after: Option<&str>,
 ) -> Result<Opened, RunState> {
-    let in_flight = cx.shared.states.enter(&endpoint.id);
+    let in_flight = cx.shared.states.enter_with(&endpoint.id, tokens);
     let max_idle = if job.attempts.is_repeatable() { MAX_IDLE } else { MAX_IDLE_ONCE };
     let now = cx.shared.clock.now();
     let opened = cx.shared.channels.open(&endpoint.id, endpoint.address, max_idle, now).await;
@@ -515,7 +545,7 @@
 pub(super) fn note_answer(cx: &PublishedContext, job: &Job, opened: &ListedEndpoint, failed: bool, took: Duration) {
     let sample =
         Sample { route: &job.route.name, version: &opened.version, failed, latency: (!failed).then_some(took) };
-    cx.shared.rollouts().note(&job.service, sample);
+    cx.shared.rollouts().note(&job.service, sample, cx.shared.incarnation);
     if failed {
         fail(cx, opened);
     } else if let Some(slot) = cx.shared.states.slot(&opened.id) {
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -8,6 +8,7 @@
 pub mod events;
 pub mod follow;
 pub mod forward;
+pub mod peers;
 pub mod ports;
 pub mod program;
 pub mod refuse;
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -8,6 +8,7 @@
     published::{
         attempt::RunState,
         directory::DirectoryEvent,
+        peers::Peer,
         rollout::{RolloutOrder, RolloutStatus},
         route::Publication,
     },
@@ -189,6 +190,31 @@
     async fn write(&mut self, status: &RolloutStatus) -> Result<WriteOutcome, StoreError>;
 }
 
+/// The kept list of the VMs that serve published routes.
+#[async_trait]
+pub trait Roster: Send + Sync {
+    /// Enters a VM, in place of an earlier run of it.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] where it was not entered, or may not have been.
+    async fn enter(&mut self, peer: &Peer) -> Result<(), StoreError>;
+
+    /// Takes a VM out that stops.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] where it was not taken out, or may not have been.
+    async fn leave(&mut self, vm: &str) -> Result<(), StoreError>;
+
+    /// All VMs on the list; some may be gone.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] where the list could not be read.
+    async fn read(&mut self) -> Result<Vec<Peer>, StoreError>;
+}
+
 /// All that an adapter provides.
 pub struct Ports {
     /// How requests and answers are written.
@@ -199,4 +225,6 @@
     pub endpoints: Box<dyn Feed<DirectoryEvent>>,
     /// States of roll-outs.
     pub statuses: Box<dyn StatusBook>,
+    /// The VMs that serve published routes.
+    pub roster: Box<dyn Roster>,
 }
--- a/havengrade_router/src/published/program.rs
+++ b/havengrade_router/src/published/program.rs
@@ -26,6 +26,7 @@
     published::{
         context::{Published, PublishedContext},
         follow::FollowService,
+        peers::PeersService,
         ports::Ports,
         rollouts::RolloutService,
         server::{metrics_page, readiness, serve_callers, serve_page},
@@ -60,7 +61,7 @@
     ///
     /// [`StartError`] where a port can't be opened or a service does not start.
     pub async fn start(settings: Settings, parts: Parts, ports: Ports, traffic: &Handle) -> Result<Self, StartError> {
-        let Ports { dialect, operators, endpoints, statuses } = ports;
+        let Ports { dialect, operators, endpoints, statuses, roster } = ports;
         let shared = Published::new(settings, parts.clock, dialect, parts.network.clone(), parts.seed);
         let cx = PublishedContext {
             shared: Arc::new(shared),
@@ -78,6 +79,7 @@
             Box::new(RolloutService::new(statuses)),
             Box::new(FollowService::operators(operators)),
             Box::new(FollowService::endpoints(endpoints)),
+            Box::new(PeersService::new(roster)),
         ];
         let kernel = Kernel::start(services, &cx).await?;
         let servers = vec![
@@ -98,17 +100,18 @@
     ///
     /// Tells whether all requests in progress ended before the limit.
     pub async fn drained(&self) -> bool {
-        while !self.cx.shared.is_draining() {
-            sleep(DRAIN_LOOK).await;
-        }
-        let since = self.cx.shared.clock.now();
-        log::info!(vm = self.cx.shared.settings.vm.id.as_str(); "planned stop begins");
+        let since = loop {
+            match self.cx.shared.drain_since() {
+                Some(since) => break since,
+                None => sleep(DRAIN_LOOK).await,
+            }
+        };
         self.wait_for_balancer(since).await;
         self.cx.closing.cancel();
         let state = DrainState::Draining { since };
         loop {
             let unfinished = self.cx.connections.len().max(self.cx.shared.in_progress.load(Ordering::Acquire));
-            match state.step(unfinished, self.limit(), self.cx.shared.clock.now()) {
+            match state.step(unfinished, stop_limit(&self.cx), self.cx.shared.clock.now()) {
                 DrainStep::Serve | DrainStep::Wait => sleep(DRAIN_LOOK).await,
                 DrainStep::Stop => return true,
                 DrainStep::StopLate => return false,
@@ -118,15 +121,11 @@
 
     /// Serves on until the balancer has noticed that this VM is no longer ready.
     async fn wait_for_balancer(&self, since: SystemTime) {
-        let notice = BALANCER_NOTICE.min(self.limit());
+        let notice = BALANCER_NOTICE.min(stop_limit(&self.cx));
         let passed = self.cx.shared.clock.now().duration_since(since).unwrap_or_default();
         sleep(notice.saturating_sub(passed)).await;
     }
 
-    fn limit(&self) -> Duration {
-        Duration::from_secs_f64(self.cx.shared.settings.published.grace_s).saturating_sub(CUT_MARGIN)
-    }
-
     /// Stops the router in order; what is still open is cut.
     pub async fn stop(self) {
         drop(self.servers);
@@ -141,6 +140,19 @@
     }
 }
 
+/// Time from the beginning of a planned stop until what is still open is cut.
+fn stop_limit(cx: &PublishedContext) -> Duration {
+    Duration::from_secs_f64(cx.shared.settings.published.grace_s).saturating_sub(CUT_MARGIN)
+}
+
+/// Whether a request that arrives now, and may take `longest`, could be cut by a planned stop.
+///
+/// Until the balancer has noticed the stop, requests are taken all the same: they have nowhere else to go.
+pub(super) fn is_too_late(cx: &PublishedContext, longest: Duration, now: SystemTime) -> bool {
+    let since = cx.shared.drain_since();
+    since.is_some_and(|since| now >= since + BALANCER_NOTICE && now + longest > since + stop_limit(cx))
+}
+
 async fn bind(cx: &PublishedContext, key: &'static str, address: SocketAddr) -> Result<Box<dyn Listener>, StartError> {
     cx.network.bind(address).await.context(BindSnafu { key, address })
 }
--- a/havengrade_router/src/published/refuse.rs
+++ b/havengrade_router/src/published/refuse.rs
@@ -29,6 +29,8 @@
     Starting,
     /// It can't be known whether the key still holds.
     Stale,
+    /// A planned stop would cut the answer off.
+    Stopping,
     /// No endpoint could take the request, which did not run.
     NoEndpoint,
     /// The time was over before the request could be sent.
@@ -49,6 +51,7 @@
             Self::TooLarge => "too_large",
             Self::Starting => "starting",
             Self::Stale => "stale_configuration",
+            Self::Stopping => "stopping",
             Self::NoEndpoint => "no_endpoint",
             Self::NoTimeLeft => "no_time_left",
             Self::Lost => "lost",
@@ -63,7 +66,9 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Starting | Self::Stale | Self::NoEndpoint | Self::NoTimeLeft => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Starting | Self::Stale | Self::Stopping | Self::NoEndpoint | Self::NoTimeLeft => {
+                StatusCode::SERVICE_UNAVAILABLE
+            },
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -72,7 +77,7 @@
     /// Time after which the request may be sent again, where it did not run.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Starting | Self::Stale => Some(SOON),
+            Self::Starting | Self::Stale | Self::Stopping => Some(SOON),
             Self::NoEndpoint | Self::NoTimeLeft => Some(SHORTLY),
             _ => None,
         }
@@ -80,7 +85,7 @@
 
     /// Whether the connection should end, so that the caller's next one reaches a VM that can serve.
     fn ends_connection(self) -> bool {
-        matches!(self, Self::Malformed | Self::TooLarge | Self::Starting | Self::Stale)
+        matches!(self, Self::Malformed | Self::TooLarge | Self::Starting | Self::Stale | Self::Stopping)
     }
 
     /// The answer.
--- a/havengrade_rpc/src/lib.rs
+++ b/havengrade_rpc/src/lib.rs
@@ -14,7 +14,7 @@
     client::{OperatorClient, connect},
     error::RpcError,
     frame::{Frames, frames},
-    generated::{operators, peers},
+    generated::{operators, peers, reports},
     operator::{OperatorCall, OperatorFault, OperatorReply, OperatorResult, answer_call, parse_call},
     peer::{decode, encode},
 };
