--- /dev/null
+++ b/havengrade_core/tests/published.rs
@@ -0,0 +1,366 @@
+//! Decisions on published routes: routes, attempts, the list of endpoints, placement, roll-outs, peers.
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    time::{Duration, SystemTime},
+};
+
+use havengrade_core::{
+    published::{
+        attempt::{Attempts, Promise, RunState, may_use_key},
+        directory::{Directory, DirectoryEvent, ListedEndpoint, RETURN_GRACE},
+        peers::{Peer, Peers, REPORT_LIFE, SILENCE_LIMIT, Work, WorkReport},
+        placement::{Candidate, Placement, Prompt, place},
+        rollout::{
+            Allowed, RolloutBounds, RolloutOrder, RolloutOutcome, RolloutStatus, Rollouts, RouteEvidence, Sample,
+        },
+        route::{AnswerShape, Publication, PublishedAccount, PublishedRoute, Repeat, RouteTable, RouteTarget},
+    },
+    selection::EndpointState,
+};
+use proptest::prelude::*;
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
+
+const START: SystemTime = SystemTime::UNIX_EPOCH;
+
+fn at(millis: u64) -> SystemTime {
+    START + Duration::from_millis(millis)
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> PublishedRoute {
+    PublishedRoute {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: prefix.into(),
+        repeat: Repeat::Allowed,
+        shape: AnswerShape::Whole,
+        time_limit: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        pause_target: None,
+        priority: 0,
+        targets: vec![RouteTarget { service: "events".into(), weight: 1 }],
+        max_tries: 2,
+        is_public: false,
+        models: Vec::new(),
+    }
+}
+
+fn endpoint(id: &str, domain: &str, version: &str) -> ListedEndpoint {
+    ListedEndpoint {
+        id: id.into(),
+        service: "events".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        failure_domain: domain.into(),
+        version: version.into(),
+        slots: 10,
+        is_leaving: false,
+    }
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("all", "a.example", "/"),
+        route("tags", "a.example", "/tags/"),
+        route("deep", "a.example", "/tags/x/"),
+        route("other", "b.example", "/tags/"),
+    ];
+    let table = RouteTable::new(Publication { version: 1, routes, ..Publication::default() });
+    let name = |host: &str, path: &str| table.find(host, path).map(|route| route.name.as_str());
+    assert_eq!(name("a.example", "/tags/x/1"), Some("deep"));
+    assert_eq!(name("A.EXAMPLE:80", "/tags/x"), Some("tags"));
+    assert_eq!(name("a.example", "/tags"), Some("all"));
+    assert_eq!(name("b.example", "/tags/1"), Some("other"));
+    assert_eq!(name("b.example", "/"), None);
+    assert_eq!(name("c.example", "/tags/"), None);
+}
+
+#[test]
+fn keys_name_their_account() {
+    let account = PublishedAccount { name: "gate".into(), keys: vec!["k1".into(), "k2".into()], priority: Some(0) };
+    let publication = Publication { version: 1, accounts: Some(vec![account]), ..Publication::default() };
+    let table = RouteTable::new(publication);
+    assert_eq!(table.account("k2").unwrap().name, "gate");
+    assert!(table.account("k3").is_none());
+    assert!(table.needs_keys());
+}
+
+#[test]
+fn weights_divide_requests() {
+    let mut split = route("split", "a", "/");
+    split.targets =
+        vec![RouteTarget { service: "old".into(), weight: 90 }, RouteTarget { service: "new".into(), weight: 10 }];
+    let new = (0..2000).filter(|id| split.service_for(&format!("r{id}")).unwrap() == "new").count();
+    assert!((140..260).contains(&new), "{new} of 2000 went to a service with a tenth of the weight");
+    assert_eq!(split.service_for("r1"), split.service_for("r1"));
+}
+
+fn run_state() -> impl Strategy<Value = RunState> {
+    prop_oneof![Just(RunState::NotSent), Just(RunState::NotRun), Just(RunState::MayHaveRun), Just(RunState::Ran)]
+}
+
+proptest! {
+    #[test]
+    fn a_promise_is_true_and_nothing_runs_twice(states in prop::collection::vec(run_state(), 0..12), max in 1u32..4) {
+        for repeat in [Repeat::Allowed, Repeat::Never] {
+            let mut attempts = Attempts::new(repeat, max);
+            let (mut sent, mut may_have_run) = (0, 0);
+            for state in &states {
+                if !attempts.may_try_again() {
+                    break;
+                }
+                attempts.note(*state);
+                sent += u32::from(*state != RunState::NotSent);
+                may_have_run += u32::from(!state.is_surely_not_run());
+            }
+            prop_assert!(sent <= max);
+            prop_assert!(repeat == Repeat::Allowed || may_have_run <= 1);
+            prop_assert_eq!(attempts.promise() == Promise::NotRun, may_have_run == 0);
+        }
+    }
+
+    #[test]
+    fn a_key_is_never_used_beyond_its_bound(confirmed in 0u64..10_000, now in 0u64..30_000, bound in 1u64..8_000) {
+        let bound = Duration::from_millis(bound);
+        if may_use_key(Some(at(confirmed)), bound, at(now)) {
+            prop_assert!(at(now) < at(confirmed) + bound);
+        }
+    }
+}
+
+#[test]
+fn an_endpoint_that_lapses_while_the_store_is_away_is_kept_for_its_return() {
+    let mut directory = Directory::default();
+    directory.apply(vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1"), endpoint("b", "d1", "v1")])], at(0));
+    // The store is away for five seconds; then both entries are gone.
+    let back = 5_000;
+    directory.apply(vec![DirectoryEvent::Gone("a".into()), DirectoryEvent::Gone("b".into())], at(back));
+    assert_eq!(directory.usable().count(), 2);
+    directory.apply(vec![DirectoryEvent::Seen(endpoint("b", "d1", "v1"))], at(back + 600));
+    for later in [1200, 1800] {
+        directory.apply(Vec::new(), at(back + later));
+        assert_eq!(directory.usable().count(), 2);
+    }
+    let after = back + u64::try_from(RETURN_GRACE.as_millis()).unwrap();
+    assert!(directory.apply(Vec::new(), at(after)));
+    assert_eq!(directory.usable().map(|e| e.id.as_str()).collect::<Vec<_>>(), ["b"]);
+}
+
+#[test]
+fn an_endpoint_that_goes_in_quiet_times_is_out_at_once() {
+    let mut directory = Directory::default();
+    directory.apply(vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1")])], at(0));
+    assert!(directory.apply(vec![DirectoryEvent::Gone("a".into())], at(600)));
+    assert_eq!(directory.usable().count(), 0);
+}
+
+#[test]
+fn a_leaving_endpoint_is_out_also_where_its_entry_goes_during_an_outage() {
+    let mut directory = Directory::default();
+    let leaving = ListedEndpoint { is_leaving: true, ..endpoint("a", "d1", "v1") };
+    directory.apply(vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1")])], at(0));
+    assert!(directory.apply(vec![DirectoryEvent::Seen(leaving)], at(600)));
+    assert_eq!(directory.usable().count(), 0);
+    directory.apply(vec![DirectoryEvent::Gone("a".into())], at(9_000));
+    assert_eq!(directory.all().count(), 0);
+}
+
+#[test]
+fn a_fresh_list_drops_what_it_does_not_hold() {
+    let mut directory = Directory::default();
+    directory.apply(vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1"), endpoint("b", "d1", "v1")])], at(0));
+    directory.apply(vec![DirectoryEvent::All(vec![endpoint("b", "d1", "v1")])], at(600));
+    assert_eq!(directory.usable().map(|e| e.id.as_str()).collect::<Vec<_>>(), ["b"]);
+}
+
+fn candidate(endpoint: &ListedEndpoint, requests: u32, tokens: u32) -> Candidate<'_> {
+    Candidate { endpoint, state: EndpointState::default(), work: Work { requests, tokens } }
+}
+
+fn chosen(candidates: &[Candidate<'_>], prompt: Option<&Prompt>, seed: u64) -> String {
+    let placement = Placement { failure_domain: "d1", tried: &[], prompt, now: at(0) };
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    place(candidates, placement, &mut rng).unwrap().endpoint.id.clone()
+}
+
+#[test]
+fn plain_requests_go_where_the_fewest_slots_are_taken() {
+    let (near, far) = (endpoint("near", "d1", "v1"), endpoint("far", "d2", "v1"));
+    assert_eq!(chosen(&[candidate(&near, 1, 0), candidate(&far, 0, 0)], None, 1), "near");
+    assert_eq!(chosen(&[candidate(&near, 4, 0), candidate(&far, 0, 0)], None, 1), "far");
+}
+
+#[test]
+fn equals_share_the_requests() {
+    let (a, b) = (endpoint("a", "d1", "v1"), endpoint("b", "d1", "v1"));
+    let names: BTreeSet<String> =
+        (0..20).map(|seed| chosen(&[candidate(&a, 0, 0), candidate(&b, 0, 0)], None, seed)).collect();
+    assert_eq!(names.len(), 2);
+}
+
+#[test]
+fn generations_with_one_shared_part_meet_until_a_queue_costs_more_than_reading_anew() {
+    let endpoints: Vec<ListedEndpoint> = (0..6).map(|i| endpoint(&format!("e{i}"), "d1", "v1")).collect();
+    let prompt = Prompt { shared_part: Some("large/doc".into()), shared_tokens: 5000, own_tokens: 500 };
+    let idle: Vec<_> = endpoints.iter().map(|e| candidate(e, 0, 0)).collect();
+    let homes: BTreeSet<String> = (0..20).map(|seed| chosen(&idle, Some(&prompt), seed)).collect();
+    assert_eq!(homes.len(), 1, "all go where the part is cached");
+    let home = homes.first().unwrap();
+    let busy: Vec<_> = endpoints.iter().map(|e| candidate(e, 0, if e.id == *home { 20_000 } else { 0 })).collect();
+    assert!((0..20).all(|seed| chosen(&busy, Some(&prompt), seed) != *home));
+}
+
+#[test]
+fn an_endpoint_that_is_passed_over_is_taken_only_where_no_other_is_left() {
+    let (a, b) = (endpoint("a", "d1", "v1"), endpoint("b", "d1", "v1"));
+    let ejected = EndpointState { ejected_until: Some(at(1000)), ..EndpointState::default() };
+    let bad = Candidate { state: ejected, ..candidate(&a, 0, 0) };
+    assert_eq!(chosen(&[bad, candidate(&b, 9, 0)], None, 1), "b");
+    assert_eq!(chosen(&[bad], None, 1), "a");
+}
+
+const BOUNDS: RolloutBounds = RolloutBounds { max_share: 0.15, session_time: Duration::from_secs(5) };
+const OWN: u64 = 7;
+
+fn order(version: &str) -> RolloutOrder {
+    RolloutOrder { service: "events".into(), version: version.into(), duration: Duration::from_secs(20) }
+}
+
+fn running() -> Rollouts {
+    let mut rollouts = Rollouts::default();
+    assert!(rollouts.order(order("v2"), at(0)));
+    rollouts
+}
+
+fn allowed(rollouts: &Rollouts, subject: &str, session: Option<&str>, millis: u64) -> Allowed {
+    rollouts.allowed("events", subject, session, BOUNDS, at(millis))
+}
+
+fn sample(version: &str, failed: bool, millis: u64) -> Sample<'_> {
+    Sample { route: "tags", version, failed, latency: Some(Duration::from_millis(millis)) }
+}
+
+fn outcome(rollouts: &Rollouts, millis: u64) -> RolloutOutcome {
+    rollouts.verdicts(at(millis)).first().unwrap().status.outcome
+}
+
+#[test]
+fn a_new_version_gets_less_than_its_bound_while_it_is_tried() {
+    let rollouts = running();
+    let new = (0..4000).filter(|id| allowed(&rollouts, &format!("r{id}"), None, 5_000).includes("v2")).count();
+    assert!((300..600).contains(&new), "{new} of 4000");
+}
+
+#[test]
+fn a_session_of_the_old_version_stays_there_in_the_first_half() {
+    let mut rollouts = running();
+    for id in 0..300 {
+        let session = format!("s{id}");
+        rollouts.pin(&session, "v1", at(4_000));
+        assert_eq!(allowed(&rollouts, "r", Some(&session), 6_000), Allowed::Not("v2".into()));
+    }
+}
+
+#[test]
+fn a_session_of_the_new_version_stays_there() {
+    let mut rollouts = running();
+    rollouts.pin("s", "v2", at(4_000));
+    assert_eq!(allowed(&rollouts, "r", Some("s"), 8_000), Allowed::Only("v2".into()));
+}
+
+#[test]
+fn a_version_that_fails_is_rolled_back_and_gets_nothing_more() {
+    let mut rollouts = running();
+    for _ in 0..40 {
+        rollouts.note("events", sample("v1", false, 50), OWN);
+    }
+    for id in 0..16 {
+        rollouts.note("events", sample("v2", id % 2 == 0, 50), OWN);
+    }
+    assert_eq!(outcome(&rollouts, 6_000), RolloutOutcome::RolledBack);
+    assert!((0..500).all(|id| !allowed(&rollouts, &format!("r{id}"), None, 6_000).includes("v2")));
+}
+
+#[test]
+fn a_version_that_is_several_times_slower_is_rolled_back() {
+    let mut rollouts = running();
+    for _ in 0..60 {
+        rollouts.note("events", sample("v1", false, 50), OWN);
+    }
+    for id in 0..16 {
+        rollouts.note("events", sample("v2", false, if id % 2 == 0 { 400 } else { 50 }), OWN);
+    }
+    assert_eq!(outcome(&rollouts, 6_000), RolloutOutcome::RolledBack);
+}
+
+#[test]
+fn a_good_version_takes_over_before_the_deadline() {
+    let mut rollouts = running();
+    for _ in 0..200 {
+        rollouts.note("events", sample("v1", false, 50), OWN);
+        rollouts.note("events", sample("v2", false, 60), OWN);
+    }
+    assert_eq!(outcome(&rollouts, 6_000), RolloutOutcome::Running);
+    assert!((0..500).all(|id| allowed(&rollouts, &format!("r{id}"), None, 12_000).includes("v2")));
+    assert_eq!(outcome(&rollouts, 17_000), RolloutOutcome::Succeeded);
+}
+
+#[test]
+fn other_vms_evidence_counts_once_however_often_it_is_told() {
+    let mut rollouts = running();
+    let seen = |version: &str, ended, failed| RouteEvidence {
+        service: "events".into(),
+        version: version.into(),
+        route: "tags".into(),
+        ended,
+        failed,
+    };
+    for _ in 0..50 {
+        rollouts.merge(8, &seen("", 100, 0));
+        rollouts.merge(8, &seen("v2", 10, 1));
+    }
+    assert_eq!(outcome(&rollouts, 6_000), RolloutOutcome::Running);
+    for writer in 10..18 {
+        rollouts.merge(writer, &seen("v2", 4, 2));
+    }
+    assert_eq!(outcome(&rollouts, 6_000), RolloutOutcome::RolledBack);
+}
+
+#[test]
+fn what_is_written_for_an_order_stands() {
+    let mut rollouts = running();
+    let status = |outcome| RolloutStatus { service: "events".into(), version: "v2".into(), outcome };
+    rollouts.note_status(status(RolloutOutcome::RolledBack));
+    rollouts.note_status(status(RolloutOutcome::Succeeded));
+    assert_eq!(allowed(&rollouts, "r", None, 1_000), Allowed::Not("v2".into()));
+    assert!(rollouts.is_settled(&status(RolloutOutcome::RolledBack)));
+    assert!(rollouts.verdicts(at(19_000)).is_empty());
+}
+
+fn report(incarnation: u64, seq: u64, requests: u32) -> WorkReport {
+    let peer = Peer { vm: "vm-2".into(), incarnation, address: SocketAddr::from(([10, 0, 0, 2], 80)) };
+    WorkReport { peer, seq, work: vec![("a".into(), Work { requests, tokens: 10 })] }
+}
+
+#[test]
+fn late_reports_have_no_effect() {
+    let mut peers = Peers::default();
+    peers.report(report(1, 2, 5), at(0));
+    peers.report(report(1, 1, 9), at(10));
+    assert_eq!(peers.work("a").requests, 5);
+    peers.report(report(2, 1, 7), at(20));
+    assert_eq!(peers.work("a").requests, 7);
+}
+
+#[test]
+fn a_silent_vm_has_no_work_and_is_forgotten() {
+    let mut peers = Peers::default();
+    peers.report(report(1, 1, 5), at(0));
+    peers.expire(START + REPORT_LIFE);
+    assert_eq!(peers.work("a"), Work::default());
+    assert_eq!(peers.len(), 1);
+    peers.expire(START + SILENCE_LIMIT);
+    assert!(peers.is_empty());
+}
--- a/havengrade_dev/src/fabric.rs
+++ b/havengrade_dev/src/fabric.rs
@@ -11,12 +11,12 @@
 
 use async_trait::async_trait;
 use havengrade_router::{
-    net::{BoxConnection, Listener, Network, TcpNetwork},
+    net::{BoxConnection, Datagrams, Listener, Network, TcpNetwork},
     shared::lock,
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf, duplex},
-    sync::mpsc,
+    sync::{Mutex as AsyncMutex, mpsc},
 };
 
 /// Number of a host.
@@ -57,6 +57,7 @@
 #[derive(Default)]
 struct Wiring {
     listeners: BTreeMap<SocketAddr, mpsc::UnboundedSender<BoxConnection>>,
+    sockets: BTreeMap<SocketAddr, mpsc::UnboundedSender<Vec<u8>>>,
     /// Directions in which nothing gets through.
     cuts: BTreeSet<(Host, Host)>,
     /// Readers that wait for a cut to be mended.
@@ -153,6 +154,39 @@
         wiring.listeners.insert(at, tx);
         Ok(Box::new(PipeListener { rx, at }))
     }
+
+    async fn datagrams(&self, at: SocketAddr) -> io::Result<Arc<dyn Datagrams>> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        lock(&self.pipes.wiring).sockets.insert(at, tx);
+        Ok(Arc::new(PipeSocket { pipes: self.pipes.clone(), host: self.host, rx: AsyncMutex::new(rx) }))
+    }
+}
+
+/// A socket whose datagrams are lost where a cut or nobody is.
+struct PipeSocket {
+    pipes: Pipes,
+    host: Host,
+    rx: AsyncMutex<mpsc::UnboundedReceiver<Vec<u8>>>,
+}
+
+#[async_trait]
+impl Datagrams for PipeSocket {
+    async fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
+        let socket = lock(&self.pipes.wiring).sockets.get(&to).cloned();
+        if let (false, Some(socket)) = (self.pipes.is_cut(self.host, host_of(to)), socket) {
+            // Like any datagram, one to a socket that was closed is lost without a word.
+            let _ = socket.send(bytes.to_vec());
+        }
+        Ok(())
+    }
+
+    async fn receive(&self, buf: &mut [u8]) -> io::Result<usize> {
+        let gone = || io::Error::from(io::ErrorKind::NotConnected);
+        let bytes = self.rx.lock().await.recv().await.ok_or_else(gone)?;
+        let length = bytes.len().min(buf.len());
+        buf.iter_mut().zip(&bytes).for_each(|(to, from)| *to = *from);
+        Ok(length)
+    }
 }
 
 struct PipeListener {
--- a/havengrade_dev/src/stand_in/mod.rs
+++ b/havengrade_dev/src/stand_in/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod log;
+pub mod published;
 mod rating;
 mod server;
 mod service;
--- /dev/null
+++ b/havengrade_dev/tests/published.rs
@@ -0,0 +1,514 @@
+//! Published routes from end to end, against a store and endpoints that misbehave, on a paused clock.
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime},
+};
+
+use havengrade_core::published::{
+    directory::{DirectoryEvent, ListedEndpoint},
+    rollout::{RolloutOrder, RolloutOutcome},
+    route::{AnswerShape, Publication, PublishedAccount, PublishedRoute, Repeat, RouteTarget},
+};
+use havengrade_dev::{
+    fabric::{Fabric as _, Host, Pipes},
+    stand_in::published::{
+        LAST_CHUNK, MemoryStore, Replies, Reply, STREAM_HEAD, ScriptedEndpoint, chunk, event, signed,
+    },
+};
+use havengrade_router::{
+    clock::Clock,
+    net::BoxConnection,
+    published::{ports::OperatorEvent, program::PublishedRouter},
+    router::Parts,
+    settings::Settings,
+};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    runtime::Handle,
+    time::{Instant, sleep, timeout},
+};
+
+const ROUTER: Host = 1;
+const FIRST_ENDPOINT: Host = 100;
+const CALLERS: Host = 250;
+
+struct Bench {
+    pipes: Pipes,
+    store: MemoryStore,
+    router: PublishedRouter,
+    endpoints: Vec<ScriptedEndpoint>,
+}
+
+fn route(name: &str, prefix: &str, repeat: Repeat, shape: AnswerShape) -> PublishedRoute {
+    PublishedRoute {
+        name: name.into(),
+        host: "office.example".into(),
+        path_prefix: prefix.into(),
+        repeat,
+        shape,
+        time_limit: Duration::from_secs(10),
+        target: Duration::from_secs(1),
+        pause_target: Some(Duration::from_secs(1)),
+        priority: 0,
+        targets: vec![RouteTarget { service: "events".into(), weight: 1 }],
+        max_tries: 3,
+        is_public: false,
+        models: Vec::new(),
+    }
+}
+
+fn publication(version: u64, keys: &[&str]) -> Publication {
+    let events = AnswerShape::Events { is_resumable: true };
+    let mut open = route("open", "/open/", Repeat::Allowed, AnswerShape::Whole);
+    open.is_public = true;
+    let mut sized = route("sized", "/sized/", Repeat::Allowed, events);
+    sized.models = vec!["small".into(), "large".into()];
+    Publication {
+        version,
+        routes: vec![
+            route("read", "/read/", Repeat::Allowed, AnswerShape::Whole),
+            route("once", "/once/", Repeat::Never, AnswerShape::Whole),
+            route("stream", "/stream/", Repeat::Never, events),
+            open,
+            sized,
+        ],
+        accounts: Some(vec![PublishedAccount {
+            name: "gate".into(),
+            keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+            priority: None,
+        }]),
+        ..Publication::default()
+    }
+}
+
+fn listed(pipes: &Pipes, index: u8, version: &str) -> ListedEndpoint {
+    ListedEndpoint {
+        id: format!("e{index}"),
+        service: "events".into(),
+        address: pipes.address(FIRST_ENDPOINT + index, 0),
+        failure_domain: "domain-1".into(),
+        version: version.into(),
+        slots: 8,
+        is_leaving: false,
+    }
+}
+
+impl Bench {
+    /// A router before endpoints with these replies, once it is ready.
+    async fn start(replies: Vec<Vec<Reply>>) -> Self {
+        Self::start_with(replies.into_iter().map(|replies| Arc::new(Mutex::new(replies.into()))).collect()).await
+    }
+
+    /// A router before so many endpoints that share their replies, whichever is asked first.
+    async fn start_shared(endpoints: usize, replies: Vec<Reply>) -> Self {
+        let replies: Replies = Arc::new(Mutex::new(replies.into()));
+        Self::start_with(vec![replies; endpoints]).await
+    }
+
+    async fn start_with(replies: Vec<Replies>) -> Self {
+        let pipes = Pipes::default();
+        let store = MemoryStore::default();
+        let mut endpoints = Vec::new();
+        for (index, replies) in (0..).zip(replies) {
+            let host = FIRST_ENDPOINT + index;
+            let at = pipes.address(host, 0);
+            endpoints.push(ScriptedEndpoint::start(&*pipes.network(host), at, replies).await.unwrap());
+            store.list(DirectoryEvent::Seen(listed(&pipes, index, "v1")));
+        }
+        store.operate(OperatorEvent::Publication(publication(1, &["k1"])));
+        let mut settings = Settings::default();
+        settings.listen.callers = pipes.address(ROUTER, 0);
+        settings.listen.peers = pipes.address(ROUTER, 1);
+        settings.published.readiness = pipes.address(ROUTER, 2);
+        settings.published.metrics = pipes.address(ROUTER, 3);
+        let origin = SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000);
+        let parts = Parts { network: pipes.network(ROUTER), clock: Clock::starting_at(origin), seed: 7 };
+        let router = PublishedRouter::start(settings, parts, store.ports(), &Handle::current()).await.unwrap();
+        let bench = Self { pipes, store, router, endpoints };
+        while !bench.is_ready().await {
+            sleep(Duration::from_millis(10)).await;
+        }
+        bench
+    }
+
+    async fn connect(&self, port: u16) -> BoxConnection {
+        self.pipes.network(CALLERS).connect(self.pipes.address(ROUTER, port)).await.unwrap()
+    }
+
+    async fn is_ready(&self) -> bool {
+        let mut connection = self.connect(2).await;
+        let question = b"GET /readiness HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+        connection.write_all(question).await.unwrap();
+        let mut answer = String::new();
+        connection.read_to_string(&mut answer).await.unwrap();
+        answer.starts_with("HTTP/1.1 200")
+    }
+
+    /// Sends a request on a connection of its own and reads until the router closes it.
+    async fn ask(&self, request: &str) -> String {
+        let mut connection = self.connect(0).await;
+        connection.write_all(request.as_bytes()).await.unwrap();
+        read_all(&mut connection).await
+    }
+
+    /// Ids of the requests that reached endpoints, in no order.
+    fn arrivals(&self) -> Vec<String> {
+        let seen = self.endpoints.iter().flat_map(ScriptedEndpoint::seen);
+        seen.map(|seen| seen.header("havengrade-request").unwrap_or_default().to_owned()).collect()
+    }
+
+    fn log_of(&self, index: usize) -> Vec<havengrade_dev::stand_in::published::Seen> {
+        self.endpoints[index].seen()
+    }
+}
+
+async fn read_all(connection: &mut BoxConnection) -> String {
+    let mut answer = Vec::new();
+    // A stream that is broken off ends in an error after what was read.
+    let _ = connection.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn request(method: &str, path: &str, id: &str, more: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: office.example\r\nhavengrade-request: {id}\r\n\
+         havengrade-time-left-ms: 9000\r\nhavengrade-key: k1\r\nconnection: close\r\ncontent-length: {}\r\n{more}\r\n{body}",
+        body.len()
+    )
+}
+
+fn get(path: &str, id: &str) -> String {
+    request("GET", path, id, "", "")
+}
+
+fn status(answer: &str) -> &str {
+    answer.get(9..12).unwrap_or_default()
+}
+
+const NOT_RUN: &str = "HTTP/1.1 503 Full\r\nhavengrade-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+const FAILED: &str =
+    "HTTP/1.1 500 Failed\r\nhavengrade-request: {id}\r\nhavengrade-signature: s\r\ncontent-length: 3\r\n\r\nbad";
+
+#[tokio::test(start_paused = true)]
+async fn a_request_passes_unchanged() {
+    let bench = Bench::start(vec![vec![signed("done")]]).await;
+    let more = "x-own: 1\r\nkeep-alive: 5\r\nhavengrade-account: thief\r\nhavengrade-endpoint: other\r\n";
+    let answer = bench.ask(&request("POST", "/once/a%20b?q=1", "r1", more, "body")).await;
+    assert_eq!(status(&answer), "200");
+    assert!(answer.contains("havengrade-signature: s") && answer.ends_with("done"));
+    let seen = &bench.log_of(0)[0];
+    assert!(seen.head.starts_with("POST /once/a%20b?q=1 HTTP/1.1\r\n"));
+    assert_eq!(seen.body, b"body");
+    assert_eq!(seen.header("x-own"), Some("1"));
+    assert_eq!(seen.header("host"), Some("office.example"));
+    assert_eq!(seen.header("havengrade-account"), Some("gate"));
+    assert_eq!(seen.header("havengrade-endpoint"), Some("e0"));
+    assert_eq!(seen.header("havengrade-key"), None, "the key is not shown to endpoints");
+    assert_eq!(seen.header("keep-alive"), None);
+    assert!(seen.header("havengrade-time-left-ms").unwrap().parse::<u64>().unwrap() <= 9000);
+}
+
+#[tokio::test(start_paused = true)]
+async fn unknown_routes_and_keys_are_refused() {
+    let bench = Bench::start(vec![vec![]]).await;
+    assert_eq!(status(&bench.ask(&get("/nowhere/", "r1")).await), "404");
+    let foreign = get("/read/", "r2").replace("havengrade-key: k1", "havengrade-key: k9");
+    assert_eq!(status(&bench.ask(&foreign).await), "401");
+    assert!(bench.arrivals().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_head_that_can_be_read_in_two_ways_is_refused() {
+    let bench = Bench::start(vec![vec![]]).await;
+    let both = "POST /once/ HTTP/1.1\r\nhost: office.example\r\nhavengrade-request: r1\r\nhavengrade-key: k1\r\n\
+                transfer-encoding: chunked\r\ncontent-length: 4\r\n\r\n0\r\n\r\n\
+                GET /read/ HTTP/1.1\r\nhost: office.example\r\nhavengrade-request: r2\r\nhavengrade-key: k1\r\n\r\n";
+    for head in [both.to_owned(), both.replace("transfer-encoding: chunked\r\n", "content-length: 5\r\n")] {
+        let answer = bench.ask(&head).await;
+        assert!(answer.is_empty() || status(&answer) == "400", "{answer}");
+        assert!(bench.arrivals().is_empty());
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_did_not_run_is_tried_elsewhere() {
+    let bench = Bench::start(vec![vec![Reply::Write(NOT_RUN.into())], vec![Reply::Write(NOT_RUN.into())]]).await;
+    let answer = bench.ask(&get("/once/", "r1")).await;
+    assert_eq!(bench.arrivals().len(), 2);
+    assert_eq!(status(&answer), "503", "both said that it did not run");
+    assert!(answer.contains("retry-after: 0."));
+    assert_eq!(status(&bench.ask(&get("/once/", "r2")).await), "200");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_may_have_run_is_not_repeated_and_no_promise_is_made() {
+    for reply in [Reply::Close(String::new()), Reply::Close("HTTP/1.1 200 OK\r\ncontent-".into())] {
+        let bench = Bench::start(vec![vec![reply.clone()], vec![reply]]).await;
+        let answer = bench.ask(&get("/once/", "r1")).await;
+        assert_eq!(status(&answer), "502");
+        assert!(!answer.contains("retry-after"));
+        assert_eq!(bench.arrivals().len(), 1);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_body_that_breaks_off_is_no_answer() {
+    let cut = "HTTP/1.1 200 OK\r\nhavengrade-request: {id}\r\nhavengrade-signature: s\r\ncontent-length: 9\r\n\r\nhalf";
+    let bench = Bench::start(vec![vec![Reply::Close(cut.into())]]).await;
+    assert_eq!(status(&bench.ask(&get("/once/", "r1")).await), "502");
+    let bench = Bench::start(vec![vec![Reply::Close(cut.into())], vec![Reply::Close(cut.into())], vec![]]).await;
+    let answer = bench.ask(&get("/read/", "r2")).await;
+    assert!(status(&answer) == "200" && answer.ends_with("ok"), "{answer}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_failure_is_replaced_where_the_request_may_be_repeated() {
+    let bench = Bench::start(vec![vec![Reply::Write(FAILED.into())], vec![Reply::Write(FAILED.into())], vec![]]).await;
+    let answer = bench.ask(&get("/read/", "r1")).await;
+    assert!(status(&answer) == "200" && answer.ends_with("ok"), "{answer}");
+    let bench = Bench::start(vec![vec![Reply::Write(FAILED.into())], vec![Reply::Write(FAILED.into())]]).await;
+    let answer = bench.ask(&get("/once/", "r2")).await;
+    assert!(status(&answer) == "500" && answer.ends_with("bad"), "the endpoint's own answer: {answer}");
+    assert_eq!(bench.arrivals().len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_to_another_request_is_never_passed_on() {
+    let other =
+        "HTTP/1.1 200 OK\r\nhavengrade-request: r0\r\nhavengrade-signature: s\r\ncontent-length: 5\r\n\r\nother";
+    let bench = Bench::start(vec![vec![Reply::Write(other.into())]]).await;
+    let answer = bench.ask(&get("/once/", "r1")).await;
+    assert_eq!(status(&answer), "502");
+    assert!(!answer.contains("other"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_unsigned_success_is_no_answer() {
+    let unsigned = "HTTP/1.1 200 OK\r\nhavengrade-request: {id}\r\ncontent-length: 2\r\n\r\nno";
+    let bench = Bench::start(vec![vec![Reply::Write(unsigned.into())]]).await;
+    assert_eq!(status(&bench.ask(&get("/once/", "r1")).await), "502");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_second_answer_on_a_connection_reaches_nobody() {
+    let Reply::Write(one) = signed("one") else { unreachable!() };
+    let bench = Bench::start(vec![vec![Reply::Write(format!("{one}{one}"))]]).await;
+    assert!(bench.ask(&get("/read/", "r1")).await.ends_with("one"));
+    let answer = bench.ask(&get("/read/", "r2")).await;
+    assert!(answer.ends_with("ok"), "{answer}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_refused_connection_costs_no_try() {
+    let bench = Bench::start(vec![vec![]]).await;
+    for dead in 1..4 {
+        bench.store.list(DirectoryEvent::Seen(listed(&bench.pipes, dead, "v1")));
+    }
+    sleep(Duration::from_secs(1)).await;
+    for id in 0..10 {
+        assert_eq!(status(&bench.ask(&get("/once/", &format!("r{id}"))).await), "200");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_withdrawn_key_is_refused_and_others_go_on() {
+    let bench = Bench::start(vec![vec![]]).await;
+    bench.store.operate(OperatorEvent::Publication(publication(2, &["k2"])));
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(status(&bench.ask(&get("/read/", "r1")).await), "401");
+    let renewed = get("/read/", "r2").replace("havengrade-key: k1", "havengrade-key: k2");
+    assert_eq!(status(&bench.ask(&renewed).await), "200");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_older_configuration_never_replaces_a_newer_one() {
+    let bench = Bench::start(vec![vec![]]).await;
+    bench.store.operate(OperatorEvent::Publication(publication(5, &["k2"])));
+    bench.store.operate(OperatorEvent::Publication(publication(4, &["k1"])));
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(status(&bench.ask(&get("/read/", "r1")).await), "401");
+}
+
+#[tokio::test(start_paused = true)]
+async fn keys_are_not_used_once_the_store_was_away_for_too_long() {
+    let bench = Bench::start(vec![vec![]]).await;
+    bench.store.set_away(true);
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(status(&bench.ask(&get("/read/", "r1")).await), "200");
+    sleep(Duration::from_secs(3)).await;
+    let answer = bench.ask(&get("/read/", "r2")).await;
+    assert_eq!(status(&answer), "503");
+    assert!(answer.contains("retry-after"));
+    assert_eq!(status(&bench.ask(&get("/open/", "r3")).await), "200", "a public route needs no key");
+    assert_eq!(status(&bench.ask(&get("/nowhere/", "r4")).await), "503", "the route may have been added since");
+    assert!(!bench.is_ready().await);
+    bench.store.set_away(false);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(status(&bench.ask(&get("/read/", "r5")).await), "200");
+    assert!(bench.is_ready().await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_endpoint_gets_nothing_new() {
+    let bench = Bench::start(vec![vec![], vec![]]).await;
+    let leaving = ListedEndpoint { is_leaving: true, ..listed(&bench.pipes, 0, "v1") };
+    bench.store.list(DirectoryEvent::Seen(leaving));
+    sleep(Duration::from_secs(1)).await;
+    let before = bench.log_of(0).len();
+    for id in 0..20 {
+        assert_eq!(status(&bench.ask(&get("/read/", &format!("r{id}"))).await), "200");
+    }
+    assert_eq!(bench.log_of(0).len(), before);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_who_leaves_ends_the_work() {
+    let bench = Bench::start(vec![vec![Reply::Hang]]).await;
+    let mut connection = bench.connect(0).await;
+    connection.write_all(get("/once/", "r1").as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!((bench.arrivals().len(), bench.endpoints[0].closed()), (1, 0));
+    drop(connection);
+    sleep(Duration::from_millis(400)).await;
+    assert_eq!(bench.endpoints[0].closed(), 1);
+}
+
+/// Numbers of the events in an answer, in their order.
+fn event_ids(answer: &str) -> Vec<u32> {
+    answer.lines().filter_map(|line| line.strip_prefix("id: ")).map(|id| id.trim().parse().unwrap()).collect()
+}
+
+fn stream(events: std::ops::RangeInclusive<u32>, end: &str) -> String {
+    let events: String = events.map(event).collect();
+    format!("{STREAM_HEAD}{events}{end}")
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_breaks_off_goes_on_at_another_endpoint() {
+    let half = chunk("id: 4\ndata: pie");
+    let first = Reply::Close(stream(1..=3, &half));
+    let rest = Reply::Write(stream(4..=6, LAST_CHUNK));
+    let bench = Bench::start_shared(2, vec![first, rest]).await;
+    let answer = bench.ask(&get("/stream/", "r1")).await;
+    assert_eq!(event_ids(&answer), [1, 2, 3, 4, 5, 6], "{answer}");
+    assert!(!answer.contains("pie\n") && answer.ends_with(LAST_CHUNK));
+    let resumed = bench.endpoints.iter().flat_map(ScriptedEndpoint::seen);
+    let after: Vec<_> = resumed.filter_map(|seen| seen.header("last-event-id").map(str::to_owned)).collect();
+    assert_eq!(after, ["3"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_can_not_go_on_ends_visibly_unfinished() {
+    let broken = || Reply::Close(stream(1..=2, ""));
+    let refused = || Reply::Write(NOT_RUN.into());
+    let bench = Bench::start(vec![vec![broken(), refused(), refused(), refused()]]).await;
+    let answer = bench.ask(&get("/stream/", "r1")).await;
+    assert_eq!(event_ids(&answer), [1, 2]);
+    assert!(!answer.ends_with(LAST_CHUNK));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_falls_silent_goes_on_at_another_endpoint() {
+    let silent = Reply::Pieces(vec![stream(1..=2, ""), String::new()], Duration::from_secs(60));
+    let rest = Reply::Write(stream(3..=4, LAST_CHUNK));
+    let bench = Bench::start_shared(2, vec![silent, rest]).await;
+    let began = Instant::now();
+    let answer = timeout(Duration::from_secs(9), bench.ask(&get("/stream/", "r1"))).await.unwrap();
+    assert_eq!(event_ids(&answer), [1, 2, 3, 4]);
+    assert!(began.elapsed() < Duration::from_secs(4));
+}
+
+#[tokio::test(start_paused = true)]
+async fn events_are_passed_on_as_they_come() {
+    let pieces = vec![stream(1..=1, ""), event(2), LAST_CHUNK.into()];
+    let bench = Bench::start(vec![vec![Reply::Pieces(pieces, Duration::from_millis(500))]]).await;
+    let mut connection = bench.connect(0).await;
+    connection.write_all(get("/stream/", "r1").as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(300)).await;
+    let mut buf = [0; 4096];
+    let length = connection.read(&mut buf).await.unwrap();
+    assert_eq!(event_ids(&String::from_utf8_lossy(&buf[..length])), [1]);
+    assert_eq!(event_ids(&read_all(&mut connection).await), [2]);
+}
+
+fn doubtful(confidence: u32) -> Reply {
+    let head = STREAM_HEAD.replace("content-type", &format!("havengrade-confidence: {confidence}\r\ncontent-type"));
+    Reply::Write(format!("{head}{}{LAST_CHUNK}", event(1)))
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_largest_model_is_asked_where_a_small_one_doubts() {
+    for (confidence, models) in [(20, vec!["small", "large"]), (90, vec!["small"])] {
+        let bench = Bench::start(vec![vec![doubtful(confidence), doubtful(30)]]).await;
+        let any = request("POST", "/sized/", "r1", "havengrade-model: any\r\n", "");
+        assert_eq!(status(&bench.ask(&any).await), "200");
+        let asked: Vec<_> =
+            bench.log_of(0).iter().map(|seen| seen.header("havengrade-model").unwrap().to_owned()).collect();
+        assert_eq!(asked, models);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_planned_stop_finishes_what_is_in_progress_and_takes_nothing_that_it_would_cut() {
+    let slow = Reply::Pieces(vec![stream(1..=1, ""), event(2), LAST_CHUNK.into()], Duration::from_millis(900));
+    let bench = Arc::new(Bench::start(vec![vec![slow]]).await);
+    let asking = tokio::spawn({
+        let bench = bench.clone();
+        async move { bench.ask(&get("/stream/", "r1")).await }
+    });
+    sleep(Duration::from_millis(100)).await;
+    let shared = &bench.router.context().shared;
+    shared.start_drain(shared.clock.now());
+    assert!(!bench.is_ready().await);
+    let answer = bench.ask(&get("/read/", "r2")).await;
+    assert_eq!(status(&answer), "200", "callers come until the balancer has noticed");
+    assert!(answer.contains("connection: close"));
+    sleep(Duration::from_secs(3)).await;
+    let answer = bench.ask(&get("/read/", "r3")).await;
+    assert_eq!(status(&answer), "503", "it may take longer than the stop");
+    assert_eq!(event_ids(&asking.await.unwrap()), [1, 2]);
+    assert!(bench.router.drained().await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_bad_version_is_rolled_back_once_for_all() {
+    let failing = |n: usize| vec![Reply::Write(FAILED.into()); n];
+    let bench = Bench::start(vec![vec![], failing(400)]).await;
+    bench.store.list(DirectoryEvent::Seen(listed(&bench.pipes, 1, "v2")));
+    let duration = Duration::from_secs(20);
+    let order = RolloutOrder { service: "events".into(), version: "v2".into(), duration };
+    bench.store.operate(OperatorEvent::Rollout(order));
+    sleep(Duration::from_secs(1)).await;
+    for id in 0..120 {
+        bench.ask(&get("/once/", &format!("r{id}"))).await;
+        sleep(Duration::from_millis(30)).await;
+    }
+    let bad = bench.log_of(1).len();
+    assert!((1..20).contains(&bad), "{bad} requests reached the bad version");
+    sleep(Duration::from_secs(2)).await;
+    let outcomes: Vec<_> = bench.store.statuses().into_iter().map(|status| status.outcome).collect();
+    assert_eq!(outcomes.last(), Some(&RolloutOutcome::RolledBack));
+    assert_eq!(outcomes.iter().filter(|outcome| **outcome == RolloutOutcome::RolledBack).count(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_whose_address_another_one_has_does_not_run_the_request() {
+    let misdirected = "HTTP/1.1 421 Misdirected\r\nhavengrade-endpoint: other\r\ncontent-length: 0\r\n\r\n";
+    let bench = Bench::start(vec![vec![Reply::Write(misdirected.into())], vec![]]).await;
+    for id in 0..4 {
+        assert_eq!(status(&bench.ask(&get("/once/", &format!("r{id}"))).await), "200");
+    }
+}
+
+/// Where a listener would be if nobody listened.
+#[tokio::test(start_paused = true)]
+async fn metrics_are_served() {
+    let bench = Bench::start(vec![vec![]]).await;
+    let address: SocketAddr = bench.pipes.address(ROUTER, 3);
+    let mut connection = bench.pipes.network(CALLERS).connect(address).await.unwrap();
+    connection.write_all(b"GET /metrics HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").await.unwrap();
+    assert_eq!(status(&read_all(&mut connection).await), "200");
+}
--- /dev/null
+++ b/havengrade_router/src/published/dialect.rs
@@ -0,0 +1,106 @@
+//! The router's own names for what requests and answers of published routes tell.
+
+use std::time::Duration;
+
+use havengrade_core::published::attempt::RunState;
+use hyper::{
+    HeaderMap, StatusCode,
+    header::{HeaderName, HeaderValue},
+};
+
+use crate::published::ports::{CallerFacts, Dialect, EndpointHead, ReportedLoad, SendOrder};
+
+/// Id of a caller's attempt, echoed by endpoints.
+pub const REQUEST: HeaderName = HeaderName::from_static("havengrade-request");
+/// Milliseconds that are left for the answer.
+pub const TIME_LEFT_MS: HeaderName = HeaderName::from_static("havengrade-time-left-ms");
+/// Key of the client account.
+pub const KEY: HeaderName = HeaderName::from_static("havengrade-key");
+/// Name of the client account, for endpoints.
+pub const ACCOUNT: HeaderName = HeaderName::from_static("havengrade-account");
+/// Id of the endpoint that is meant.
+pub const ENDPOINT: HeaderName = HeaderName::from_static("havengrade-endpoint");
+/// Name of the model, or `any`.
+pub const MODEL: HeaderName = HeaderName::from_static("havengrade-model");
+/// Session of the request.
+pub const SESSION: HeaderName = HeaderName::from_static("havengrade-session");
+/// Present where the endpoint did not run the request.
+pub const NOT_RUN: HeaderName = HeaderName::from_static("havengrade-not-run");
+/// Signature of an answer.
+pub const SIGNATURE: HeaderName = HeaderName::from_static("havengrade-signature");
+/// The model's opinion of its answer, from 0 to 100.
+pub const CONFIDENCE: HeaderName = HeaderName::from_static("havengrade-confidence");
+/// Requests that run at the endpoint.
+pub const RUNNING: HeaderName = HeaderName::from_static("havengrade-running");
+/// Urgency, 0 first.
+pub const PRIORITY: HeaderName = HeaderName::from_static("havengrade-priority");
+/// Id of the last event that the caller has.
+const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+
+/// What a caller writes who leaves the model to the router.
+pub const ANY_MODEL: &str = "any";
+
+/// The router's own dialect.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnDialect;
+
+impl Dialect for OwnDialect {
+    fn decode_request(&self, headers: &HeaderMap) -> CallerFacts {
+        CallerFacts {
+            id: text(headers, &REQUEST),
+            patience: number(headers, &TIME_LEFT_MS).map(Duration::from_millis),
+            key: text(headers, &KEY),
+            session: text(headers, &SESSION),
+            last_event: text(headers, &LAST_EVENT_ID),
+            leaves_model_open: text(headers, &MODEL).is_some_and(|model| model == ANY_MODEL),
+            prompt_parts: Vec::new(),
+            tokens: None,
+        }
+    }
+
+    fn encode_request(&self, headers: &mut HeaderMap, order: &SendOrder<'_>) {
+        for name in [&KEY, &ACCOUNT, &ENDPOINT, &PRIORITY] {
+            headers.remove(name);
+        }
+        let millis = u64::try_from(order.time_left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(TIME_LEFT_MS, HeaderValue::from(millis.max(1)));
+        headers.insert(PRIORITY, HeaderValue::from(u16::from(order.priority)));
+        let texts = [
+            (ENDPOINT, Some(order.endpoint)),
+            (ACCOUNT, order.account),
+            (MODEL, order.model),
+            (LAST_EVENT_ID, order.resume_after),
+        ];
+        for (name, value) in texts {
+            if let Some(value) = value.and_then(|value| HeaderValue::from_str(value).ok()) {
+                headers.insert(name, value);
+            }
+        }
+    }
+
+    fn decode_answer(&self, status: StatusCode, headers: &HeaderMap) -> EndpointHead {
+        let is_not_run = headers.contains_key(&NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
+        let running = number(headers, &RUNNING).and_then(|value| u32::try_from(value).ok());
+        EndpointHead {
+            run: if is_not_run { RunState::NotRun } else { RunState::Ran },
+            request: text(headers, &REQUEST),
+            is_signed: headers.contains_key(&SIGNATURE),
+            load: running.map(|running| ReportedLoad { running, waiting: 0 }),
+            endpoint: text(headers, &ENDPOINT),
+            confidence: number(headers, &CONFIDENCE).and_then(|value| u8::try_from(value).ok()),
+            keep_alive: None,
+        }
+    }
+
+    fn strip_answer(&self, headers: &mut HeaderMap) {
+        headers.remove(RUNNING);
+    }
+}
+
+fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -29,6 +29,9 @@
 
 /// Takes what a feed brings.
 trait Take<T>: Send + Sync + 'static {
+    /// How long a call may wait for something new.
+    fn wait(&self, cx: &PublishedContext) -> Duration;
+
     /// Takes events that were asked for at `asked`; gives the time until the next call.
     fn take(&mut self, cx: &PublishedContext, events: Vec<T>, asked: std::time::SystemTime) -> Duration;
 }
@@ -109,7 +112,9 @@
 impl<T: 'static> Follower<T> {
     async fn ask(&mut self) -> Duration {
         let asked = self.cx.shared.clock.now();
-        match self.feed.next().await {
+        // After a loss the first answer must come at once: it says what is in force now.
+        let wait = if self.is_lost { Duration::ZERO } else { self.taker.wait(&self.cx) };
+        match self.feed.next(wait).await {
             Ok(events) => {
                 if std::mem::take(&mut self.is_lost) {
                     log::info!(feed = self.name; "store answers again");
@@ -135,6 +140,10 @@
 struct Operators;
 
 impl Take<OperatorEvent> for Operators {
+    fn wait(&self, cx: &PublishedContext) -> Duration {
+        Duration::from_millis(cx.shared.settings.published.config_wait_ms)
+    }
+
     fn take(&mut self, cx: &PublishedContext, events: Vec<OperatorEvent>, asked: std::time::SystemTime) -> Duration {
         for event in events {
             match event {
@@ -170,6 +179,11 @@
 }
 
 impl Take<DirectoryEvent> for Endpoints {
+    fn wait(&self, _cx: &PublishedContext) -> Duration {
+        // Endpoints write all the time, so that a call would hardly wait; calls are paused in between instead.
+        Duration::ZERO
+    }
+
     fn take(&mut self, cx: &PublishedContext, events: Vec<DirectoryEvent>, _asked: std::time::SystemTime) -> Duration {
         let now = cx.shared.clock.now();
         if self.directory.apply(events, now) {
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -211,7 +211,7 @@
     if routes.version() == 0 {
         return Err(Refusal::Starting);
     }
-    check_framing(&head)?;
+    check_host(&head)?;
     let id = facts.id.clone().ok_or(Refusal::Malformed)?;
     let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
     let route = routes.find(host, head.uri.path()).ok_or_else(|| unknown(cx, Refusal::NoRoute, arrived))?.clone();
@@ -280,12 +280,10 @@
     Ok(Some((account.name.clone(), account.priority)))
 }
 
-/// Refuses a head whose end of body can be read in two ways.
-fn check_framing(head: &request::Parts) -> Result<(), Refusal> {
-    let lengths = head.headers.get_all(header::CONTENT_LENGTH).iter().count();
-    let codings = head.headers.get_all(header::TRANSFER_ENCODING).iter().count();
+/// Refuses a head that names no host, or several.
+fn check_host(head: &request::Parts) -> Result<(), Refusal> {
     let hosts = head.headers.get_all(header::HOST).iter().count();
-    let is_plain = lengths + codings <= 1 && hosts == 1 && head.version == Version::HTTP_11;
+    let is_plain = hosts == 1 && head.version == Version::HTTP_11;
     if is_plain { Ok(()) } else { Err(Refusal::Malformed) }
 }
 
--- /dev/null
+++ b/havengrade_router/src/published/framing.rs
@@ -0,0 +1,246 @@
+//! A caller's connection whose requests can be read in one way only.
+//!
+//! The HTTP library accepts heads in which the end of the body can be read in two ways, and takes bytes that
+//! come right behind a request for the next one. Either lets one request hide in another, so such a
+//! connection is marked; its request is refused, or it ends after the answer that it is at.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+    task::{Context, Poll},
+};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::net::BoxConnection;
+
+/// Headers that are looked at; the HTTP library refuses more.
+const MAX_HEADERS: usize = 128;
+
+/// What was seen on a connection.
+#[derive(Clone, Default)]
+pub(super) struct Framing(Arc<AtomicU8>);
+
+/// A head can be read in two ways.
+const AMBIGUOUS: u8 = 1;
+/// Bytes came right behind a request.
+const EXCESS: u8 = 2;
+
+impl Framing {
+    fn note(&self, what: u8) {
+        self.0.fetch_or(what, Ordering::AcqRel);
+    }
+
+    /// Whether a head could be read in two ways.
+    pub(super) fn is_ambiguous(&self) -> bool {
+        self.0.load(Ordering::Acquire) & AMBIGUOUS != 0
+    }
+
+    /// Whether the connection must end after the answer that it is at.
+    pub(super) fn must_close(&self) -> bool {
+        self.0.load(Ordering::Acquire) != 0
+    }
+}
+
+/// Where in a request the next byte stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    Head,
+    Body {
+        left: u64,
+    },
+    ChunkSize {
+        size: u64,
+        has_extension: bool,
+    },
+    ChunkData {
+        left: u64,
+    },
+    ChunkEnd,
+    /// In the lines after the last chunk; `line` bytes of the present one were read.
+    Trailer {
+        line: usize,
+    },
+    /// Nothing more is looked at.
+    Unknown,
+}
+
+/// Follows the requests of a connection.
+struct Follower {
+    framing: Framing,
+    place: Place,
+    head: Vec<u8>,
+    max_head: usize,
+}
+
+impl Follower {
+    /// Looks at bytes as they come; gives how many of them may be passed on.
+    fn look(&mut self, bytes: &[u8]) -> usize {
+        let mut passed = 0;
+        while let Some(rest) = bytes.get(passed..).filter(|rest| !rest.is_empty()) {
+            let was_head = self.place == Place::Head;
+            passed += self.step(rest);
+            let has_ended = self.place == Place::Head && (!was_head || self.head.is_empty());
+            if has_ended && passed < bytes.len() {
+                self.framing.note(EXCESS);
+                return passed;
+            }
+        }
+        passed
+    }
+
+    /// Looks at some of the bytes; gives how many.
+    fn step(&mut self, bytes: &[u8]) -> usize {
+        let first = bytes.first().copied().unwrap_or_default();
+        match self.place {
+            Place::Head => return self.read_head(bytes),
+            Place::Body { left } => return self.skip(bytes, left, |left| Place::Body { left }, Place::Head),
+            Place::ChunkData { left } => {
+                return self.skip(bytes, left, |left| Place::ChunkData { left }, Place::ChunkEnd);
+            },
+            Place::ChunkSize { size, has_extension } => self.place = chunk_size(size, has_extension, first),
+            Place::ChunkEnd if first == b'\n' => self.place = Place::ChunkSize { size: 0, has_extension: false },
+            Place::ChunkEnd => {},
+            Place::Trailer { line: 0 } if first == b'\n' => self.place = Place::Head,
+            Place::Trailer { .. } if first == b'\n' => self.place = Place::Trailer { line: 0 },
+            Place::Trailer { line } => self.place = Place::Trailer { line: line + usize::from(first != b'\r') },
+            Place::Unknown => return bytes.len(),
+        }
+        1
+    }
+
+    fn skip(&mut self, bytes: &[u8], left: u64, rest: fn(u64) -> Place, then: Place) -> usize {
+        let skipped = left.min(bytes.len() as u64);
+        self.place = if skipped == left { then } else { rest(left - skipped) };
+        usize::try_from(skipped).unwrap_or(bytes.len())
+    }
+
+    /// Gathers a head; once it is whole, finds out where its body ends.
+    fn read_head(&mut self, bytes: &[u8]) -> usize {
+        let before = self.head.len();
+        self.head.extend_from_slice(bytes);
+        let from = before.saturating_sub(3);
+        let end = self.head.get(from..).and_then(|tail| tail.windows(4).position(|four| four == b"\r\n\r\n"));
+        let Some(end) = end.map(|end| from + end + 4) else {
+            if self.head.len() > self.max_head {
+                self.give_up();
+            }
+            return bytes.len();
+        };
+        self.head.truncate(end);
+        self.place = match body_of(&self.head) {
+            Some(place) => place,
+            None => {
+                self.framing.note(AMBIGUOUS);
+                Place::Unknown
+            },
+        };
+        self.head.clear();
+        end - before
+    }
+
+    /// The HTTP library refuses what is too long by itself.
+    fn give_up(&mut self) {
+        self.head.clear();
+        self.place = Place::Unknown;
+    }
+}
+
+fn chunk_size(size: u64, has_extension: bool, byte: u8) -> Place {
+    match byte {
+        b'\n' if size == 0 => Place::Trailer { line: 0 },
+        b'\n' => Place::ChunkData { left: size },
+        _ if has_extension || !byte.is_ascii_hexdigit() => Place::ChunkSize { size, has_extension: byte != b'\r' },
+        _ => {
+            let digit = char::from(byte).to_digit(16).unwrap_or_default();
+            Place::ChunkSize { size: size.saturating_mul(16).saturating_add(u64::from(digit)), has_extension }
+        },
+    }
+}
+
+/// Where the body of a head begins; none where its end can be read in two ways.
+fn body_of(head: &[u8]) -> Option<Place> {
+    if has_folded_lines(head) {
+        return None;
+    }
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    if request.parse(head).is_err() {
+        // The HTTP library refuses it as well.
+        return Some(Place::Unknown);
+    }
+    let values = |name: &str| {
+        let named = request.headers.iter().filter(|header| header.name.eq_ignore_ascii_case(name));
+        named.map(|header| header.value).collect::<Vec<_>>()
+    };
+    match (values("content-length").as_slice(), values("transfer-encoding").as_slice()) {
+        ([], []) => Some(Place::Head),
+        ([length], []) => match decimal(length)? {
+            0 => Some(Place::Head),
+            left => Some(Place::Body { left }),
+        },
+        ([], [coding]) if coding.eq_ignore_ascii_case(b"chunked") => {
+            Some(Place::ChunkSize { size: 0, has_extension: false })
+        },
+        _ => None,
+    }
+}
+
+/// Whether a header line goes on in the next one.
+fn has_folded_lines(head: &[u8]) -> bool {
+    head.windows(2).any(|pair| matches!(pair, [b'\n', b' ' | b'\t']))
+}
+
+fn decimal(text: &[u8]) -> Option<u64> {
+    let is_plain = !text.is_empty() && text.iter().all(u8::is_ascii_digit);
+    if is_plain { std::str::from_utf8(text).ok()?.parse().ok() } else { None }
+}
+
+/// A connection that is followed; bytes that come right behind a request are not passed on.
+pub(super) struct Followed {
+    connection: BoxConnection,
+    follower: Follower,
+}
+
+impl Followed {
+    /// Follows a connection whose heads may have so many bytes; gives what is seen on it, too.
+    pub(super) fn new(connection: BoxConnection, max_head: usize) -> (Self, Framing) {
+        let framing = Framing::default();
+        let follower = Follower { framing: framing.clone(), place: Place::Head, head: Vec::new(), max_head };
+        (Self { connection, follower }, framing)
+    }
+}
+
+impl AsyncRead for Followed {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut this.connection).poll_read(cx, buf);
+        if this.follower.framing.0.load(Ordering::Acquire) & EXCESS != 0 && buf.filled().len() > before {
+            // The connection ends with the answer that it is at; nothing more of it is read.
+            buf.set_filled(before);
+            return Poll::Pending;
+        }
+        let passed = this.follower.look(buf.filled().get(before..).unwrap_or_default());
+        buf.set_filled(before + passed);
+        polled
+    }
+}
+
+impl AsyncWrite for Followed {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.connection).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.connection).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.connection).poll_shutdown(cx)
+    }
+}
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -5,9 +5,11 @@
 
 pub mod channels;
 pub mod context;
+pub mod dialect;
 pub mod events;
 pub mod follow;
 pub mod forward;
+mod framing;
 pub mod peers;
 pub mod ports;
 pub mod program;
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -155,12 +155,12 @@
 /// The first call, and one after records were missed, gives the newest of everything.
 #[async_trait]
 pub trait Feed<T>: Send + Sync {
-    /// Waits up to a time of the adapter's for something new.
+    /// Waits up to `wait` for something new.
     ///
     /// # Errors
     ///
     /// [`StoreError`] where the store could not be read; the next call tries again.
-    async fn next(&mut self) -> Result<Vec<T>, StoreError>;
+    async fn next(&mut self, wait: Duration) -> Result<Vec<T>, StoreError>;
 }
 
 /// What became of a conditional write.
--- a/havengrade_router/src/published/server.rs
+++ b/havengrade_router/src/published/server.rs
@@ -18,7 +18,8 @@
     published::{
         context::PublishedContext,
         forward::forward,
-        refuse::{AnswerBody, whole},
+        framing::Followed,
+        refuse::{AnswerBody, Refusal, whole},
     },
     services::ACCEPT_PAUSE,
 };
@@ -46,11 +47,16 @@
 
 async fn serve_caller(cx: PublishedContext, connection: BoxConnection) {
     let limits = cx.shared.routes.load().limits();
+    let (connection, framing) = Followed::new(connection, limits.header_bytes.max(MIN_BUFFER));
     let service = service_fn(|request: Request<Incoming>| {
-        let cx = cx.clone();
+        let (cx, framing) = (cx.clone(), framing.clone());
         async move {
+            if framing.is_ambiguous() {
+                log::warn!("a request whose end can be read in two ways is refused");
+                return Ok(Refusal::Malformed.answer());
+            }
             let mut answer = forward(&cx, request).await;
-            if cx.shared.is_draining() {
+            if cx.shared.is_draining() || framing.must_close() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(answer)
