Write logs through a bounded queue, and explain a request from them

Cause: log lines went to standard error by a blocking write; a reader that stopped reading would have stopped the router, and nothing bounded their rate. A request's lines of several VMs had to be put together by hand.

Change: one thread writes, behind a queue with a limit on lines a second; what is dropped is counted and told. Every line names its VM; a stream has one line, at its end. havengradectl explain puts a request's lines in order with what its VMs believed, and names the cause.

--- a/havengrade_ctl/src/cli.rs
+++ b/havengrade_ctl/src/cli.rs
@@ -108,6 +108,11 @@
         /// Name of the VM.
         vm_id: String,
     },
+    /// Read logs of one or more VMs from standard input and tell what became of a request.
+    Explain {
+        /// Id of the request, as its caller sent it.
+        request: String,
+    },
     /// Make a key for a client account or an operator and print its digest.
     HashKey {
         /// Name of the client account or operator.
--- a/havengrade_ctl/src/command.rs
+++ b/havengrade_ctl/src/command.rs
@@ -1,6 +1,11 @@
 //! Carrying out the commands.
 
-use std::{env, fs, path::Path, time::Duration};
+use std::{
+    env, fs,
+    io::{self, Read},
+    path::Path,
+    time::Duration,
+};
 
 use clap::CommandFactory as _;
 use clap_complete::Shell;
@@ -15,6 +20,7 @@
 use crate::{
     cli::{ChangeOptions, Command, Format, Options},
     error::{ChangeFileSnafu, CtlError, FileSnafu, NoKeySnafu, NotAppliedSnafu, UnknownSnafu, UnreachableSnafu},
+    explain::explain,
     print,
 };
 
@@ -32,6 +38,7 @@
     match &options.command {
         Command::HashKey { name, secret } => return Ok(hash_key(name, secret.as_deref())),
         Command::Extra { directory } => return write_extra(directory),
+        Command::Explain { request } => return explain_from(&mut io::stdin().lock(), request),
         _ => {},
     }
     let key = env::var(KEY_VARIABLE).ok().context(NoKeySnafu)?;
@@ -72,7 +79,7 @@
                 self.client.drain(credentials, vm_id.clone())?;
                 Ok(format!("{vm_id} drains; `havengradectl status` shows how far it is\n"))
             },
-            Command::HashKey { .. } | Command::Extra { .. } => Ok(String::new()),
+            Command::HashKey { .. } | Command::Extra { .. } | Command::Explain { .. } => Ok(String::new()),
         }
     }
 
@@ -156,3 +163,9 @@
     }
     Ok(format!("written to {path}\n"))
 }
+
+fn explain_from(logs: &mut dyn Read, request: &str) -> Result<String, CtlError> {
+    let mut text = Vec::new();
+    logs.read_to_end(&mut text).context(FileSnafu { path: "standard input" })?;
+    Ok(explain(&String::from_utf8_lossy(&text), request))
+}
--- a/havengrade_ctl/src/lib.rs
+++ b/havengrade_ctl/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod cli;
 pub mod command;
 pub mod error;
+pub mod explain;
 pub mod print;
--- a/havengrade_dev/src/main.rs
+++ b/havengrade_dev/src/main.rs
@@ -8,7 +8,7 @@
     load::{self, LoadOptions},
     scenario::{EVENTS, OPERATOR, OPERATOR_KEY, key_of},
 };
-use havengrade_router::{logging, metrics};
+use havengrade_router::{logging, metrics, settings::LoggingSettings};
 
 /// Stand-ins for the platform and a whole deployment in one process.
 #[derive(Debug, Parser)]
@@ -60,7 +60,7 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    logging::init(log::LevelFilter::Warn);
+    logging::init(&LoggingSettings { level: "warn".into(), ..LoggingSettings::default() }, "demo");
     metrics::install();
     match Options::parse().command {
         Command::Demo { once, format, routers, requests, port_base } => {
--- a/havengrade_router/src/published/events.rs
+++ b/havengrade_router/src/published/events.rs
@@ -20,7 +20,7 @@
     published::{
         channels::Channel,
         context::PublishedContext,
-        forward::{InProgress, Job, Opened, answer_head, choose, log_answer, log_try, note_answer, open},
+        forward::{InProgress, Job, Opened, answer_head, choose, count_answer, log_try, note_answer, open},
         refuse::{AnswerBody, BodyError},
     },
 };
@@ -141,7 +141,7 @@
     let now = cx.shared.clock.now();
     let first_after = now.duration_since(source.sent).unwrap_or_default();
     let status = head.status;
-    log_answer(job, &source.endpoint, status, now);
+    count_answer(job, status, now);
     let head = answer_head(cx, head);
     let (tx, rx) = mpsc::channel(WAITING_PIECES);
     let relay = Relay { cx: cx.clone(), last_id: None, first_after, resumed: 0, tx };
@@ -308,7 +308,10 @@
         let took = self.cx.shared.clock.now().duration_since(job.arrived).unwrap_or_default();
         log::info!(
             request = job.id.as_str(),
+            route = job.route.name.as_str(),
             endpoint = endpoint,
+            model = job.model.as_deref().unwrap_or_default(),
+            tries = job.tried.len(),
             first_event_ms = self.first_after.as_millis() as u64,
             last_event = self.last_id.as_deref().unwrap_or_default(),
             resumed = self.resumed,
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -604,12 +604,18 @@
     Tried::Answered { answer: Response::from_parts(head, whole(collected.to_bytes())), is_failure }
 }
 
-/// Writes the line of an answered request.
-pub(super) fn log_answer(job: &Job, endpoint: &ListedEndpoint, status: StatusCode, now: SystemTime) {
+/// Counts an answered request by its route and status.
+pub(super) fn count_answer(job: &Job, status: StatusCode, now: SystemTime) {
     let took = now.duration_since(job.arrived).unwrap_or_default();
     metrics::histogram!("request_seconds", "route" => job.route.name.clone()).record(took.as_secs_f64());
     metrics::counter!("requests_answered", "route" => job.route.name.clone(), "status" => status.as_str().to_owned())
         .increment(1);
+}
+
+/// Writes the line of a request that got a whole answer.
+fn log_answer(job: &Job, endpoint: &ListedEndpoint, status: StatusCode, now: SystemTime) {
+    count_answer(job, status, now);
+    let took = now.duration_since(job.arrived).unwrap_or_default();
     log::info!(
         request = job.id.as_str(),
         route = job.route.name.as_str(),
--- a/havengrade_router/src/settings/sections.rs
+++ b/havengrade_router/src/settings/sections.rs
@@ -294,11 +294,15 @@
 pub struct LoggingSettings {
     /// Lowest level that is written: `error`, `warn`, `info`, `debug` or `trace`.
     pub level: String,
+    /// Lines that wait to be written; more are dropped and counted.
+    pub queue_lines: usize,
+    /// Most lines that are written in a second; more are dropped and counted.
+    pub max_lines_per_s: u64,
 }
 
 impl Default for LoggingSettings {
     fn default() -> Self {
-        Self { level: "info".into() }
+        Self { level: "info".into(), queue_lines: 1024, max_lines_per_s: 500 }
     }
 }
 
--- /dev/null
+++ b/havengrade_router/tests/logging.rs
@@ -0,0 +1,59 @@
+//! Logs never make anyone wait, and say how much of them was lost.
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    io::{self, Write},
+    sync::atomic::Ordering,
+    time::Instant,
+};
+
+use havengrade_router::logging::{LineWriter, write_out};
+
+#[test]
+fn a_reader_that_never_reads_holds_nobody_up() {
+    let (mut writer, rx, dropped) = LineWriter::new(10);
+    for _ in 0..1000 {
+        writer.write_all(b"line\n").unwrap();
+    }
+    assert_eq!(dropped.load(Ordering::Relaxed), 990);
+    drop(writer);
+    let mut out = Vec::new();
+    let start = Instant::now();
+    write_out(&rx, &dropped, 100, &|| start, &mut out);
+    let text = String::from_utf8(out).unwrap();
+    assert_eq!(text.lines().filter(|line| *line == "line").count(), 10);
+    assert!(text.contains(r#""dropped":990"#), "{text}");
+}
+
+#[test]
+fn lines_over_the_rate_are_dropped_and_counted() {
+    let (mut writer, rx, dropped) = LineWriter::new(1000);
+    for _ in 0..60 {
+        writer.write_all(b"line\n").unwrap();
+    }
+    drop(writer);
+    let mut out = Vec::new();
+    let start = Instant::now();
+    write_out(&rx, &dropped, 25, &|| start, &mut out);
+    let text = String::from_utf8(out).unwrap();
+    assert_eq!(text.lines().filter(|line| *line == "line").count(), 25);
+    assert!(text.contains(r#""dropped":35"#), "{text}");
+}
+
+#[test]
+fn a_closed_output_ends_nothing() {
+    struct Closed;
+    impl Write for Closed {
+        fn write(&mut self, _buf: &[u8]) -> io::Result<usize> {
+            Err(io::Error::from(io::ErrorKind::BrokenPipe))
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+    let (mut writer, rx, dropped) = LineWriter::new(10);
+    writer.write_all(b"line\n").unwrap();
+    drop(writer);
+    let start = Instant::now();
+    write_out(&rx, &dropped, 100, &|| start, &mut Closed);
+}
