Let a few VMs read the store for the others

Change: the first two VMs (one for each 64 beyond that) in an order by name read; the others ask one of them by datagram and take what is new, with an age counted from their own question, so that an answer held up on its way is never believed to be younger than it is. A VM that misses something, or hears nothing for 1.6 s, reads the store itself. Only events that say something new are passed on. States of roll-outs travel with reports.

--- a/havengrade_core/src/published/directory.rs
+++ b/havengrade_core/src/published/directory.rs
@@ -46,8 +46,10 @@
 /// The platform promises that a live endpoint is listed again within about two seconds.
 pub const RETURN_GRACE: Duration = Duration::from_millis(2200);
 
-/// Silence of the list after which entries may have lapsed by the outage alone.
-pub const OUTAGE_AFTER: Duration = Duration::from_millis(900);
+/// Time without a read of the list after which entries may have lapsed only because the store was away.
+///
+/// An endpoint's entry goes after three heartbeats that are missing, each about a second apart.
+pub const OUTAGE_AFTER: Duration = Duration::from_millis(2500);
 
 /// The endpoints that are known.
 #[derive(Clone, Debug, Default)]
@@ -64,18 +66,42 @@
 }
 
 impl Directory {
-    /// Notes that the list was read at `now`, and takes its changes; tells whether any endpoint changed.
-    pub fn apply(&mut self, events: Vec<DirectoryEvent>, now: SystemTime) -> bool {
-        let was_away = self.last_read.is_some_and(|at| now >= at + OUTAGE_AFTER + POLL_ALLOWANCE);
+    /// Takes what a read brought; the list was as it says at `at`, which lies before `now`.
+    ///
+    /// Gives the events that say something new, and whether any endpoint changed for those who use it.
+    pub fn apply(
+        &mut self,
+        events: Vec<DirectoryEvent>,
+        at: SystemTime,
+        now: SystemTime,
+    ) -> (Vec<DirectoryEvent>, bool) {
+        let was_away = self.last_read.is_some_and(|last| at >= last + OUTAGE_AFTER);
         if was_away {
             self.grace_until = Some(now + RETURN_GRACE);
         }
-        self.last_read = Some(now);
+        self.last_read = self.last_read.max(Some(at));
         let mut has_changed = false;
+        let mut news = Vec::new();
         for event in events {
-            has_changed |= self.take(event, now);
+            if self.is_news(&event) {
+                has_changed |= self.take(event.clone(), now);
+                news.push(event);
+            }
+        }
+        let has_expired = self.expire(now);
+        (news, has_changed || has_expired)
+    }
+
+    /// Whether an event says anything that is not known; most only renew an entry.
+    fn is_news(&self, event: &DirectoryEvent) -> bool {
+        match event {
+            DirectoryEvent::Seen(endpoint) => {
+                let known = self.entries.get(&endpoint.id);
+                known.is_none_or(|entry| entry.lapsed || entry.endpoint != *endpoint)
+            },
+            DirectoryEvent::Gone(id) => self.entries.contains_key(id),
+            DirectoryEvent::All(_) => true,
         }
-        has_changed | self.expire(now)
     }
 
     fn take(&mut self, event: DirectoryEvent, now: SystemTime) -> bool {
@@ -139,6 +165,3 @@
         self.entries.values().map(|entry| &entry.endpoint)
     }
 }
-
-/// Longest usual time between two reads of the list.
-const POLL_ALLOWANCE: Duration = Duration::from_millis(700);
--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -7,6 +7,7 @@
 pub mod directory;
 pub mod peers;
 pub mod placement;
+pub mod relay;
 pub mod rollout;
 pub mod route;
 pub mod size;
--- a/havengrade_core/src/published/peers.rs
+++ b/havengrade_core/src/published/peers.rs
@@ -111,6 +111,11 @@
         self.by_vm.values().map(|known| &known.peer)
     }
 
+    /// VMs that were heard from lately.
+    pub fn live(&self, now: SystemTime) -> impl Iterator<Item = &Peer> {
+        self.by_vm.values().filter(move |known| now < known.heard + REPORT_LIFE).map(|known| &known.peer)
+    }
+
     /// How many VMs are known.
     pub fn len(&self) -> usize {
         self.by_vm.len()
--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -186,6 +186,11 @@
         self.statuses.get(service)
     }
 
+    /// All statuses that are known to be written.
+    pub fn statuses(&self) -> impl Iterator<Item = &RolloutStatus> {
+        self.statuses.values()
+    }
+
     /// Whether a status needs no more writing: it stands there, or the order has ended another way.
     pub fn is_settled(&self, status: &RolloutStatus) -> bool {
         let written = self.statuses.get(&status.service).filter(|known| known.version == status.version);
--- a/havengrade_core/tests/published.rs
+++ b/havengrade_core/tests/published.rs
@@ -133,26 +133,30 @@
 #[test]
 fn an_endpoint_that_lapses_while_the_store_is_away_is_kept_for_its_return() {
     let mut directory = Directory::default();
-    directory.apply(vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1"), endpoint("b", "d1", "v1")])], at(0));
+    directory.apply(
+        vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1"), endpoint("b", "d1", "v1")])],
+        at(0),
+        at(0),
+    );
     // The store is away for five seconds; then both entries are gone.
     let back = 5_000;
-    directory.apply(vec![DirectoryEvent::Gone("a".into()), DirectoryEvent::Gone("b".into())], at(back));
+    directory.apply(vec![DirectoryEvent::Gone("a".into()), DirectoryEvent::Gone("b".into())], at(back), at(back));
     assert_eq!(directory.usable().count(), 2);
-    directory.apply(vec![DirectoryEvent::Seen(endpoint("b", "d1", "v1"))], at(back + 600));
+    directory.apply(vec![DirectoryEvent::Seen(endpoint("b", "d1", "v1"))], at(back + 600), at(back + 600));
     for later in [1200, 1800] {
-        directory.apply(Vec::new(), at(back + later));
+        directory.apply(Vec::new(), at(back + later), at(back + later));
         assert_eq!(directory.usable().count(), 2);
     }
     let after = back + u64::try_from(RETURN_GRACE.as_millis()).unwrap();
-    assert!(directory.apply(Vec::new(), at(after)));
+    assert!(directory.apply(Vec::new(), at(after), at(after)).1);
     assert_eq!(directory.usable().map(|e| e.id.as_str()).collect::<Vec<_>>(), ["b"]);
 }
 
 #[test]
 fn an_endpoint_that_goes_in_quiet_times_is_out_at_once() {
     let mut directory = Directory::default();
-    directory.apply(vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1")])], at(0));
-    assert!(directory.apply(vec![DirectoryEvent::Gone("a".into())], at(600)));
+    directory.apply(vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1")])], at(0), at(0));
+    assert!(directory.apply(vec![DirectoryEvent::Gone("a".into())], at(600), at(600)).1);
     assert_eq!(directory.usable().count(), 0);
 }
 
@@ -160,18 +164,22 @@
 fn a_leaving_endpoint_is_out_also_where_its_entry_goes_during_an_outage() {
     let mut directory = Directory::default();
     let leaving = ListedEndpoint { is_leaving: true, ..endpoint("a", "d1", "v1") };
-    directory.apply(vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1")])], at(0));
-    assert!(directory.apply(vec![DirectoryEvent::Seen(leaving)], at(600)));
+    directory.apply(vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1")])], at(0), at(0));
+    assert!(directory.apply(vec![DirectoryEvent::Seen(leaving)], at(600), at(600)).1);
     assert_eq!(directory.usable().count(), 0);
-    directory.apply(vec![DirectoryEvent::Gone("a".into())], at(9_000));
+    directory.apply(vec![DirectoryEvent::Gone("a".into())], at(9_000), at(9_000));
     assert_eq!(directory.all().count(), 0);
 }
 
 #[test]
 fn a_fresh_list_drops_what_it_does_not_hold() {
     let mut directory = Directory::default();
-    directory.apply(vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1"), endpoint("b", "d1", "v1")])], at(0));
-    directory.apply(vec![DirectoryEvent::All(vec![endpoint("b", "d1", "v1")])], at(600));
+    directory.apply(
+        vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1"), endpoint("b", "d1", "v1")])],
+        at(0),
+        at(0),
+    );
+    directory.apply(vec![DirectoryEvent::All(vec![endpoint("b", "d1", "v1")])], at(600), at(600));
     assert_eq!(directory.usable().map(|e| e.id.as_str()).collect::<Vec<_>>(), ["b"]);
 }
 
@@ -364,3 +372,11 @@
     peers.expire(START + SILENCE_LIMIT);
     assert!(peers.is_empty());
 }
+
+#[test]
+fn renewed_entries_are_no_news() {
+    let mut directory = Directory::default();
+    directory.apply(vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1")])], at(0), at(0));
+    let (news, has_changed) = directory.apply(vec![DirectoryEvent::Seen(endpoint("a", "d1", "v1"))], at(600), at(600));
+    assert!(news.is_empty() && !has_changed);
+}
--- a/havengrade_dev/src/stand_in/published.rs
+++ b/havengrade_dev/src/stand_in/published.rs
@@ -112,6 +112,14 @@
         let _ = timeout(wait, notified).await;
         self.read(|kept| &kept.operators)
     }
+
+    fn position(&self) -> Option<u64> {
+        u64::try_from(self.next).ok()
+    }
+
+    fn advance(&mut self, position: u64) {
+        self.next = self.next.max(usize::try_from(position).unwrap_or(usize::MAX));
+    }
 }
 
 #[async_trait]
@@ -119,6 +127,14 @@
     async fn next(&mut self, _wait: Duration) -> Result<Vec<DirectoryEvent>, StoreError> {
         self.read(|kept| &kept.endpoints)
     }
+
+    fn position(&self) -> Option<u64> {
+        u64::try_from(self.next).ok()
+    }
+
+    fn advance(&mut self, position: u64) {
+        self.next = self.next.max(usize::try_from(position).unwrap_or(usize::MAX));
+    }
 }
 
 #[async_trait]
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -16,6 +16,7 @@
         attempt,
         directory::ListedEndpoint,
         peers::Peers,
+        relay::ChangeLog,
         rollout::{RolloutBounds, Rollouts},
         route::RouteTable,
     },
@@ -41,6 +42,17 @@
 /// Endpoints by the service that they belong to.
 pub type EndpointsByService = HashMap<ServiceId, Vec<ListedEndpoint>>;
 
+/// How far this VM has read the store, for those who ask it.
+#[derive(Clone, Debug)]
+pub struct StoreView {
+    /// Position up to which operators' records were taken.
+    pub operators: Option<u64>,
+    /// The last changes of the list of endpoints.
+    pub endpoints: ChangeLog,
+    /// When nothing newer than the list existed.
+    pub endpoints_at: SystemTime,
+}
+
 /// State of a router of published routes.
 pub struct Published {
     /// Settings of the router.
@@ -67,6 +79,8 @@
     drain_since: AtomicU64,
     rollouts: Mutex<Rollouts>,
     peers: Mutex<Peers>,
+    view: Mutex<StoreView>,
+    is_reader: AtomicBool,
     retries: Mutex<HashMap<ServiceId, RetryBudget>>,
     rng: Mutex<ChaCha8Rng>,
 }
@@ -97,6 +111,13 @@
             drain_since: AtomicU64::new(0),
             rollouts: Mutex::default(),
             peers: Mutex::default(),
+            view: Mutex::new(StoreView {
+                operators: None,
+                endpoints: ChangeLog::default(),
+                endpoints_at: SystemTime::UNIX_EPOCH,
+            }),
+            // Until others are known, nobody reads for this VM.
+            is_reader: AtomicBool::new(true),
             retries: Mutex::default(),
             rng: Mutex::new(rng),
             settings,
@@ -164,6 +185,23 @@
         lock(&self.peers)
     }
 
+    /// How far this VM has read the store, locked for a moment.
+    pub fn view(&self) -> MutexGuard<'_, StoreView> {
+        lock(&self.view)
+    }
+
+    /// Whether this VM reads the store for others.
+    pub fn is_reader(&self) -> bool {
+        self.is_reader.load(Ordering::Acquire)
+    }
+
+    /// Notes whether this VM reads the store for others.
+    pub fn set_reader(&self, is_reader: bool) {
+        if self.is_reader.swap(is_reader, Ordering::AcqRel) != is_reader {
+            log::info!(reads = u64::from(is_reader); "this VM begins or ends to read the store for others");
+        }
+    }
+
     /// The operators' bounds on roll-outs.
     pub fn rollout_bounds(&self) -> RolloutBounds {
         let settings = &self.settings.published;
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -1,6 +1,13 @@
 //! The services that follow what operators write and which endpoints are listed.
+//!
+//! A VM that reads for others asks the store all the time. The others take what the readers tell them, and
+//! ask the store themselves where they miss something or hear nothing.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime},
+};
 
 use async_trait::async_trait;
 use havengrade_core::published::{
@@ -8,7 +15,7 @@
     route::{Publication, RouteTable},
 };
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::{
     kernel::{Service, StartError, spawn},
@@ -24,16 +31,49 @@
 /// Name of the service that follows the list of endpoints.
 pub const ENDPOINTS: &str = "published-endpoints";
 
-/// Time between two tries to reach a store that does not answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time between two looks at whether the store must be asked.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Age of a view that is told by others at which a VM asks the store itself.
+const RELAY_LIMIT: Duration = Duration::from_millis(1600);
+/// First pause after a store that did not answer; each further one is twice as long.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause of a VM that reads for others.
+const READER_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause of a VM that others read for.
+const OTHER_PAUSE: Duration = Duration::from_millis(1500);
+
+/// What a service is told.
+pub(super) enum FollowMessage<T> {
+    /// Time to look whether the store must be asked.
+    Look,
+    /// The store has something new.
+    Hurry,
+    /// What another VM read, up to a position; it was the newest at a time.
+    Relayed(Relayed<T>),
+}
+
+/// What another VM read from the store.
+pub(super) struct Relayed<T> {
+    /// Events since `from`.
+    pub(super) events: Vec<T>,
+    /// Position that was asked about.
+    pub(super) from: u64,
+    /// Position after the events.
+    pub(super) position: u64,
+    /// When nothing newer existed.
+    pub(super) at: SystemTime,
+}
 
 /// Takes what a feed brings.
 trait Take<T>: Send + Sync + 'static {
-    /// How long a call may wait for something new.
+    /// How long a call of a reader may wait for something new.
     fn wait(&self, cx: &PublishedContext) -> Duration;
 
-    /// Takes events that were asked for at `asked`; gives the time until the next call.
-    fn take(&mut self, cx: &PublishedContext, events: Vec<T>, asked: std::time::SystemTime) -> Duration;
+    /// Time between two calls of a reader.
+    fn pause(&self, cx: &PublishedContext) -> Duration;
+
+    /// Takes events, up to a position; nothing newer existed at `at`.
+    fn take(&mut self, cx: &PublishedContext, events: Vec<T>, position: u64, at: SystemTime);
 }
 
 /// A feed, and what takes its events.
@@ -42,20 +82,20 @@
 /// A service that follows a feed.
 pub(super) struct FollowService<T> {
     name: &'static str,
-    parts: std::sync::Mutex<Option<FollowParts<T>>>,
+    parts: Mutex<Option<FollowParts<T>>>,
 }
 
 impl FollowService<OperatorEvent> {
     /// The service that follows operators.
     pub(super) fn operators(feed: Box<dyn Feed<OperatorEvent>>) -> Self {
-        Self { name: OPERATORS, parts: std::sync::Mutex::new(Some((feed, Box::new(Operators)))) }
+        Self { name: OPERATORS, parts: Mutex::new(Some((feed, Box::new(Operators)))) }
     }
 }
 
 impl FollowService<DirectoryEvent> {
     /// The service that follows the list of endpoints.
     pub(super) fn endpoints(feed: Box<dyn Feed<DirectoryEvent>>) -> Self {
-        Self { name: ENDPOINTS, parts: std::sync::Mutex::new(Some((feed, Box::new(Endpoints::default())))) }
+        Self { name: ENDPOINTS, parts: Mutex::new(Some((feed, Box::new(Endpoints::default())))) }
     }
 }
 
@@ -68,14 +108,20 @@
     async fn start(&self, cx: &PublishedContext) -> Result<ActorCell, StartError> {
         let parts = lock(&self.parts).take();
         let Some((feed, taker)) = parts else { return Err(StartError::Missing { name: self.name }) };
-        let state = Follower { cx: cx.clone(), name: self.name, feed, taker, is_lost: false };
+        let state = Follower {
+            cx: cx.clone(),
+            name: self.name,
+            feed,
+            taker,
+            lost: None,
+            viewed: SystemTime::UNIX_EPOCH,
+            is_hurried: false,
+            not_before: Instant::now(),
+        };
         spawn(self.name, cx, FollowActor(std::marker::PhantomData), state).await
     }
 }
 
-/// Time to ask the feed.
-struct Ask;
-
 struct FollowActor<T>(std::marker::PhantomData<fn() -> T>);
 
 struct Follower<T> {
@@ -83,56 +129,110 @@
     name: &'static str,
     feed: Box<dyn Feed<T>>,
     taker: Box<dyn Take<T>>,
-    is_lost: bool,
+    /// The pause after the last failure, while the store does not answer.
+    lost: Option<Duration>,
+    /// When nothing newer than this VM's view existed.
+    viewed: SystemTime,
+    is_hurried: bool,
+    not_before: Instant,
 }
 
 impl<T: Send + 'static> Actor for FollowActor<T> {
-    type Msg = Ask;
+    type Msg = FollowMessage<T>;
     type State = Follower<T>;
     type Arguments = Follower<T>;
 
-    async fn pre_start(&self, myself: ActorRef<Ask>, state: Follower<T>) -> Result<Follower<T>, ActorProcessingErr> {
-        myself.cast(Ask)?;
+    async fn pre_start(
+        &self,
+        myself: ActorRef<FollowMessage<T>>,
+        state: Follower<T>,
+    ) -> Result<Follower<T>, ActorProcessingErr> {
+        myself.cast(FollowMessage::Look)?;
         Ok(state)
     }
 
     async fn handle(
         &self,
-        myself: ActorRef<Ask>,
-        _ask: Ask,
+        myself: ActorRef<FollowMessage<T>>,
+        message: FollowMessage<T>,
         state: &mut Follower<T>,
     ) -> Result<(), ActorProcessingErr> {
-        let pause = state.ask().await;
-        sleep(pause).await;
-        myself.cast(Ask)?;
+        match message {
+            FollowMessage::Hurry => state.is_hurried = true,
+            FollowMessage::Relayed(relayed) => state.take_relayed(relayed),
+            FollowMessage::Look => {
+                if state.must_ask() {
+                    state.ask().await;
+                }
+                let pause = state.pause();
+                tokio::spawn(async move {
+                    sleep(pause).await;
+                    // Where the service is gone there is nothing more to look at.
+                    let _ = myself.cast(FollowMessage::Look);
+                });
+            },
+        }
         Ok(())
     }
 }
 
 impl<T: 'static> Follower<T> {
-    async fn ask(&mut self) -> Duration {
+    fn must_ask(&self) -> bool {
+        let now = self.cx.shared.clock.now();
+        let is_old = now.duration_since(self.viewed).unwrap_or_default() > RELAY_LIMIT;
+        let is_wanted = self.cx.shared.is_reader() || self.is_hurried || is_old;
+        is_wanted && Instant::now() >= self.not_before
+    }
+
+    /// Time until the next look.
+    fn pause(&self) -> Duration {
+        match (self.lost, self.cx.shared.is_reader()) {
+            (None, true) => self.taker.pause(&self.cx),
+            _ => LOOK_EVERY,
+        }
+    }
+
+    async fn ask(&mut self) {
         let asked = self.cx.shared.clock.now();
         // After a loss the first answer must come at once: it says what is in force now.
-        let wait = if self.is_lost { Duration::ZERO } else { self.taker.wait(&self.cx) };
+        let may_wait = self.lost.is_none() && self.cx.shared.is_reader() && !self.is_hurried;
+        let wait = if may_wait { self.taker.wait(&self.cx) } else { Duration::ZERO };
         match self.feed.next(wait).await {
             Ok(events) => {
-                if std::mem::take(&mut self.is_lost) {
+                if self.lost.take().is_some() {
                     log::info!(feed = self.name; "store answers again");
                 }
-                self.taker.take(&self.cx, events, asked)
-            },
-            Err(error) => {
-                self.lose(&error);
-                RETRY_PAUSE
+                self.is_hurried = false;
+                self.viewed = asked;
+                let position = self.feed.position().unwrap_or_default();
+                self.taker.take(&self.cx, events, position, asked);
             },
+            Err(error) => self.lose(&error),
         }
     }
 
     fn lose(&mut self, error: &StoreError) {
         metrics::counter!("store_errors", "feed" => self.name).increment(1);
-        if !std::mem::replace(&mut self.is_lost, true) {
-            log::warn!(feed = self.name; "store is lost: {error}");
+        let longest = if self.cx.shared.is_reader() { READER_PAUSE } else { OTHER_PAUSE };
+        let pause = match self.lost {
+            Some(pause) => (pause * 2).min(longest),
+            None => {
+                log::warn!(feed = self.name; "store is lost: {error}");
+                FIRST_PAUSE
+            },
+        };
+        self.lost = Some(pause);
+        self.not_before = Instant::now() + pause;
+    }
+
+    /// Takes what another VM read, if it begins where this VM's view ends.
+    fn take_relayed(&mut self, relayed: Relayed<T>) {
+        if self.feed.position() != Some(relayed.from) || relayed.position < relayed.from {
+            return;
         }
+        self.feed.advance(relayed.position);
+        self.viewed = self.viewed.max(relayed.at);
+        self.taker.take(&self.cx, relayed.events, relayed.position, relayed.at);
     }
 }
 
@@ -144,7 +244,11 @@
         Duration::from_millis(cx.shared.settings.published.config_wait_ms)
     }
 
-    fn take(&mut self, cx: &PublishedContext, events: Vec<OperatorEvent>, asked: std::time::SystemTime) -> Duration {
+    fn pause(&self, _cx: &PublishedContext) -> Duration {
+        Duration::ZERO
+    }
+
+    fn take(&mut self, cx: &PublishedContext, events: Vec<OperatorEvent>, position: u64, at: SystemTime) {
         for event in events {
             match event {
                 OperatorEvent::Publication(publication) => publish(cx, publication),
@@ -156,8 +260,8 @@
                 },
             }
         }
-        cx.shared.confirm(asked);
-        Duration::ZERO
+        cx.shared.view().operators = Some(position);
+        cx.shared.confirm(at);
     }
 }
 
@@ -167,7 +271,8 @@
     if publication.version <= known {
         return;
     }
-    log::info!(version = publication.version, before = known, routes = publication.routes.len(); "configuration in force");
+    let routes = publication.routes.len();
+    log::info!(version = publication.version, before = known, routes = routes; "configuration in force");
     metrics::gauge!("configuration_version").set(publication.version as f64);
     cx.shared.routes.store(Arc::new(RouteTable::new(publication)));
 }
@@ -184,16 +289,25 @@
         Duration::ZERO
     }
 
-    fn take(&mut self, cx: &PublishedContext, events: Vec<DirectoryEvent>, _asked: std::time::SystemTime) -> Duration {
+    fn pause(&self, cx: &PublishedContext) -> Duration {
+        Duration::from_millis(cx.shared.settings.published.endpoints_poll_ms)
+    }
+
+    fn take(&mut self, cx: &PublishedContext, events: Vec<DirectoryEvent>, position: u64, at: SystemTime) {
         let now = cx.shared.clock.now();
-        if self.directory.apply(events, now) {
+        let (changes, has_changed) = self.directory.apply(events, at, now);
+        {
+            let mut view = cx.shared.view();
+            view.endpoints.note(&changes, position);
+            view.endpoints_at = view.endpoints_at.max(at);
+        }
+        if has_changed {
             self.show(cx);
         }
         cx.shared.set_endpoints_known();
         let directory = &self.directory;
         cx.shared.channels.prune(|id| directory.all().any(|endpoint| endpoint.id == id), now);
         cx.shared.rollouts().prune(cx.shared.rollout_bounds().session_time, now);
-        Duration::from_millis(cx.shared.settings.published.endpoints_poll_ms)
     }
 }
 
@@ -210,14 +324,13 @@
             usable.entry(endpoint.service.clone()).or_default().push(endpoint.clone());
         }
         let before = cx.shared.usable.swap(Arc::new(usable));
-        let after = cx.shared.usable.load();
-        log_changes(&before, &after);
+        log_changes(&before, &cx.shared.usable.load());
     }
 }
 
 fn log_changes(before: &EndpointsByService, after: &EndpointsByService) {
     let list = |of: &EndpointsByService, other: &EndpointsByService| -> Vec<String> {
-        let known: std::collections::HashSet<&str> = other.values().flatten().map(|e| e.id.as_str()).collect();
+        let known: HashSet<&str> = other.values().flatten().map(|e| e.id.as_str()).collect();
         let all = of.values().flatten().filter(|endpoint| !known.contains(endpoint.id.as_str()));
         all.map(|endpoint| format!("{}@{}", endpoint.id, endpoint.version)).collect()
     };
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -16,3 +16,5 @@
 pub mod refuse;
 pub mod rollouts;
 pub mod server;
+mod store_view;
+mod wire;
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -9,12 +9,9 @@
 use async_trait::async_trait;
 use havengrade_core::{
     ids::EndpointId,
-    published::{
-        peers::{Peer, Work, WorkReport},
-        rollout::RouteEvidence,
-    },
+    published::peers::{Peer, Work, WorkReport},
 };
-use havengrade_rpc::reports::{EndpointWork, RouteEvidence as WireEvidence, VmReport};
+use havengrade_rpc::reports::{Datagram, StoreQuestion, VmReport};
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
 use rand::seq::IteratorRandom as _;
 use snafu::ResultExt as _;
@@ -23,7 +20,12 @@
 use crate::{
     kernel::{BindSnafu, Service, StartError, spawn},
     net::Datagrams,
-    published::{context::PublishedContext, ports::Roster},
+    published::{
+        context::PublishedContext,
+        ports::Roster,
+        store_view::{Questions, answer},
+        wire::{Report, decode_report, encode_report},
+    },
     services::tick,
     shared::lock,
 };
@@ -45,12 +47,14 @@
 const ROSTER_EVERY: Duration = Duration::from_secs(20);
 /// Time after which the kept list is tried again that could not be read or written.
 const ROSTER_RETRY: Duration = Duration::from_millis(500);
-/// Largest datagram, in bytes; what does not fit a packet of a common network is left out.
-const MAX_DATAGRAM: usize = 1400;
+/// Largest datagram that is read, in bytes; the limits below keep ours within a packet of a common network.
+const MAX_DATAGRAM: usize = 4096;
 /// Endpoints that a report names; those with the most work come first.
 const MAX_ENDPOINTS: usize = 36;
 /// Counters that a report names.
 const MAX_EVIDENCE: usize = 12;
+/// States of roll-outs that a report names.
+const MAX_ROLLOUTS: usize = 4;
 
 /// The service, until it is started.
 pub(super) struct PeersService {
@@ -91,6 +95,7 @@
 struct PeersState {
     cx: PublishedContext,
     socket: Arc<dyn Datagrams>,
+    questions: Arc<Mutex<Questions>>,
     seq: u64,
     sent: Option<(SystemTime, Vec<(EndpointId, Work)>)>,
     pause: u32,
@@ -104,12 +109,13 @@
 
     async fn pre_start(&self, myself: ActorRef<Look>, arguments: Arguments) -> Result<PeersState, ActorProcessingErr> {
         let Arguments { cx, roster, socket } = arguments;
+        let questions = Arc::new(Mutex::new(Questions::default()));
         let tasks = [
             tick(myself, LOOK_EVERY, || Look),
-            AbortOnDropHandle::new(tokio::spawn(receive(cx.clone(), socket.clone()))),
+            AbortOnDropHandle::new(tokio::spawn(receive(cx.clone(), socket.clone(), questions.clone()))),
             AbortOnDropHandle::new(tokio::spawn(keep_roster(cx.clone(), roster))),
         ];
-        Ok(PeersState { cx, socket, seq: 0, sent: None, pause: 0, _tasks: tasks })
+        Ok(PeersState { cx, socket, questions, seq: 0, sent: None, pause: 0, _tasks: tasks })
     }
 
     async fn handle(
@@ -127,6 +133,7 @@
     async fn look(&mut self) {
         let now = self.cx.shared.clock.now();
         let work = own_work(&self.cx);
+        self.ask(now).await;
         let is_same = self.sent.as_ref().is_some_and(|(at, sent)| *sent == work && now < *at + REPORT_EVERY);
         if is_same || self.pause > 0 {
             self.pause = self.pause.saturating_sub(1);
@@ -141,19 +148,32 @@
 
     async fn report(&mut self, work: &[(EndpointId, Work)]) {
         self.seq += 1;
-        let report = encode(&self.cx, self.seq, work);
-        let bytes = match havengrade_rpc::encode(&report) {
-            Ok(bytes) => bytes,
-            Err(error) => return log::error!("report not written: {error}"),
-        };
+        let report = own_report(&self.cx, self.seq, work);
+        let datagram = Datagram::Report(encode_report(report));
         let to: Vec<SocketAddr> = {
             let peers = self.cx.shared.peers();
             peers.all().map(|peer| peer.address).sample(&mut *self.cx.shared.rng(), FAN_OUT)
         };
-        for address in to {
-            if let Err(error) = self.socket.send(&bytes, address).await {
-                log::debug!("report not sent to {address}: {error}");
-            }
+        send(&*self.socket, &datagram, &to).await;
+    }
+
+    /// Asks a VM that reads the store, if it is time.
+    async fn ask(&self, now: SystemTime) {
+        let question = lock(&self.questions).next(&self.cx, now);
+        if let Some((question, to)) = question {
+            send(&*self.socket, &Datagram::Question(question), &[to]).await;
+        }
+    }
+}
+
+async fn send(socket: &dyn Datagrams, datagram: &Datagram, to: &[SocketAddr]) {
+    let bytes = match havengrade_rpc::encode(datagram) {
+        Ok(bytes) => bytes,
+        Err(error) => return log::error!("datagram not written: {error}"),
+    };
+    for address in to {
+        if let Err(error) = socket.send(&bytes, *address).await {
+            log::debug!("datagram not sent to {address}: {error}");
         }
     }
 }
@@ -172,88 +192,71 @@
     work
 }
 
-fn encode(cx: &PublishedContext, seq: u64, work: &[(EndpointId, Work)]) -> VmReport {
+fn own_report(cx: &PublishedContext, seq: u64, work: &[(EndpointId, Work)]) -> Report {
     let settings = &cx.shared.settings;
-    let work = work
-        .iter()
-        .map(|(endpoint, work)| EndpointWork::new(endpoint.clone(), to_i32(work.requests), to_i32(work.tokens)));
-    let evidence = cx.shared.rollouts().own_evidence(cx.shared.incarnation);
-    let evidence = evidence
-        .into_iter()
-        .take(MAX_EVIDENCE)
-        .map(|seen| WireEvidence::new(seen.service, seen.route, seen.version, to_i64(seen.ended), to_i64(seen.failed)));
-    let evidence: Vec<WireEvidence> = evidence.collect();
-    VmReport::new(
-        settings.vm.id.clone(),
-        to_i64(cx.shared.incarnation),
-        to_i64(seq),
-        settings.listen.peers.to_string(),
-        work.collect::<Vec<_>>(),
-        (!evidence.is_empty()).then_some(evidence),
-    )
-}
-
-fn to_i32(value: u32) -> i32 {
-    i32::try_from(value).unwrap_or(i32::MAX)
-}
-
-fn to_i64(value: u64) -> i64 {
-    i64::try_from(value).unwrap_or(i64::MAX)
+    let peer = Peer { vm: settings.vm.id.clone(), incarnation: cx.shared.incarnation, address: settings.listen.peers };
+    let rollouts = cx.shared.rollouts();
+    let mut evidence = rollouts.own_evidence(cx.shared.incarnation);
+    evidence.truncate(MAX_EVIDENCE);
+    Report {
+        work: WorkReport { peer, seq, work: work.to_vec() },
+        evidence,
+        rollouts: rollouts.statuses().take(MAX_ROLLOUTS).cloned().collect(),
+    }
 }
 
-/// Takes the other VMs' reports.
-async fn receive(cx: PublishedContext, socket: Arc<dyn Datagrams>) {
-    let mut buf = vec![0; MAX_DATAGRAM * 2];
+/// Takes the other VMs' datagrams.
+async fn receive(cx: PublishedContext, socket: Arc<dyn Datagrams>, questions: Arc<Mutex<Questions>>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
     loop {
         let length = match socket.receive(&mut buf).await {
             Ok(length) => length,
             Err(error) => {
                 // The library reports earlier datagrams that found no receiver; the next ones are not affected.
-                log::debug!("no report received: {error}");
+                log::debug!("no datagram received: {error}");
                 continue;
             },
         };
-        match havengrade_rpc::decode::<VmReport>(buf.get(..length).unwrap_or_default()) {
-            Ok(report) => take(&cx, report),
-            Err(error) => log::warn!("a datagram is no report and is passed over: {error}"),
+        let now = cx.shared.clock.now();
+        match havengrade_rpc::decode::<Datagram>(buf.get(..length).unwrap_or_default()) {
+            Ok(Datagram::Report(report)) => take_report(&cx, report, now),
+            Ok(Datagram::Question(question)) => answer_question(&cx, &*socket, &question, now).await,
+            Ok(Datagram::Answer(answer)) => lock(&questions).take(&cx, answer),
+            Err(error) => log::warn!("a datagram can't be read and is passed over: {error}"),
         }
     }
 }
 
-fn take(cx: &PublishedContext, report: VmReport) {
-    let Ok(address) = report.address.parse() else {
-        return log::warn!(vm = report.vm.as_str(); "a report names no address and is passed over");
+async fn answer_question(cx: &PublishedContext, socket: &dyn Datagrams, question: &StoreQuestion, now: SystemTime) {
+    let Ok(to) = question.address.parse::<SocketAddr>() else {
+        return log::warn!("a question names no address and is passed over");
     };
-    if report.vm == cx.shared.settings.vm.id {
-        return;
-    }
-    let incarnation = from_i64(report.incarnation);
-    for seen in report.evidence.unwrap_or_default() {
-        let seen = RouteEvidence {
-            service: seen.service_name,
-            version: seen.version,
-            route: seen.route,
-            ended: from_i64(seen.ended),
-            failed: from_i64(seen.failed),
-        };
-        cx.shared.rollouts().merge(incarnation, &seen);
+    if let Some(answer) = answer(cx, question, now) {
+        send(socket, &Datagram::Answer(answer), &[to]).await;
     }
-    let work = report.work.into_iter().map(|entry| {
-        let work = Work { requests: from_i32(entry.requests), tokens: from_i32(entry.tokens) };
-        (entry.endpoint, work)
-    });
-    let peer = Peer { vm: report.vm, incarnation, address };
-    let report = WorkReport { peer, seq: from_i64(report.seq), work: work.collect() };
-    cx.shared.peers().report(report, cx.shared.clock.now());
-}
-
-/// A count that a peer wrote; a negative one is none.
-fn from_i64(value: i64) -> u64 {
-    u64::try_from(value).unwrap_or_default()
 }
 
-fn from_i32(value: i32) -> u32 {
-    u32::try_from(value).unwrap_or_default()
+fn take_report(cx: &PublishedContext, report: VmReport, now: SystemTime) {
+    let Some(report) = decode_report(report) else {
+        return log::warn!("a report names no address and is passed over");
+    };
+    let peer = &report.work.peer;
+    if peer.vm == cx.shared.settings.vm.id {
+        return;
+    }
+    {
+        let mut rollouts = cx.shared.rollouts();
+        for seen in &report.evidence {
+            rollouts.merge(peer.incarnation, seen);
+        }
+        for status in report.rollouts {
+            let line = format!("{} to {}: {:?}", status.service, status.version, status.outcome);
+            if rollouts.note_status(status) {
+                log::info!(state = line.as_str(), from = peer.vm.as_str(); "state of a roll-out learned");
+            }
+        }
+    }
+    cx.shared.peers().report(report.work, now);
 }
 
 /// Enters this VM on the kept list and reads the others from it.
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -161,6 +161,12 @@
     ///
     /// [`StoreError`] where the store could not be read; the next call tries again.
     async fn next(&mut self, wait: Duration) -> Result<Vec<T>, StoreError>;
+
+    /// Position in the store up to which everything was given; none before the first call.
+    fn position(&self) -> Option<u64>;
+
+    /// Goes on from a later position, since what lies before it was learned from another VM.
+    fn advance(&mut self, position: u64);
 }
 
 /// What became of a conditional write.
--- a/havengrade_router/src/published/rollouts.rs
+++ b/havengrade_router/src/published/rollouts.rs
@@ -106,7 +106,9 @@
             return;
         }
         let now = self.cx.shared.clock.now();
-        if self.read_at.is_none_or(|at| now >= at + READ_EVERY) && !self.read().await {
+        // Others learn of written states from reports, but for the first time.
+        let is_read = self.read_at.is_some_and(|at| !self.cx.shared.is_reader() || now < at + READ_EVERY);
+        if !is_read && !self.read().await {
             return;
         }
         let verdicts = self.cx.shared.rollouts().verdicts(now);
--- /dev/null
+++ b/havengrade_router/src/published/store_view.rs
@@ -0,0 +1,160 @@
+//! Asking the VMs that read the store what is new in it, and answering those that ask.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime},
+};
+
+use havengrade_core::{
+    ids::VmId,
+    published::{
+        directory::DirectoryEvent,
+        relay::{confirmed_at, rank, readers},
+    },
+};
+use havengrade_rpc::reports::{StoreAnswer, StoreQuestion};
+use ractor::ActorRef;
+
+use crate::{
+    kernel::ServiceContext as _,
+    published::{
+        context::PublishedContext,
+        follow::{ENDPOINTS, FollowMessage, OPERATORS, Relayed},
+        ports::OperatorEvent,
+        wire::{decode_change, encode_change, from_i64, to_i64},
+    },
+};
+
+/// Time between two questions.
+const ASK_EVERY: Duration = Duration::from_millis(400);
+/// Time after which a question without an answer makes the next one go to another reader.
+const ANSWER_LIMIT: Duration = Duration::from_millis(300);
+/// Most changes in one answer, so that it fits a packet; who misses more reads the store.
+const MAX_CHANGES: usize = 10;
+
+/// A question that was asked.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    number: u64,
+    at: SystemTime,
+    is_answered: bool,
+    operators: u64,
+    endpoints: u64,
+}
+
+/// The questions of this VM.
+#[derive(Debug, Default)]
+pub(super) struct Questions {
+    last: Option<Asked>,
+    number: u64,
+    /// Which of the readers is asked.
+    turn: usize,
+}
+
+impl Questions {
+    /// Finds out who reads the store; gives a question and whom to ask, if it is time for one.
+    pub(super) fn next(&mut self, cx: &PublishedContext, now: SystemTime) -> Option<(StoreQuestion, SocketAddr)> {
+        let readers = find_readers(cx, now);
+        cx.shared.set_reader(readers.is_none());
+        let readers = readers?;
+        let last = self.last;
+        if last.is_some_and(|asked| now < asked.at + ASK_EVERY) {
+            return None;
+        }
+        if last.is_some_and(|asked| !asked.is_answered && now >= asked.at + ANSWER_LIMIT) {
+            self.turn += 1;
+        }
+        let to = readers.get(self.turn % readers.len()).copied()?;
+        let (operators, endpoints) = positions(cx)?;
+        self.number += 1;
+        self.last = Some(Asked { number: self.number, at: now, is_answered: false, operators, endpoints });
+        let address = cx.shared.settings.listen.peers.to_string();
+        Some((StoreQuestion::new(to_i64(self.number), address, to_i64(operators), to_i64(endpoints)), to))
+    }
+
+    /// Takes an answer and hands it to the services that follow the store.
+    pub(super) fn take(&mut self, cx: &PublishedContext, answer: StoreAnswer) {
+        let Some(asked) = self.last.as_mut().filter(|asked| asked.number == from_i64(answer.number)) else { return };
+        asked.is_answered = true;
+        let asked = *asked;
+        take_operators(cx, &asked, &answer);
+        take_endpoints(cx, &asked, answer);
+    }
+}
+
+/// The VMs that read the store; none where this one is among them.
+fn find_readers(cx: &PublishedContext, now: SystemTime) -> Option<Vec<SocketAddr>> {
+    let me = &cx.shared.settings.vm.id;
+    let peers = cx.shared.peers();
+    let mut ranked: Vec<(u64, &VmId, SocketAddr)> =
+        peers.live(now).map(|peer| (rank(&peer.vm), &peer.vm, peer.address)).collect();
+    ranked.push((rank(me), me, cx.shared.settings.listen.peers));
+    ranked.sort_unstable();
+    ranked.truncate(readers(ranked.len()));
+    let is_reader = ranked.iter().any(|(_, vm, _)| *vm == me);
+    (!is_reader).then(|| ranked.into_iter().map(|(_, _, address)| address).collect())
+}
+
+/// How far this VM has read the store; none before its first reads.
+fn positions(cx: &PublishedContext) -> Option<(u64, u64)> {
+    let view = cx.shared.view();
+    Some((view.operators?, view.endpoints.position()))
+}
+
+fn take_operators(cx: &PublishedContext, asked: &Asked, answer: &StoreAnswer) {
+    let Some(service) = find::<OperatorEvent>(cx, OPERATORS) else { return };
+    let position = from_i64(answer.operators_position);
+    let message = if position > asked.operators {
+        FollowMessage::Hurry
+    } else if position == asked.operators {
+        let at = confirmed_at(asked.at, Duration::from_millis(from_i64(answer.operators_age_ms)));
+        FollowMessage::Relayed(Relayed { events: Vec::new(), from: position, position, at })
+    } else {
+        return;
+    };
+    send(&service, message);
+}
+
+fn take_endpoints(cx: &PublishedContext, asked: &Asked, answer: StoreAnswer) {
+    let Some(service) = find::<DirectoryEvent>(cx, ENDPOINTS) else { return };
+    let position = from_i64(answer.endpoints_position);
+    if position < asked.endpoints {
+        return;
+    }
+    let events = answer.changes.map(|changes| changes.into_iter().map(decode_change).collect::<Option<Vec<_>>>());
+    let message = match events.flatten() {
+        Some(events) => {
+            let at = confirmed_at(asked.at, Duration::from_millis(from_i64(answer.endpoints_age_ms)));
+            FollowMessage::Relayed(Relayed { events, from: asked.endpoints, position, at })
+        },
+        None => FollowMessage::Hurry,
+    };
+    send(&service, message);
+}
+
+fn find<T: Send + 'static>(cx: &PublishedContext, name: &str) -> Option<ActorRef<FollowMessage<T>>> {
+    ractor::registry::where_is(cx.actor_name(name)).map(ActorRef::from)
+}
+
+fn send<T: Send + 'static>(service: &ActorRef<FollowMessage<T>>, message: FollowMessage<T>) {
+    if let Err(error) = service.cast(message) {
+        log::debug!("a service that follows the store is gone: {error}");
+    }
+}
+
+/// Answers a question from what this VM knows; none before its own first reads.
+pub(super) fn answer(cx: &PublishedContext, question: &StoreQuestion, now: SystemTime) -> Option<StoreAnswer> {
+    let view = cx.shared.view().clone();
+    let age = |at: SystemTime| to_i64(now.duration_since(at).unwrap_or_default().as_millis() as u64 + 1);
+    let changes = view.endpoints.since(from_i64(question.endpoints_position));
+    let changes = changes.filter(|changes| changes.len() <= MAX_CHANGES);
+    let changes = changes.and_then(|changes| changes.into_iter().map(encode_change).collect::<Option<Vec<_>>>());
+    Some(StoreAnswer::new(
+        question.number,
+        to_i64(view.operators?),
+        age(cx.shared.confirmed()?),
+        to_i64(view.endpoints.position()),
+        age(view.endpoints_at),
+        changes,
+    ))
+}
--- a/schema/reports.thrift
+++ b/schema/reports.thrift
@@ -20,6 +20,14 @@
   5: required i64 failed,
 }
 
+/** How a roll-out stands, as it was written for operators. */
+struct RolloutState {
+  1: required string service_name,
+  2: required string version,
+  /** `running`, `succeeded` or `rolled_back`. */
+  3: required string outcome,
+}
+
 /** What a VM says of itself. */
 struct VmReport {
   1: required string vm,
@@ -31,4 +39,50 @@
   4: required string address,
   5: required list<EndpointWork> work,
   6: optional list<RouteEvidence> evidence,
+  7: optional list<RolloutState> rollouts,
+}
+
+/** An entry of the list of endpoints. */
+struct EndpointEntry {
+  1: required string service_name,
+  2: required string address,
+  3: required string failure_domain,
+  4: required string version,
+  5: required i32 slots,
+  6: required bool leaving,
+}
+
+/** A change of the list of endpoints; without an entry, it went. */
+struct EndpointChange {
+  1: required string endpoint,
+  2: optional EndpointEntry entry,
+}
+
+/** Asks what is new since the sender's positions in the store. */
+struct StoreQuestion {
+  /** Echoed by the answer. */
+  1: required i64 number,
+  /** IP number and port at which the sender hears. */
+  2: required string address,
+  3: required i64 operators_position,
+  4: required i64 endpoints_position,
+}
+
+/** What the answering VM knows of the store. */
+struct StoreAnswer {
+  1: required i64 number,
+  2: required i64 operators_position,
+  /** Time since nothing newer than this position existed for sure. */
+  3: required i64 operators_age_ms,
+  4: required i64 endpoints_position,
+  5: required i64 endpoints_age_ms,
+  /** Changes between the asked position and this one; absent where they are not all known or too many. */
+  6: optional list<EndpointChange> changes,
+}
+
+/** One datagram. */
+union Datagram {
+  1: VmReport report,
+  2: StoreQuestion question,
+  3: StoreAnswer answer,
 }
