Keep a new version under its bound until its deadline, and sessions at their version across VMs

Change: 0.4 of the bound tries a version, and it takes everything for the last 0.5 x bound of the time, so what it gets stays below the bound whatever it is. Sessions try it only after a session's pause, and VMs tell each other which sessions keep to the old one. The odds bet on three rises over the upper end of the old rate.

--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -9,7 +9,6 @@
     evidence::{Evidence, Subject, Tally},
     ids::{Incarnation, ServiceId, SessionId},
     published::{directory::SoftwareVersion, route::RouteId},
-    rollout::failure_bet,
     secret::spread,
 };
 
@@ -46,12 +45,15 @@
     pub outcome: RolloutOutcome,
 }
 
-/// Share of the requests that a version gets before it is trusted, as a part of the bound on a bad one.
-const SHARE_OF_BOUND: f64 = 0.75;
-/// Part of an order's time for which the new version is only tried; operators hold sessions still for half of it.
-const TRIAL: f64 = 0.55;
-/// Part of an order's time after which the new version has all requests for long enough to end the old one.
-const TAKEN_OVER: f64 = 0.8;
+/// Share of the subjects that try a new version, as a part of the bound on a bad one.
+const TRIAL_SHARE: f64 = 0.4;
+/// Part of an order's time, as a part of the bound, at whose end the new version takes all requests.
+///
+/// Some versions are bad only under the load of all requests. With the share before, what a bad one gets
+/// until its order's time is over stays under the bound: 0.4 + 0.5 of it.
+const TAKE_OVER: f64 = 0.5;
+/// Part of the take-over's time after which the old version is given up.
+const TAKEN_OVER: f64 = 0.6;
 /// Logarithm of the odds against "as good as the old one" at which a version is rolled back.
 ///
 /// A version as good as the old one reaches it in one roll-out out of a hundred (Ville's inequality).
@@ -59,6 +61,22 @@
 /// Slots of a share; subjects fall evenly on them.
 const SLOTS: u64 = 10_000;
 
+/// What a session is known by between VMs.
+pub type SessionMark = u64;
+
+/// How far a new version is trusted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// It is about to be rolled back.
+    Halted,
+    /// It gets nothing yet.
+    Waiting,
+    /// Some subjects try it.
+    Trial,
+    /// It gets everything.
+    TakeOver,
+}
+
 /// A roll-out as this VM sees it.
 #[derive(Clone, Debug)]
 struct Running {
@@ -122,6 +140,8 @@
     by_service: HashMap<ServiceId, Running>,
     statuses: HashMap<ServiceId, RolloutStatus>,
     sessions: HashMap<SessionId, Pin>,
+    /// Sessions that other VMs keep at the old version, and until when.
+    held: HashMap<SessionMark, SystemTime>,
 }
 
 #[derive(Clone, Debug)]
@@ -222,11 +242,14 @@
             RolloutOutcome::Running => {},
         }
         let pin = session.and_then(|id| self.sessions.get(id)).filter(|pin| now < pin.used + bounds.session_time);
-        let is_trial = running.progress(now) < TRIAL;
-        let takes_new = match pin {
-            Some(pin) if pin.version == *new => true,
-            Some(_) if is_trial => false,
-            _ => place(service, new, session.unwrap_or(subject)) < running.share(bounds, now),
+        let takes_new = match (running.phase(bounds, session.is_some(), now), pin) {
+            (Phase::Halted | Phase::Waiting, _) => false,
+            (Phase::TakeOver, _) => true,
+            (Phase::Trial, Some(pin)) => pin.version == *new,
+            (Phase::Trial, None) => {
+                let is_held = session.is_some_and(|id| self.is_held(id, now));
+                !is_held && place(session.unwrap_or(subject)) < slots(bounds)
+            },
         };
         if takes_new { Allowed::Only(new.clone()) } else { Allowed::Not(new.clone()) }
     }
@@ -247,6 +270,33 @@
     /// Forgets sessions that rested for longer than `session_time`.
     pub fn prune(&mut self, session_time: Duration, now: SystemTime) {
         self.sessions.retain(|_, pin| now < pin.used + session_time);
+        self.held.retain(|_, until| now < *until);
+    }
+
+    /// Sessions that would try a new version, but keep to the old one, since they began with it.
+    ///
+    /// Other VMs are told of them, for the case that their next request goes there.
+    pub fn held_sessions(&self, bounds: RolloutBounds, now: SystemTime) -> Vec<SessionMark> {
+        let running = self.by_service.values().filter(|running| running.outcome == RolloutOutcome::Running);
+        let versions: BTreeSet<&SoftwareVersion> = running.map(|running| &running.order.version).collect();
+        if versions.is_empty() {
+            return Vec::new();
+        }
+        let live = self.sessions.iter().filter(|(_, pin)| now < pin.used + bounds.session_time);
+        let old = live.filter(|(id, pin)| !versions.contains(&pin.version) && place(id) < slots(bounds));
+        let own = old.map(|(id, _)| mark(id));
+        let others = self.held.iter().filter(|(_, until)| now < **until).map(|(mark, _)| *mark);
+        own.chain(others).collect()
+    }
+
+    /// Notes a session that another VM keeps at the old version.
+    pub fn hold(&mut self, session: SessionMark, bounds: RolloutBounds, now: SystemTime) {
+        // Reports pass sessions on from VM to VM, so the first one counts.
+        self.held.entry(session).or_insert(now + bounds.session_time);
+    }
+
+    fn is_held(&self, session: &str, now: SystemTime) -> bool {
+        self.held.get(&mark(session)).is_some_and(|until| now < *until)
     }
 
     /// Counts an answer of a service that this VM, of run `own`, saw.
@@ -274,9 +324,9 @@
     }
 
     /// What should be written now, for all services.
-    pub fn verdicts(&self, now: SystemTime) -> Vec<Verdict> {
+    pub fn verdicts(&self, bounds: RolloutBounds, now: SystemTime) -> Vec<Verdict> {
         let running = self.by_service.values().filter(|running| running.outcome == RolloutOutcome::Running);
-        running.filter_map(|running| running.verdict(self.written(&running.order.service), now)).collect()
+        running.filter_map(|running| running.verdict(self.written(&running.order.service), bounds, now)).collect()
     }
 }
 
@@ -296,13 +346,17 @@
         passed.as_secs_f64() / self.order.duration.as_secs_f64().max(f64::MIN_POSITIVE)
     }
 
-    /// Slots of subjects that go to the new version.
-    fn share(&self, bounds: RolloutBounds, now: SystemTime) -> u64 {
+    /// How far the new version is trusted.
+    fn phase(&self, bounds: RolloutBounds, is_session: bool, now: SystemTime) -> Phase {
         if self.odds() > HALT_ODDS {
-            return 0;
+            return Phase::Halted;
         }
-        let share = if self.progress(now) < TRIAL { bounds.max_share * SHARE_OF_BOUND } else { 1.0 };
-        (share * SLOTS as f64) as u64
+        if self.progress(now) >= 1.0 - TAKE_OVER * bounds.max_share {
+            return Phase::TakeOver;
+        }
+        // Sessions that began before the order keep to the old version; other VMs must learn of them first.
+        let is_early = now < self.since + bounds.session_time;
+        if is_session && is_early { Phase::Waiting } else { Phase::Trial }
     }
 
     fn note(&mut self, sample: Sample<'_>, own: Incarnation) {
@@ -338,7 +392,7 @@
     fn odds(&self) -> f64 {
         let totals = self.evidence.totals();
         let routes: BTreeSet<&RouteId> = self.evidence.subjects().map(|subject| &subject.class).collect();
-        let bet = |route: &&RouteId| failure_bet(&totals.get(route, &self.order.version), &totals.get(route, OLD));
+        let bet = |route: &&RouteId| odds_of(&totals.get(route, &self.order.version), &totals.get(route, OLD));
         let (sum, most) =
             routes.iter().map(bet).fold((0.0f64, f64::MIN), |(sum, most), bet| (sum + bet, most.max(bet)));
         // Looking at the routes one by one as well is paid for by their number.
@@ -346,10 +400,11 @@
         sum.max(most - choices)
     }
 
-    fn verdict(&self, written: Option<&RolloutStatus>, now: SystemTime) -> Option<Verdict> {
+    fn verdict(&self, written: Option<&RolloutStatus>, bounds: RolloutBounds, now: SystemTime) -> Option<Verdict> {
+        let taken_over = 1.0 - TAKE_OVER * (1.0 - TAKEN_OVER) * bounds.max_share;
         let (outcome, reason) = if self.odds() > HALT_ODDS {
             (RolloutOutcome::RolledBack, "the new version fails or is slow more often than the old one")
-        } else if self.progress(now) >= TAKEN_OVER {
+        } else if self.progress(now) >= taken_over {
             (RolloutOutcome::Succeeded, "the new version took all requests and is as good as the old one")
         } else {
             (RolloutOutcome::Running, "the order was taken up")
@@ -360,7 +415,40 @@
     }
 }
 
-/// Where a subject stands among the slots, evenly spread and the same on every VM.
-fn place(service: &str, version: &str, subject: &str) -> u64 {
-    spread(&[service, version, subject]) % SLOTS
+/// Rises of the failure rate that are bet on, in equal parts.
+const RISES: [f64; 3] = [0.1, 0.25, 0.5];
+/// Rise of the failure rate that is accepted, so that a rate of nought does not make one failure a proof.
+const ACCEPTED_RISE: f64 = 0.02;
+/// Highest failure rate that is bet on.
+const MOST_FEARED: f64 = 0.95;
+
+/// Logarithm of what a bet on a rise of the failure rate has won, by a version against the others.
+///
+/// The others' rate is taken at the upper end of what their answers leave open, so that few of them prove
+/// nothing.
+fn odds_of(new: &Tally, old: &Tally) -> f64 {
+    let answers = old.ended as f64 + 4.0;
+    let rate = (old.failed as f64 + 1.0) / answers;
+    let usual = (rate + (rate * (1.0 - rate) / answers).sqrt() + ACCEPTED_RISE).min(0.9);
+    let (failed, fine) = (new.failed as f64, new.ended.saturating_sub(new.failed) as f64);
+    let won = RISES.map(|rise| {
+        let feared = (usual + rise).min(MOST_FEARED);
+        (failed * (feared / usual).ln() + fine * ((1.0 - feared) / (1.0 - usual)).ln()).exp()
+    });
+    (won.iter().sum::<f64>() / RISES.len() as f64).max(f64::MIN_POSITIVE).ln()
+}
+
+/// Where a subject stands among the slots, evenly spread and the same on every VM and for every order.
+fn place(subject: &str) -> u64 {
+    spread(&[subject]) % SLOTS
+}
+
+/// Slots of subjects that try a new version.
+fn slots(bounds: RolloutBounds) -> u64 {
+    (bounds.max_share * TRIAL_SHARE * SLOTS as f64) as u64
+}
+
+/// What a session is known by between VMs.
+fn mark(session: &str) -> SessionMark {
+    spread(&[session, "mark"])
 }
--- a/havengrade_core/src/rollout.rs
+++ b/havengrade_core/src/rollout.rs
@@ -81,7 +81,7 @@
 }
 
 /// Logarithm of the bet that the new version fails more often.
-pub(crate) fn failure_bet(new: &Tally, old: &Tally) -> f64 {
+fn failure_bet(new: &Tally, old: &Tally) -> f64 {
     let accepted = (old.failed as f64 + 1.0) / (old.ended as f64 + 50.0) + FAILURE_TOLERANCE;
     let feared = (accepted * FAILURE_RISE).min(0.9);
     let (failed, fine) = (new.failed as f64, new.ended.saturating_sub(new.failed) as f64);
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -53,6 +53,8 @@
 const MAX_ENDPOINTS: usize = 36;
 /// Counters that a report names.
 const MAX_EVIDENCE: usize = 12;
+/// Sessions that a report names.
+const MAX_HELD: usize = 24;
 /// States of roll-outs that a report names.
 const MAX_ROLLOUTS: usize = 4;
 
@@ -198,10 +200,13 @@
     let rollouts = cx.shared.rollouts();
     let mut evidence = rollouts.own_evidence(cx.shared.incarnation);
     evidence.truncate(MAX_EVIDENCE);
+    let mut held_sessions = rollouts.held_sessions(cx.shared.rollout_bounds(), cx.shared.clock.now());
+    held_sessions.truncate(MAX_HELD);
     Report {
         work: WorkReport { peer, seq, work: work.to_vec() },
         evidence,
         rollouts: rollouts.statuses().take(MAX_ROLLOUTS).cloned().collect(),
+        held_sessions,
     }
 }
 
@@ -249,6 +254,9 @@
         for seen in &report.evidence {
             rollouts.merge(peer.incarnation, seen);
         }
+        for session in report.held_sessions {
+            rollouts.hold(session, cx.shared.rollout_bounds(), now);
+        }
         for status in report.rollouts {
             let line = format!("{} to {}: {:?}", status.service, status.version, status.outcome);
             if rollouts.note_status(status) {
--- a/havengrade_router/src/published/rollouts.rs
+++ b/havengrade_router/src/published/rollouts.rs
@@ -29,13 +29,13 @@
 pub const NAME: &str = "published-rollouts";
 
 /// Time between two looks at the roll-outs.
-const LOOK_EVERY: Duration = Duration::from_millis(250);
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Time between two reads of what other VMs wrote, while a roll-out is under way.
 const READ_EVERY: Duration = Duration::from_millis(1000);
 /// Most time that a VM leaves to others for writing that an order was taken up.
 const TAKE_UP_SPREAD_MS: u64 = 3000;
 /// Most time that a VM leaves to others for writing how a roll-out ended.
-const END_SPREAD_MS: u64 = 300;
+const END_SPREAD_MS: u64 = 150;
 
 /// The service, until it is started.
 pub(super) struct RolloutService {
@@ -111,7 +111,7 @@
         if !is_read && !self.read().await {
             return;
         }
-        let verdicts = self.cx.shared.rollouts().verdicts(now);
+        let verdicts = self.cx.shared.rollouts().verdicts(self.cx.shared.rollout_bounds(), now);
         for verdict in verdicts {
             if self.is_due(&verdict, now) {
                 self.write(&verdict).await;
--- a/havengrade_router/src/published/wire.rs
+++ b/havengrade_router/src/published/wire.rs
@@ -7,7 +7,7 @@
     published::{
         directory::{DirectoryEvent, ListedEndpoint},
         peers::{Peer, Work, WorkReport},
-        rollout::{RolloutOutcome, RolloutStatus, RouteEvidence},
+        rollout::{RolloutOutcome, RolloutStatus, RouteEvidence, SessionMark},
     },
 };
 use havengrade_rpc::reports::{
@@ -27,6 +27,8 @@
     pub(super) evidence: Vec<RouteEvidence>,
     /// States of roll-outs that it knows to be written.
     pub(super) rollouts: Vec<RolloutStatus>,
+    /// Sessions that keep to an old version while a new one is tried.
+    pub(super) held_sessions: Vec<SessionMark>,
 }
 
 pub(super) fn encode_report(report: Report) -> VmReport {
@@ -42,6 +44,8 @@
         .rollouts
         .into_iter()
         .map(|status| RolloutState::new(status.service, status.version, outcome_name(status.outcome).to_owned()));
+    // A mark is 64 bits without a meaning of their own, so it passes through the schema's signed integers.
+    let held: Vec<i64> = report.held_sessions.into_iter().map(u64::cast_signed).collect();
     let (evidence, rollouts): (Vec<_>, Vec<_>) = (evidence.collect(), rollouts.collect());
     VmReport::new(
         peer.vm,
@@ -51,6 +55,7 @@
         work.collect::<Vec<_>>(),
         (!evidence.is_empty()).then_some(evidence),
         (!rollouts.is_empty()).then_some(rollouts),
+        (!held.is_empty()).then_some(held),
     )
 }
 
@@ -77,6 +82,7 @@
         work: WorkReport { peer, seq: from_i64(report.seq), work: work.collect::<Vec<(EndpointId, Work)>>() },
         evidence: evidence.collect(),
         rollouts: rollouts.collect(),
+        held_sessions: report.held_sessions.unwrap_or_default().into_iter().map(i64::cast_unsigned).collect(),
     })
 }
 
--- a/schema/reports.thrift
+++ b/schema/reports.thrift
@@ -40,6 +40,8 @@
   5: required list<EndpointWork> work,
   6: optional list<RouteEvidence> evidence,
   7: optional list<RolloutState> rollouts,
+  /** Sessions that keep to an old version while a new one is tried. */
+  8: optional list<i64> held_sessions,
 }
 
 /** An entry of the list of endpoints. */
