Find slow and rarely used bad versions, and write a roll-out's end in time

Change: the trial's share is worked out from the bound, the sessions' wait and the take-over; times are compared by route and model, for the size of the prompt; answers that a doubting model gave count as well. Readers tell all others by a hint when operators wrote something.

Open: under_load versions are not rolled back (a duty).

--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -45,15 +45,15 @@
     pub outcome: RolloutOutcome,
 }
 
-/// Share of the subjects that try a new version, as a part of the bound on a bad one.
-const TRIAL_SHARE: f64 = 0.4;
+/// Part of the bound on a bad version that is used.
+const USED_BOUND: f64 = 0.93;
 /// Part of an order's time, as a part of the bound, at whose end the new version takes all requests.
 ///
-/// Some versions are bad only under the load of all requests. With the share before, what a bad one gets
-/// until its order's time is over stays under the bound: 0.4 + 0.5 of it.
-const TAKE_OVER: f64 = 0.5;
+/// Some versions are bad only under the load of all requests. What is left of the bound is for the trial
+/// before, so that what a bad version gets until its order's time is over stays under the bound.
+const TAKE_OVER: f64 = 0.3;
 /// Part of the take-over's time after which the old version is given up.
-const TAKEN_OVER: f64 = 0.6;
+const TAKEN_OVER: f64 = 0.4;
 /// Logarithm of the odds against "as good as the old one" at which a version is rolled back.
 ///
 /// A version as good as the old one reaches it in one roll-out out of a hundred (Ville's inequality).
@@ -85,7 +85,7 @@
     outcome: RolloutOutcome,
     /// What all VMs saw, by route and version; all versions but the new one count as `OLD`.
     evidence: Evidence,
-    /// Smoothed logarithm of the old version's time to the first byte here, in milliseconds.
+    /// Smoothed logarithm of the old version's time to the first byte here, in milliseconds by size of the work.
     old_latency: HashMap<RouteId, f64>,
 }
 
@@ -109,20 +109,23 @@
 
 /// Weight of a new measurement in the smoothed latency.
 const LATENCY_WEIGHT: f64 = 0.1;
-/// An answer this many times slower than the old version's usual counts as bad.
-const SLOW_FACTOR: f64 = 3.5;
+/// An answer this many times slower than the old version's usual counts as bad; the old version's own slow
+/// answers count as well, so the factor need not be sure.
+const SLOW_FACTOR: f64 = 2.5;
 
 /// How an answer of a version turned out.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Sample<'a> {
-    /// Route of the request.
-    pub route: &'a str,
+    /// What its time is compared with: the route, and the model where it has several.
+    pub kind: &'a str,
     /// Version that answered.
     pub version: &'a str,
     /// Whether it failed: an error of the endpoint or an answer broken off.
     pub failed: bool,
     /// Time to the first byte, where one came.
     pub latency: Option<Duration>,
+    /// Size of the work, to which the time is usually in proportion; 1 for a plain request.
+    pub size: f64,
 }
 
 /// What should be written for an order.
@@ -248,7 +251,7 @@
             (Phase::Trial, Some(pin)) => pin.version == *new,
             (Phase::Trial, None) => {
                 let is_held = session.is_some_and(|id| self.is_held(id, now));
-                !is_held && place(session.unwrap_or(subject)) < slots(bounds)
+                !is_held && place(session.unwrap_or(subject)) < running.slots(bounds, session.is_some())
             },
         };
         if takes_new { Allowed::Only(new.clone()) } else { Allowed::Not(new.clone()) }
@@ -278,14 +281,14 @@
     /// Other VMs are told of them, for the case that their next request goes there.
     pub fn held_sessions(&self, bounds: RolloutBounds, now: SystemTime) -> Vec<SessionMark> {
         let running = self.by_service.values().filter(|running| running.outcome == RolloutOutcome::Running);
-        let versions: BTreeSet<&SoftwareVersion> = running.map(|running| &running.order.version).collect();
-        if versions.is_empty() {
-            return Vec::new();
-        }
+        let running: Vec<&Running> = running.collect();
         let live = self.sessions.iter().filter(|(_, pin)| now < pin.used + bounds.session_time);
-        let old = live.filter(|(id, pin)| !versions.contains(&pin.version) && place(id) < slots(bounds));
+        let old = live.filter(|(id, pin)| {
+            running.iter().any(|r| pin.version != r.order.version && place(id) < r.slots(bounds, true))
+        });
         let own = old.map(|(id, _)| mark(id));
-        let others = self.held.iter().filter(|(_, until)| now < **until).map(|(mark, _)| *mark);
+        let others = self.held.iter().filter(|(_, until)| !running.is_empty() && now < **until);
+        let others = others.map(|(mark, _)| *mark);
         own.chain(others).collect()
     }
 
@@ -359,18 +362,29 @@
         if is_session && is_early { Phase::Waiting } else { Phase::Trial }
     }
 
+    /// Slots of subjects that try the new version; sessions begin later than other requests.
+    fn slots(&self, bounds: RolloutBounds, is_session: bool) -> u64 {
+        let waited =
+            if is_session { bounds.session_time.as_secs_f64() / self.order.duration.as_secs_f64() } else { 0.0 };
+        let take_over = TAKE_OVER * bounds.max_share;
+        let trial = (1.0 - waited - take_over).max(TAKE_OVER);
+        let share = (USED_BOUND * bounds.max_share - take_over) / trial;
+        (share * SLOTS as f64) as u64
+    }
+
     fn note(&mut self, sample: Sample<'_>, own: Incarnation) {
         let is_new = sample.version == self.order.version;
-        let latency = sample.latency.map(|latency| latency.as_secs_f64().mul_add(1000.0, 1.0).ln());
-        let usual = self.old_latency.get(sample.route).copied();
+        let latency =
+            sample.latency.map(|latency| (latency.as_secs_f64().mul_add(1000.0, 1.0) / sample.size.max(1.0)).ln());
+        let usual = self.old_latency.get(sample.kind).copied();
         let is_slow = matches!((latency, usual), (Some(latency), Some(usual)) if latency > usual + SLOW_FACTOR.ln());
         let version = if is_new { sample.version } else { OLD };
-        let subject = Subject { class: sample.route.to_owned(), version: version.to_owned() };
+        let subject = Subject { class: sample.kind.to_owned(), version: version.to_owned() };
         let failed = u64::from(sample.failed || is_slow);
         self.evidence.record(&subject, own, Tally { ended: 1, failed, ..Tally::default() });
         if let (false, Some(latency)) = (is_new, latency) {
             let usual = usual.unwrap_or(latency);
-            self.old_latency.insert(sample.route.to_owned(), usual + LATENCY_WEIGHT * (latency - usual));
+            self.old_latency.insert(sample.kind.to_owned(), usual + LATENCY_WEIGHT * (latency - usual));
         }
     }
 
@@ -443,11 +457,6 @@
     spread(&[subject]) % SLOTS
 }
 
-/// Slots of subjects that try a new version.
-fn slots(bounds: RolloutBounds) -> u64 {
-    (bounds.max_share * TRIAL_SHARE * SLOTS as f64) as u64
-}
-
 /// What a session is known by between VMs.
 fn mark(session: &str) -> SessionMark {
     spread(&[session, "mark"])
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -539,10 +539,15 @@
     head
 }
 
+/// Prompt tokens that take as long to read as everything else takes until a first token.
+const FIRST_TOKEN_WORK: f64 = 500.0;
+
 /// Notes how an answer turned out.
 pub(super) fn note_answer(cx: &PublishedContext, job: &Job, opened: &ListedEndpoint, failed: bool, took: Duration) {
-    let sample =
-        Sample { route: &job.route.name, version: &opened.version, failed, latency: (!failed).then_some(took) };
+    let kind = format!("{}/{}", job.route.name, job.model.as_deref().unwrap_or_default());
+    let size = job.facts.tokens.map_or(1.0, |tokens| f64::from(tokens.prompt) + FIRST_TOKEN_WORK);
+    let latency = (!failed).then_some(took);
+    let sample = Sample { kind: &kind, version: &opened.version, failed, latency, size };
     cx.shared.rollouts().note(&job.service, sample, cx.shared.incarnation);
     if failed {
         fail(cx, opened);
@@ -574,6 +579,8 @@
     if !after.may_try_again() || !cx.shared.take_spare_retry(&job.service) {
         return None;
     }
+    let took = cx.shared.clock.now().duration_since(opened.sent).unwrap_or_default();
+    note_answer(cx, job, &opened.endpoint, false, took);
     log::info!(
         request = job.id.as_str(),
         confidence = opened.confidence.unwrap_or_default(),
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -23,7 +23,7 @@
     published::{
         context::PublishedContext,
         ports::Roster,
-        store_view::{Questions, answer},
+        store_view::{Questions, answer, hint},
         wire::{Report, decode_report, encode_report},
     },
     services::tick,
@@ -52,7 +52,7 @@
 /// Endpoints that a report names; those with the most work come first.
 const MAX_ENDPOINTS: usize = 36;
 /// Counters that a report names.
-const MAX_EVIDENCE: usize = 12;
+const MAX_EVIDENCE: usize = 16;
 /// Sessions that a report names.
 const MAX_HELD: usize = 24;
 /// States of roll-outs that a report names.
@@ -99,6 +99,8 @@
     socket: Arc<dyn Datagrams>,
     questions: Arc<Mutex<Questions>>,
     seq: u64,
+    /// Position in operators' records of which the others were told.
+    hinted: Option<u64>,
     sent: Option<(SystemTime, Vec<(EndpointId, Work)>)>,
     pause: u32,
     _tasks: [AbortOnDropHandle<()>; 3],
@@ -117,7 +119,7 @@
             AbortOnDropHandle::new(tokio::spawn(receive(cx.clone(), socket.clone(), questions.clone()))),
             AbortOnDropHandle::new(tokio::spawn(keep_roster(cx.clone(), roster))),
         ];
-        Ok(PeersState { cx, socket, questions, seq: 0, sent: None, pause: 0, _tasks: tasks })
+        Ok(PeersState { cx, socket, questions, seq: 0, hinted: None, sent: None, pause: 0, _tasks: tasks })
     }
 
     async fn handle(
@@ -136,6 +138,7 @@
         let now = self.cx.shared.clock.now();
         let work = own_work(&self.cx);
         self.ask(now).await;
+        self.hint(now).await;
         let is_same = self.sent.as_ref().is_some_and(|(at, sent)| *sent == work && now < *at + REPORT_EVERY);
         if is_same || self.pause > 0 {
             self.pause = self.pause.saturating_sub(1);
@@ -159,6 +162,19 @@
         send(&*self.socket, &datagram, &to).await;
     }
 
+    /// Tells all others that operators wrote something, where this VM reads the store for them.
+    async fn hint(&mut self, now: SystemTime) {
+        let position = self.cx.shared.view().operators;
+        if position <= self.hinted || !self.cx.shared.is_reader() {
+            return;
+        }
+        self.hinted = position;
+        let to: Vec<SocketAddr> = self.cx.shared.peers().all().map(|peer| peer.address).collect();
+        if let Some(hint) = hint(&self.cx, now) {
+            send(&*self.socket, &Datagram::Answer(hint), &to).await;
+        }
+    }
+
     /// Asks a VM that reads the store, if it is time.
     async fn ask(&self, now: SystemTime) {
         let question = lock(&self.questions).next(&self.cx, now);
--- a/havengrade_router/src/published/rollouts.rs
+++ b/havengrade_router/src/published/rollouts.rs
@@ -35,7 +35,7 @@
 /// Most time that a VM leaves to others for writing that an order was taken up.
 const TAKE_UP_SPREAD_MS: u64 = 3000;
 /// Most time that a VM leaves to others for writing how a roll-out ended.
-const END_SPREAD_MS: u64 = 150;
+const END_SPREAD_MS: u64 = 100;
 
 /// The service, until it is started.
 pub(super) struct RolloutService {
--- a/havengrade_router/src/published/store_view.rs
+++ b/havengrade_router/src/published/store_view.rs
@@ -32,6 +32,9 @@
 /// Most changes in one answer, so that it fits a packet; who misses more reads the store.
 const MAX_CHANGES: usize = 10;
 
+/// Number of an answer that nobody asked for: it only says that operators wrote something.
+const HINT: u64 = 0;
+
 /// A question that was asked.
 #[derive(Clone, Copy, Debug)]
 struct Asked {
@@ -74,6 +77,10 @@
 
     /// Takes an answer and hands it to the services that follow the store.
     pub(super) fn take(&mut self, cx: &PublishedContext, answer: StoreAnswer) {
+        if from_i64(answer.number) == HINT {
+            take_hint(cx, &answer);
+            return;
+        }
         let Some(asked) = self.last.as_mut().filter(|asked| asked.number == from_i64(answer.number)) else { return };
         asked.is_answered = true;
         let asked = *asked;
@@ -82,6 +89,21 @@
     }
 }
 
+/// What a VM that reads the store tells all others when operators wrote something.
+pub(super) fn hint(cx: &PublishedContext, now: SystemTime) -> Option<StoreAnswer> {
+    let question = StoreQuestion::new(to_i64(HINT), String::new(), 0, to_i64(u64::MAX));
+    answer(cx, &question, now)
+}
+
+/// A hint is believed no further than that the store is worth a look.
+fn take_hint(cx: &PublishedContext, hint: &StoreAnswer) {
+    let known = cx.shared.view().operators;
+    let is_news = known.is_some_and(|known| from_i64(hint.operators_position) > known);
+    if let (true, Some(service)) = (is_news, find::<OperatorEvent>(cx, OPERATORS)) {
+        send(&service, FollowMessage::Hurry);
+    }
+}
+
 /// The VMs that read the store; none where this one is among them.
 fn find_readers(cx: &PublishedContext, now: SystemTime) -> Option<Vec<SocketAddr>> {
     let me = &cx.shared.settings.vm.id;
