--- a/havengrade_core/tests/published.rs
+++ b/havengrade_core/tests/published.rs
@@ -21,7 +21,6 @@
     selection::EndpointState,
 };
 use proptest::prelude::*;
-use rand::RngExt as _;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
 
 const START: SystemTime = SystemTime::UNIX_EPOCH;
