Do not pay for retries that were not sent; let no late report undo a roll-out's end

Change: a try that was not sent is put back; a kept connection that has ended is replaced by a new one at once; an endpoint that refuses a connection is passed over after the first time. What other VMs say of a roll-out neither undoes an end nor speaks of another order.

Tests of both fail on the code before.

--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -204,6 +204,16 @@
         true
     }
 
+    /// Takes a status that another VM says is written; tells whether it changes what is known.
+    ///
+    /// VMs learn at different times, so one that says "under way" does not undo an end that is known, and one
+    /// of another order says nothing.
+    pub fn learn_status(&mut self, status: RolloutStatus) -> bool {
+        let ordered = self.by_service.get(&status.service).map(|running| &running.order.version);
+        let is_settled = self.is_settled(&status);
+        ordered == Some(&status.version) && !is_settled && self.note_status(status)
+    }
+
     /// The status that is known to be written for a service.
     pub fn written(&self, service: &str) -> Option<&RolloutStatus> {
         self.statuses.get(service)
--- a/havengrade_core/src/retry.rs
+++ b/havengrade_core/src/retry.rs
@@ -48,6 +48,20 @@
         self.saved = (self.saved + self.earned_percent).min(self.most_saved);
     }
 
+    /// Puts a retry back that was taken, since nothing was sent.
+    ///
+    /// ```
+    /// use havengrade_core::retry::RetryBudget;
+    ///
+    /// let mut budget = RetryBudget::with_savings(50, 1);
+    /// assert!(budget.take());
+    /// budget.put_back();
+    /// assert!(budget.take());
+    /// ```
+    pub fn put_back(&mut self) {
+        self.saved = (self.saved + PRICE).min(self.most_saved);
+    }
+
     /// Takes a retry out of the budget, if at least one more stays in it.
     ///
     /// ```
--- a/havengrade_core/tests/published.rs
+++ b/havengrade_core/tests/published.rs
@@ -470,3 +470,14 @@
         }
     }
 }
+
+#[test]
+fn what_other_vms_say_does_not_undo_the_end_of_a_roll_out() {
+    let mut rollouts = running();
+    let status = |version: &str, outcome| RolloutStatus { service: "events".into(), version: version.into(), outcome };
+    assert!(rollouts.learn_status(status("v2", RolloutOutcome::Running)));
+    assert!(rollouts.learn_status(status("v2", RolloutOutcome::RolledBack)));
+    assert!(!rollouts.learn_status(status("v2", RolloutOutcome::Running)));
+    assert!(!rollouts.learn_status(status("v1", RolloutOutcome::Succeeded)));
+    assert_eq!(rollouts.written("events"), Some(&status("v2", RolloutOutcome::RolledBack)));
+}
--- a/havengrade_dev/tests/published.rs
+++ b/havengrade_dev/tests/published.rs
@@ -400,6 +400,22 @@
     assert_eq!(after, ["3"]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn endpoints_that_refuse_connections_cost_no_retries() {
+    let broken = Reply::Close(stream(1..=2, ""));
+    let replies: Vec<Reply> =
+        std::iter::repeat_n([broken, Reply::Write(stream(3..=4, LAST_CHUNK))], 8).flatten().collect();
+    let bench = Bench::start_shared(2, replies).await;
+    for dead in 2..5 {
+        bench.store.list(DirectoryEvent::Seen(listed(&bench.pipes, dead, "v1")));
+    }
+    sleep(Duration::from_secs(1)).await;
+    for id in 0..8 {
+        let answer = bench.ask(&get("/stream/", &format!("r{id}"))).await;
+        assert_eq!(event_ids(&answer), [1, 2, 3, 4], "request {id}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_stream_that_can_not_go_on_ends_visibly_unfinished() {
     let broken = || Reply::Close(stream(1..=2, ""));
--- a/havengrade_router/src/published/channels.rs
+++ b/havengrade_router/src/published/channels.rs
@@ -47,6 +47,9 @@
         /// What the library says.
         source: hyper::Error,
     },
+    /// The request was written, and no answer came in time.
+    #[snafu(display("no answer in time"))]
+    NoAnswer,
 }
 
 /// A connection to an endpoint; dropping it closes it, and ends the work on it.
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -218,6 +218,11 @@
         self.with_budget(service, RetryBudget::take)
     }
 
+    /// Puts a retry at a service back, since nothing was sent.
+    pub fn put_back_retry(&self, service: &str) {
+        self.with_budget(service, RetryBudget::put_back);
+    }
+
     /// Takes a retry at a service out of the budget, if one more stays for failures.
     pub fn take_spare_retry(&self, service: &str) -> bool {
         self.with_budget(service, RetryBudget::take_spare)
--- a/havengrade_router/src/published/events.rs
+++ b/havengrade_router/src/published/events.rs
@@ -272,7 +272,12 @@
                     note_answer(&self.cx, job, &opened.endpoint, true, Duration::ZERO);
                     job.attempts.note(RunState::Ran);
                 },
-                Err(state) => job.attempts.note(state),
+                Err(state) => {
+                    if state == RunState::NotSent {
+                        self.cx.shared.put_back_retry(&job.service);
+                    }
+                    job.attempts.note(state);
+                },
             }
         }
         None
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -347,7 +347,11 @@
     if let Some(session) = &job.facts.session {
         cx.shared.rollouts().pin(session, &chosen.endpoint.version, now);
     }
-    Ok(open(cx, job, chosen, None).await)
+    let opened = open(cx, job, chosen, None).await;
+    if job.attempts.is_repeat() && matches!(opened, Err(RunState::NotSent)) {
+        cx.shared.put_back_retry(&job.service);
+    }
+    Ok(opened)
 }
 
 /// An endpoint for a try, and the prompt tokens that it will have to read.
@@ -404,23 +408,12 @@
 ) -> Result<Opened, RunState> {
     let in_flight = cx.shared.states.enter_with(&endpoint.id, tokens);
     let max_idle = if job.attempts.is_repeatable() { MAX_IDLE } else { MAX_IDLE_ONCE };
-    let now = cx.shared.clock.now();
-    let opened = cx.shared.channels.open(&endpoint.id, endpoint.address, max_idle, now).await;
-    let mut channel = match opened {
-        Ok(channel) => channel,
-        Err(error) => return Err(failed(cx, job, &endpoint, &error)),
-    };
-    let sent = cx.shared.clock.now();
-    let request = encode(cx, job, &endpoint, resume_after, sent);
-    let response = match timeout(job.time_left(sent) + LIMIT_SLACK, channel.send(request)).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => return Err(failed(cx, job, &endpoint, &error)),
-        Err(_) => {
-            log_try(job, &endpoint, "no answer in time");
-            fail(cx, &endpoint);
-            return Err(RunState::MayHaveRun);
-        },
-    };
+    let (mut channel, response, sent) = match exchange(cx, job, &endpoint, resume_after, max_idle).await {
+        // A kept connection may have ended just before; whether the endpoint lives, a new one tells.
+        Err(ChannelError::NotSent { .. }) => exchange(cx, job, &endpoint, resume_after, Duration::ZERO).await,
+        exchanged => exchanged,
+    }
+    .map_err(|error| failed(cx, job, &endpoint, &error))?;
     let (head, body) = response.into_parts();
     let facts = cx.shared.dialect.decode_answer(head.status, &head.headers);
     if let Some(keep) = facts.keep_alive {
@@ -433,6 +426,24 @@
     Ok(Opened { endpoint, channel, head, body, in_flight, sent, confidence: facts.confidence })
 }
 
+/// Sends a request over a connection that rested for less than `max_idle`, or a new one.
+async fn exchange(
+    cx: &PublishedContext,
+    job: &Job,
+    endpoint: &ListedEndpoint,
+    resume_after: Option<&str>,
+    max_idle: Duration,
+) -> Result<(Channel, Response<Incoming>, SystemTime), ChannelError> {
+    let now = cx.shared.clock.now();
+    let mut channel = cx.shared.channels.open(&endpoint.id, endpoint.address, max_idle, now).await?;
+    let sent = cx.shared.clock.now();
+    let request = encode(cx, job, endpoint, resume_after, sent);
+    match timeout(job.time_left(sent) + LIMIT_SLACK, channel.send(request)).await {
+        Ok(response) => Ok((channel, response?, sent)),
+        Err(_) => Err(ChannelError::NoAnswer),
+    }
+}
+
 /// Tells an answer that can be used from one that can't.
 fn check(
     cx: &PublishedContext,
@@ -463,16 +474,27 @@
 /// Notes a failure of the connection; tells how far the request got.
 fn failed(cx: &PublishedContext, job: &Job, endpoint: &ListedEndpoint, error: &ChannelError) -> RunState {
     log_try(job, endpoint, &error.to_string());
-    fail(cx, endpoint);
+    let state = run_state(error);
+    // One refused connection says more than a failed answer does.
+    fail_after(cx, endpoint, if state == RunState::NotSent { 1 } else { EJECT_AFTER });
+    state
+}
+
+fn run_state(error: &ChannelError) -> RunState {
     match error {
         ChannelError::NotSent { .. } => RunState::NotSent,
-        ChannelError::Lost { .. } => RunState::MayHaveRun,
+        ChannelError::Lost { .. } | ChannelError::NoAnswer => RunState::MayHaveRun,
     }
 }
 
 fn fail(cx: &PublishedContext, endpoint: &ListedEndpoint) {
+    fail_after(cx, endpoint, EJECT_AFTER);
+}
+
+/// Notes a failure; after so many in a row the endpoint is passed over for a time.
+fn fail_after(cx: &PublishedContext, endpoint: &ListedEndpoint, failures: u32) {
     if let Some(slot) = cx.shared.states.slot(&endpoint.id) {
-        slot.fail(EJECT_AFTER, EJECT_FOR, cx.shared.clock.now());
+        slot.fail(failures, EJECT_FOR, cx.shared.clock.now());
     }
 }
 
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -275,7 +275,7 @@
         }
         for status in report.rollouts {
             let line = format!("{} to {}: {:?}", status.service, status.version, status.outcome);
-            if rollouts.note_status(status) {
+            if rollouts.learn_status(status) {
                 log::info!(state = line.as_str(), from = peer.vm.as_str(); "state of a roll-out learned");
             }
         }
