Count a roll-out's end in time, and judge new versions sooner

Change: the end is written 0.8 s ahead; sessions wait 2 s, in which VMs tell each other which keep to the old version; evidence is summed by route; a version is rolled back at odds of 20 to 1, since a good one that is rolled back by mistake is ordered again and a bad one fails its callers.

--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -45,19 +45,24 @@
     pub outcome: RolloutOutcome,
 }
 
-/// Part of the bound on a bad version that is used.
-const USED_BOUND: f64 = 0.93;
+/// Part of the bound on a bad version that is used; the rest is for sessions that ask more than others.
+const USED_BOUND: f64 = 0.87;
 /// Part of an order's time, as a part of the bound, at whose end the new version takes all requests.
 ///
 /// Some versions are bad only under the load of all requests. What is left of the bound is for the trial
 /// before, so that what a bad version gets until its order's time is over stays under the bound.
-const TAKE_OVER: f64 = 0.3;
-/// Part of the take-over's time after which the old version is given up.
-const TAKEN_OVER: f64 = 0.4;
+const TAKE_OVER: f64 = 0.45;
+/// Time before the deadline at which the end is written; 0.3 s before it was measured to be too late, since
+/// operators look only now and then.
+const WRITE_AHEAD: Duration = Duration::from_millis(800);
 /// Logarithm of the odds against "as good as the old one" at which a version is rolled back.
 ///
-/// A version as good as the old one reaches it in one roll-out out of a hundred (Ville's inequality).
-const HALT_ODDS: f64 = 4.6;
+/// A version as good as the old one reaches it in one roll-out out of twenty (Ville's inequality). One that is
+/// rolled back by mistake is ordered again; one that is let through by mistake fails its callers.
+const HALT_ODDS: f64 = 3.0;
+/// Time after an order from which sessions try the new version: until then VMs tell each other which sessions
+/// keep to the old one.
+const SESSION_WAIT: Duration = Duration::from_secs(2);
 /// Slots of a share; subjects fall evenly on them.
 const SLOTS: u64 = 10_000;
 
@@ -113,6 +118,9 @@
 /// answers count as well, so the factor need not be sure.
 const SLOW_FACTOR: f64 = 2.5;
 
+/// Stands in a sample's kind between the route and the model.
+pub const KIND_SEPARATOR: char = '/';
+
 /// How an answer of a version turned out.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Sample<'a> {
@@ -337,9 +345,9 @@
     }
 
     /// What should be written now, for all services.
-    pub fn verdicts(&self, bounds: RolloutBounds, now: SystemTime) -> Vec<Verdict> {
+    pub fn verdicts(&self, now: SystemTime) -> Vec<Verdict> {
         let running = self.by_service.values().filter(|running| running.outcome == RolloutOutcome::Running);
-        running.filter_map(|running| running.verdict(self.written(&running.order.service), bounds, now)).collect()
+        running.filter_map(|running| running.verdict(self.written(&running.order.service), now)).collect()
     }
 }
 
@@ -364,22 +372,29 @@
         if self.odds() > HALT_ODDS {
             return Phase::Halted;
         }
-        if self.progress(now) >= 1.0 - TAKE_OVER * bounds.max_share {
+        if self.progress(now) >= 1.0 - self.take_over(bounds) {
             return Phase::TakeOver;
         }
         // Sessions that began before the order keep to the old version; other VMs must learn of them first.
-        let is_early = now < self.since + bounds.session_time;
+        let is_early = now < self.since + SESSION_WAIT;
         if is_session && is_early { Phase::Waiting } else { Phase::Trial }
     }
 
     /// Slots of subjects that try the new version; sessions begin later than other requests.
     fn slots(&self, bounds: RolloutBounds, is_session: bool) -> u64 {
-        let waited =
-            if is_session { bounds.session_time.as_secs_f64() / self.order.duration.as_secs_f64() } else { 0.0 };
-        let take_over = TAKE_OVER * bounds.max_share;
-        let trial = (1.0 - waited - take_over).max(TAKE_OVER);
+        let duration = self.order.duration.as_secs_f64().max(f64::MIN_POSITIVE);
+        let waited = if is_session { SESSION_WAIT.as_secs_f64() / duration } else { 0.0 };
+        let take_over = self.take_over(bounds);
+        let trial = (1.0 - waited - take_over).max(bounds.max_share);
         let share = (USED_BOUND * bounds.max_share - take_over) / trial;
-        (share * SLOTS as f64) as u64
+        (share.max(0.0) * SLOTS as f64) as u64
+    }
+
+    /// Part of the order's time for which the new version has all requests before the deadline.
+    fn take_over(&self, bounds: RolloutBounds) -> f64 {
+        let duration = self.order.duration.as_secs_f64().max(f64::MIN_POSITIVE);
+        let written = WRITE_AHEAD.as_secs_f64() / duration;
+        (TAKE_OVER * bounds.max_share).max(written)
     }
 
     fn note(&mut self, sample: Sample<'_>, own: Incarnation) {
@@ -415,20 +430,25 @@
     /// Logarithm of the odds that the new version is worse, on all routes together or on one of them.
     fn odds(&self) -> f64 {
         let totals = self.evidence.totals();
-        let routes: BTreeSet<&RouteId> = self.evidence.subjects().map(|subject| &subject.class).collect();
-        let bet = |route: &&RouteId| odds_of(&totals.get(route, &self.order.version), &totals.get(route, OLD));
-        let (sum, most) =
-            routes.iter().map(bet).fold((0.0f64, f64::MIN), |(sum, most), bet| (sum + bet, most.max(bet)));
+        let mut by_route: HashMap<&str, f64> = HashMap::new();
+        let kinds: BTreeSet<&str> = self.evidence.subjects().map(|subject| subject.class.as_str()).collect();
+        for kind in kinds {
+            let route = kind.split_once(KIND_SEPARATOR).map_or(kind, |(route, _)| route);
+            let bet = odds_of(&totals.get(kind, &self.order.version), &totals.get(kind, OLD));
+            *by_route.entry(route).or_default() += bet;
+        }
+        let sum: f64 = by_route.values().sum();
+        let most = by_route.values().copied().fold(f64::MIN, f64::max);
         // Looking at the routes one by one as well is paid for by their number.
-        let choices = (routes.len() as f64).max(1.0).ln();
+        let choices = (by_route.len() as f64).max(1.0).ln();
         sum.max(most - choices)
     }
 
-    fn verdict(&self, written: Option<&RolloutStatus>, bounds: RolloutBounds, now: SystemTime) -> Option<Verdict> {
-        let taken_over = 1.0 - TAKE_OVER * (1.0 - TAKEN_OVER) * bounds.max_share;
+    fn verdict(&self, written: Option<&RolloutStatus>, now: SystemTime) -> Option<Verdict> {
+        let is_due = now + WRITE_AHEAD >= self.since + self.order.duration;
         let (outcome, reason) = if self.odds() > HALT_ODDS {
             (RolloutOutcome::RolledBack, "the new version fails or is slow more often than the old one")
-        } else if self.progress(now) >= taken_over {
+        } else if is_due {
             (RolloutOutcome::Succeeded, "the new version took all requests and is as good as the old one")
         } else {
             (RolloutOutcome::Running, "the order was taken up")
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -13,7 +13,7 @@
         directory::ListedEndpoint,
         peers::Work,
         placement::{Candidate, Placement, Prompt, place},
-        rollout::Sample,
+        rollout::{KIND_SEPARATOR, Sample},
         route::{AnswerShape, PublishedRoute, Repeat, RouteTable},
         size,
     },
@@ -566,7 +566,7 @@
 
 /// Notes how an answer turned out.
 pub(super) fn note_answer(cx: &PublishedContext, job: &Job, opened: &ListedEndpoint, failed: bool, took: Duration) {
-    let kind = format!("{}/{}", job.route.name, job.model.as_deref().unwrap_or_default());
+    let kind = format!("{}{KIND_SEPARATOR}{}", job.route.name, job.model.as_deref().unwrap_or_default());
     let size = job.facts.tokens.map_or(1.0, |tokens| f64::from(tokens.prompt) + FIRST_TOKEN_WORK);
     let latency = (!failed).then_some(took);
     let sample = Sample { kind: &kind, version: &opened.version, failed, latency, size };
--- a/havengrade_router/src/published/rollouts.rs
+++ b/havengrade_router/src/published/rollouts.rs
@@ -111,7 +111,7 @@
         if !is_read && !self.read().await {
             return;
         }
-        let verdicts = self.cx.shared.rollouts().verdicts(self.cx.shared.rollout_bounds(), now);
+        let verdicts = self.cx.shared.rollouts().verdicts(now);
         for verdict in verdicts {
             if self.is_due(&verdict, now) {
                 self.write(&verdict).await;
