--- a/havengrade_router/src/cli.rs
+++ b/havengrade_router/src/cli.rs
@@ -10,10 +10,10 @@
 /// command line, 3 for faulty settings, 4 where a planned stop reached its limit with requests in
 /// progress, 5 after a second signal.
 #[derive(Debug, Parser)]
-#[command(name = "havengrade-router", version)]
+#[command(version)]
 pub struct Options {
     /// Settings file, in TOML.
-    #[arg(long, value_name = "FILE", required_unless_present = "print_defaults")]
+    #[arg(long, value_name = "FILE", env = "HAVENGRADE_CONFIG", required_unless_present = "print_defaults")]
     pub settings: Option<PathBuf>,
 
     /// Check the settings and exit.
--- a/havengrade_router/src/lib.rs
+++ b/havengrade_router/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod endpoints;
 pub mod http;
 pub mod kernel;
+pub mod launch;
 pub mod logging;
 pub mod metrics;
 pub mod net;
--- /dev/null
+++ b/havengrade_router/src/published/choose.rs
@@ -0,0 +1,59 @@
+//! The endpoint for a try at a request.
+
+use std::time::SystemTime;
+
+use havengrade_core::{
+    published::{
+        directory::ListedEndpoint,
+        peers::Work,
+        placement::{Candidate, Placement, Prompt, place},
+    },
+    selection::EndpointStates as _,
+};
+
+use crate::published::{context::PublishedContext, job::Job};
+
+/// An endpoint for a try, and the prompt tokens that it will have to read.
+#[derive(Clone, Debug)]
+pub(super) struct Chosen {
+    /// The endpoint.
+    pub(super) endpoint: ListedEndpoint,
+    /// Prompt tokens, in those of the largest model.
+    pub(super) tokens: u32,
+}
+
+/// The endpoint for the next try.
+pub(super) fn choose(cx: &PublishedContext, job: &Job, now: SystemTime) -> Option<Chosen> {
+    let usable = cx.shared.usable.load();
+    let endpoints = usable.get(&job.service)?;
+    let session = job.facts.session.as_deref();
+    let allowed = cx.shared.rollouts().allowed(&job.service, &job.id, session, cx.shared.rollout_bounds(), now);
+    let versioned: Vec<_> =
+        endpoints.iter().filter(|e| allowed.includes(&e.version)).map(|e| candidate(cx, e)).collect();
+    let prompt = prompt(cx, job);
+    let domain = &cx.shared.settings.vm.failure_domain;
+    let placement = Placement { failure_domain: domain, tried: &job.tried, prompt: prompt.as_ref(), now };
+    let placed = place(&versioned, placement, &mut *cx.shared.rng())?;
+    Some(Chosen { endpoint: placed.endpoint.clone(), tokens: placed.tokens })
+}
+
+fn candidate<'a>(cx: &PublishedContext, endpoint: &'a ListedEndpoint) -> Candidate<'a> {
+    let own = cx.shared.states.slot(&endpoint.id);
+    let (requests, tokens) = own.map_or((0, 0), |slot| (slot.in_flight(), slot.unread()));
+    let others = cx.shared.peers().work(&endpoint.id);
+    let work = Work { requests: requests + others.requests, tokens: tokens.saturating_add(others.tokens) };
+    Candidate { endpoint, state: cx.shared.states.state(&endpoint.id), work }
+}
+
+/// The prompt of a generation, weighed by how much work its model is.
+fn prompt(cx: &PublishedContext, job: &Job) -> Option<Prompt> {
+    let total = job.facts.tokens?.prompt;
+    let routes = cx.shared.routes.load();
+    let weight = routes.service(&job.service).map_or(1.0, |service| service.work_of(job.model.as_deref()));
+    let weigh = |tokens: u32| (f64::from(tokens) * weight) as u32;
+    let shared = job.facts.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let shared_tokens = shared.iter().map(|part| part.tokens).sum::<u32>().min(total);
+    // What is cached is cached for one model.
+    let shared_part = shared.last().map(|part| format!("{}/{}", job.model.as_deref().unwrap_or_default(), part.id));
+    Some(Prompt { shared_part, shared_tokens: weigh(shared_tokens), own_tokens: weigh(total - shared_tokens) })
+}
--- a/havengrade_router/src/published/events.rs
+++ b/havengrade_router/src/published/events.rs
@@ -19,9 +19,12 @@
     endpoints::InFlight,
     published::{
         channels::Channel,
+        choose::choose,
         context::PublishedContext,
-        forward::{InProgress, Job, Opened, answer_head, choose, count_answer, log_try, note_answer, open},
+        forward::{InProgress, Opened, count_answer, log_try, note_answer, open},
+        job::Job,
         refuse::{AnswerBody, BodyError},
+        rewrite::answer_head,
     },
 };
 
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -5,38 +5,31 @@
     time::{Duration, SystemTime},
 };
 
-use bytes::Bytes;
 use havengrade_core::{
-    ids::{AccountId, EndpointId, ModelId, ServiceId},
+    ids::ModelId,
     published::{
-        attempt::{Attempts, Promise, RunState},
+        attempt::RunState,
         directory::ListedEndpoint,
-        peers::Work,
-        placement::{Candidate, Placement, Prompt, place},
         rollout::{KIND_SEPARATOR, Sample},
-        route::{AnswerShape, PublishedRoute, Repeat, RouteTable},
+        route::AnswerShape,
         size,
     },
-    selection::EndpointStates as _,
-};
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{
-    HeaderMap, Request, Response, StatusCode, Uri, Version,
-    body::Incoming,
-    header::{self, HeaderName},
-    http::{request, response},
 };
+use http_body_util::{BodyExt as _, Limited};
+use hyper::{Request, Response, StatusCode, body::Incoming, http::response};
 use tokio::time::timeout;
 
 use crate::{
     endpoints::InFlight,
     published::{
         channels::{Channel, ChannelError},
+        choose::{Chosen, choose},
         context::PublishedContext,
         events,
-        ports::{CallerFacts, EndpointHead, SendOrder},
-        program::is_too_late,
+        job::{Job, admit},
+        ports::EndpointHead,
         refuse::{AnswerBody, Refusal, whole},
+        rewrite::{answer_head, encode},
     },
 };
 
@@ -55,74 +48,6 @@
 const EJECT_AFTER: u32 = 2;
 /// Time for which it is passed over.
 const EJECT_FOR: Duration = Duration::from_secs(2);
-/// Age of the configuration up to which an unknown route or key is believed to be unknown.
-const TRUSTED_AGE: Duration = Duration::from_millis(2500);
-
-/// Headers that concern one connection only.
-const HOP_BY_HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
-/// A request on its way.
-#[derive(Clone)]
-pub(super) struct Job {
-    /// Id of this attempt of the caller.
-    pub(super) id: String,
-    /// The request's head.
-    pub(super) head: request::Parts,
-    /// Its whole body.
-    pub(super) body: Bytes,
-    /// What its headers say.
-    pub(super) facts: CallerFacts,
-    /// Its route.
-    pub(super) route: PublishedRoute,
-    /// The service that answers.
-    pub(super) service: ServiceId,
-    /// Client account.
-    pub(super) account: Option<AccountId>,
-    /// Urgency, 0 before 1.
-    pub(super) priority: u8,
-    /// Model that the router chose.
-    pub(super) model: Option<String>,
-    /// When it arrived.
-    pub(super) arrived: SystemTime,
-    /// When its answer must have ended.
-    pub(super) limit: SystemTime,
-    /// Whether the next try was taken out of the retry budget already.
-    pub(super) has_paid: bool,
-    /// Tries so far.
-    pub(super) attempts: Attempts,
-    /// Endpoints that were tried.
-    pub(super) tried: Vec<EndpointId>,
-}
-
-impl Job {
-    /// Whether it needs a key that holds.
-    pub(super) fn is_keyed(&self) -> bool {
-        self.account.is_some()
-    }
-
-    /// Time until its answer must have ended.
-    pub(super) fn time_left(&self, now: SystemTime) -> Duration {
-        self.limit.duration_since(now).unwrap_or_default()
-    }
-
-    /// The refusal that says no more than is true.
-    fn refusal(&self, if_not_run: Refusal, if_unknown: Refusal) -> Refusal {
-        match self.attempts.promise() {
-            Promise::NotRun => if_not_run,
-            Promise::None => if_unknown,
-        }
-    }
-}
-
 /// A try at an endpoint that got the head of an answer.
 pub(super) struct Opened {
     /// The endpoint.
@@ -199,94 +124,6 @@
     );
 }
 
-/// Reads a request and finds its route and account.
-async fn admit(
-    cx: &PublishedContext,
-    head: request::Parts,
-    body: Incoming,
-    facts: CallerFacts,
-    arrived: SystemTime,
-) -> Result<Job, Refusal> {
-    let routes = cx.shared.routes.load_full();
-    if routes.version() == 0 {
-        return Err(Refusal::Starting);
-    }
-    check_host(&head)?;
-    let id = facts.id.clone().ok_or(Refusal::Malformed)?;
-    let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
-    let route = routes.find(host, head.uri.path()).ok_or_else(|| unknown(cx, Refusal::NoRoute, arrived))?.clone();
-    let account = find_account(cx, &routes, &route, &facts, arrived)?;
-    let service = route.service_for(&id).ok_or(Refusal::NoEndpoint)?.clone();
-    let patience = facts.patience.unwrap_or(route.time_limit).min(route.time_limit);
-    if is_too_late(cx, patience, arrived) {
-        return Err(Refusal::Stopping);
-    }
-    let limits = routes.limits();
-    let body = match timeout(patience, Limited::new(body, limits.body_bytes).collect()).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => return Err(Refusal::TooLarge),
-        Ok(Err(_)) => return Err(Refusal::Malformed),
-        Err(_) => return Err(Refusal::NoTimeLeft),
-    };
-    let repeat = match route.shape {
-        AnswerShape::Events { is_resumable: true } => Repeat::Allowed,
-        AnswerShape::Events { is_resumable: false } => Repeat::Never,
-        AnswerShape::Whole => route.repeat,
-    };
-    let may_ask_again = size::may_ask_again(&route, repeat == Repeat::Allowed, facts.last_event.is_some());
-    let model = facts.leaves_model_open.then(|| size::first(&route.models, may_ask_again).cloned()).flatten();
-    let (account, own_priority) = account.unzip();
-    Ok(Job {
-        id,
-        attempts: Attempts::new(repeat, route.max_tries),
-        priority: own_priority.flatten().unwrap_or(route.priority),
-        limit: arrived + patience,
-        head,
-        body,
-        facts,
-        route,
-        service,
-        account,
-        model,
-        arrived,
-        has_paid: false,
-        tried: Vec::new(),
-    })
-}
-
-/// A refusal as unknown, unless the configuration is too old to say so.
-fn unknown(cx: &PublishedContext, refusal: Refusal, now: SystemTime) -> Refusal {
-    let is_trusted = cx.shared.config_age(now).is_some_and(|age| age <= TRUSTED_AGE);
-    if is_trusted { refusal } else { Refusal::Stale }
-}
-
-type Identity = Option<(AccountId, Option<u8>)>;
-
-fn find_account(
-    cx: &PublishedContext,
-    routes: &RouteTable,
-    route: &PublishedRoute,
-    facts: &CallerFacts,
-    now: SystemTime,
-) -> Result<Identity, Refusal> {
-    if route.is_public || !routes.needs_keys() {
-        return Ok(None);
-    }
-    let account = facts.key.as_deref().and_then(|key| routes.account(key));
-    let account = account.ok_or_else(|| unknown(cx, Refusal::UnknownKey, now))?;
-    if !cx.shared.may_use_key(now) {
-        return Err(Refusal::Stale);
-    }
-    Ok(Some((account.name.clone(), account.priority)))
-}
-
-/// Refuses a head that names no host, or several.
-fn check_host(head: &request::Parts) -> Result<(), Refusal> {
-    let hosts = head.headers.get_all(header::HOST).iter().count();
-    let is_plain = hosts == 1 && head.version == Version::HTTP_11;
-    if is_plain { Ok(()) } else { Err(Refusal::Malformed) }
-}
-
 /// Tries endpoints until one answers or the request must be given up.
 async fn run(cx: &PublishedContext, mut job: Job, guard: InProgress) -> Result<Response<AnswerBody>, Refusal> {
     cx.shared.earn_retry(&job.service);
@@ -354,51 +191,6 @@
     Ok(opened)
 }
 
-/// An endpoint for a try, and the prompt tokens that it will have to read.
-#[derive(Clone, Debug)]
-pub(super) struct Chosen {
-    /// The endpoint.
-    pub(super) endpoint: ListedEndpoint,
-    /// Prompt tokens, in those of the largest model.
-    pub(super) tokens: u32,
-}
-
-/// The endpoint for the next try.
-pub(super) fn choose(cx: &PublishedContext, job: &Job, now: SystemTime) -> Option<Chosen> {
-    let usable = cx.shared.usable.load();
-    let endpoints = usable.get(&job.service)?;
-    let session = job.facts.session.as_deref();
-    let allowed = cx.shared.rollouts().allowed(&job.service, &job.id, session, cx.shared.rollout_bounds(), now);
-    let versioned: Vec<_> =
-        endpoints.iter().filter(|e| allowed.includes(&e.version)).map(|e| candidate(cx, e)).collect();
-    let prompt = prompt(cx, job);
-    let domain = &cx.shared.settings.vm.failure_domain;
-    let placement = Placement { failure_domain: domain, tried: &job.tried, prompt: prompt.as_ref(), now };
-    let placed = place(&versioned, placement, &mut *cx.shared.rng())?;
-    Some(Chosen { endpoint: placed.endpoint.clone(), tokens: placed.tokens })
-}
-
-fn candidate<'a>(cx: &PublishedContext, endpoint: &'a ListedEndpoint) -> Candidate<'a> {
-    let own = cx.shared.states.slot(&endpoint.id);
-    let (requests, tokens) = own.map_or((0, 0), |slot| (slot.in_flight(), slot.unread()));
-    let others = cx.shared.peers().work(&endpoint.id);
-    let work = Work { requests: requests + others.requests, tokens: tokens.saturating_add(others.tokens) };
-    Candidate { endpoint, state: cx.shared.states.state(&endpoint.id), work }
-}
-
-/// The prompt of a generation, weighed by how much work its model is.
-fn prompt(cx: &PublishedContext, job: &Job) -> Option<Prompt> {
-    let total = job.facts.tokens?.prompt;
-    let routes = cx.shared.routes.load();
-    let weight = routes.service(&job.service).map_or(1.0, |service| service.work_of(job.model.as_deref()));
-    let weigh = |tokens: u32| (f64::from(tokens) * weight) as u32;
-    let shared = job.facts.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    let shared_tokens = shared.iter().map(|part| part.tokens).sum::<u32>().min(total);
-    // What is cached is cached for one model.
-    let shared_part = shared.last().map(|part| format!("{}/{}", job.model.as_deref().unwrap_or_default(), part.id));
-    Some(Prompt { shared_part, shared_tokens: weigh(shared_tokens), own_tokens: weigh(total - shared_tokens) })
-}
-
 /// Sends a request to an endpoint and waits for the head of its answer.
 pub(super) async fn open(
     cx: &PublishedContext,
@@ -508,59 +300,6 @@
     );
 }
 
-/// The caller's request as it goes to an endpoint.
-fn encode(
-    cx: &PublishedContext,
-    job: &Job,
-    endpoint: &ListedEndpoint,
-    resume_after: Option<&str>,
-    now: SystemTime,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(job.body.clone()));
-    *request.method_mut() = job.head.method.clone();
-    let path = job.head.uri.path_and_query().cloned();
-    *request.uri_mut() = path.map_or_else(|| job.head.uri.clone(), Uri::from);
-    let mut headers = job.head.headers.clone();
-    strip_hop_by_hop(&mut headers);
-    if job.body.is_empty() && !headers.contains_key(header::CONTENT_LENGTH) {
-        headers.remove(header::CONTENT_LENGTH);
-    }
-    let order = SendOrder {
-        endpoint: &endpoint.id,
-        time_left: job.time_left(now),
-        account: job.account.as_deref(),
-        model: job.model.as_deref(),
-        resume_after,
-        priority: job.priority,
-        is_generation: job.facts.tokens.is_some(),
-    };
-    cx.shared.dialect.encode_request(&mut headers, &order);
-    *request.headers_mut() = headers;
-    request
-}
-
-fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
-        .collect();
-    for name in named.iter().chain(&HOP_BY_HOP) {
-        headers.remove(name);
-    }
-}
-
-/// The head of an answer as it goes to the caller.
-pub(super) fn answer_head(cx: &PublishedContext, mut head: response::Parts) -> response::Parts {
-    strip_hop_by_hop(&mut head.headers);
-    head.headers.remove(header::CONTENT_LENGTH);
-    cx.shared.dialect.strip_answer(&mut head.headers);
-    head.version = Version::HTTP_11;
-    head
-}
-
 /// Prompt tokens that take as long to read as everything else takes until a first token.
 const FIRST_TOKEN_WORK: f64 = 500.0;
 
--- /dev/null
+++ b/havengrade_router/src/published/job.rs
@@ -0,0 +1,162 @@
+//! A request on its way: what is known of it, and how it is let in.
+
+use std::time::{Duration, SystemTime};
+
+use bytes::Bytes;
+use havengrade_core::{
+    ids::{AccountId, EndpointId, ServiceId},
+    published::{
+        attempt::{Attempts, Promise},
+        route::{AnswerShape, PublishedRoute, Repeat, RouteTable},
+        size,
+    },
+};
+use http_body_util::{BodyExt as _, Limited};
+use hyper::{Version, body::Incoming, header, http::request};
+use tokio::time::timeout;
+
+use crate::published::{context::PublishedContext, ports::CallerFacts, program::is_too_late, refuse::Refusal};
+
+/// Age of the configuration up to which an unknown route or key is believed to be unknown.
+const TRUSTED_AGE: Duration = Duration::from_millis(2500);
+
+/// A request on its way.
+#[derive(Clone)]
+pub(super) struct Job {
+    /// Id of this attempt of the caller.
+    pub(super) id: String,
+    /// The request's head.
+    pub(super) head: request::Parts,
+    /// Its whole body.
+    pub(super) body: Bytes,
+    /// What its headers say.
+    pub(super) facts: CallerFacts,
+    /// Its route.
+    pub(super) route: PublishedRoute,
+    /// The service that answers.
+    pub(super) service: ServiceId,
+    /// Client account.
+    pub(super) account: Option<AccountId>,
+    /// Urgency, 0 before 1.
+    pub(super) priority: u8,
+    /// Model that the router chose.
+    pub(super) model: Option<String>,
+    /// When it arrived.
+    pub(super) arrived: SystemTime,
+    /// When its answer must have ended.
+    pub(super) limit: SystemTime,
+    /// Whether the next try was taken out of the retry budget already.
+    pub(super) has_paid: bool,
+    /// Tries so far.
+    pub(super) attempts: Attempts,
+    /// Endpoints that were tried.
+    pub(super) tried: Vec<EndpointId>,
+}
+
+impl Job {
+    /// Whether it needs a key that holds.
+    pub(super) fn is_keyed(&self) -> bool {
+        self.account.is_some()
+    }
+
+    /// Time until its answer must have ended.
+    pub(super) fn time_left(&self, now: SystemTime) -> Duration {
+        self.limit.duration_since(now).unwrap_or_default()
+    }
+
+    /// The refusal that says no more than is true.
+    pub(super) fn refusal(&self, if_not_run: Refusal, if_unknown: Refusal) -> Refusal {
+        match self.attempts.promise() {
+            Promise::NotRun => if_not_run,
+            Promise::None => if_unknown,
+        }
+    }
+}
+
+/// Reads a request and finds its route and account.
+pub(super) async fn admit(
+    cx: &PublishedContext,
+    head: request::Parts,
+    body: Incoming,
+    facts: CallerFacts,
+    arrived: SystemTime,
+) -> Result<Job, Refusal> {
+    let routes = cx.shared.routes.load_full();
+    if routes.version() == 0 {
+        return Err(Refusal::Starting);
+    }
+    check_host(&head)?;
+    let id = facts.id.clone().ok_or(Refusal::Malformed)?;
+    let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let route = routes.find(host, head.uri.path()).ok_or_else(|| unknown(cx, Refusal::NoRoute, arrived))?.clone();
+    let account = find_account(cx, &routes, &route, &facts, arrived)?;
+    let service = route.service_for(&id).ok_or(Refusal::NoEndpoint)?.clone();
+    let patience = facts.patience.unwrap_or(route.time_limit).min(route.time_limit);
+    if is_too_late(cx, patience, arrived) {
+        return Err(Refusal::Stopping);
+    }
+    let limits = routes.limits();
+    let body = match timeout(patience, Limited::new(body, limits.body_bytes).collect()).await {
+        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => return Err(Refusal::TooLarge),
+        Ok(Err(_)) => return Err(Refusal::Malformed),
+        Err(_) => return Err(Refusal::NoTimeLeft),
+    };
+    let repeat = match route.shape {
+        AnswerShape::Events { is_resumable: true } => Repeat::Allowed,
+        AnswerShape::Events { is_resumable: false } => Repeat::Never,
+        AnswerShape::Whole => route.repeat,
+    };
+    let may_ask_again = size::may_ask_again(&route, repeat == Repeat::Allowed, facts.last_event.is_some());
+    let model = facts.leaves_model_open.then(|| size::first(&route.models, may_ask_again).cloned()).flatten();
+    let (account, own_priority) = account.unzip();
+    Ok(Job {
+        id,
+        attempts: Attempts::new(repeat, route.max_tries),
+        priority: own_priority.flatten().unwrap_or(route.priority),
+        limit: arrived + patience,
+        head,
+        body,
+        facts,
+        route,
+        service,
+        account,
+        model,
+        arrived,
+        has_paid: false,
+        tried: Vec::new(),
+    })
+}
+
+/// A refusal as unknown, unless the configuration is too old to say so.
+fn unknown(cx: &PublishedContext, refusal: Refusal, now: SystemTime) -> Refusal {
+    let is_trusted = cx.shared.config_age(now).is_some_and(|age| age <= TRUSTED_AGE);
+    if is_trusted { refusal } else { Refusal::Stale }
+}
+
+type Identity = Option<(AccountId, Option<u8>)>;
+
+fn find_account(
+    cx: &PublishedContext,
+    routes: &RouteTable,
+    route: &PublishedRoute,
+    facts: &CallerFacts,
+    now: SystemTime,
+) -> Result<Identity, Refusal> {
+    if route.is_public || !routes.needs_keys() {
+        return Ok(None);
+    }
+    let account = facts.key.as_deref().and_then(|key| routes.account(key));
+    let account = account.ok_or_else(|| unknown(cx, Refusal::UnknownKey, now))?;
+    if !cx.shared.may_use_key(now) {
+        return Err(Refusal::Stale);
+    }
+    Ok(Some((account.name.clone(), account.priority)))
+}
+
+/// Refuses a head that names no host, or several.
+fn check_host(head: &request::Parts) -> Result<(), Refusal> {
+    let hosts = head.headers.get_all(header::HOST).iter().count();
+    let is_plain = hosts == 1 && head.version == Version::HTTP_11;
+    if is_plain { Ok(()) } else { Err(Refusal::Malformed) }
+}
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -4,16 +4,19 @@
 //! is behind the traits in [`ports`].
 
 pub mod channels;
+mod choose;
 pub mod context;
 pub mod dialect;
 pub mod events;
 pub mod follow;
 pub mod forward;
 mod framing;
+mod job;
 pub mod peers;
 pub mod ports;
 pub mod program;
 pub mod refuse;
+mod rewrite;
 pub mod rollouts;
 pub mod server;
 mod store_view;
--- /dev/null
+++ b/havengrade_router/src/published/rewrite.rs
@@ -0,0 +1,79 @@
+//! Heads on their way through the router: what belongs to one connection stays behind.
+
+use std::time::SystemTime;
+
+use bytes::Bytes;
+use havengrade_core::published::directory::ListedEndpoint;
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Request, Uri, Version,
+    header::{self, HeaderName},
+    http::response,
+};
+
+use crate::published::{context::PublishedContext, job::Job, ports::SendOrder};
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// The caller's request as it goes to an endpoint.
+pub(super) fn encode(
+    cx: &PublishedContext,
+    job: &Job,
+    endpoint: &ListedEndpoint,
+    resume_after: Option<&str>,
+    now: SystemTime,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.head.method.clone();
+    let path = job.head.uri.path_and_query().cloned();
+    *request.uri_mut() = path.map_or_else(|| job.head.uri.clone(), Uri::from);
+    let mut headers = job.head.headers.clone();
+    strip_hop_by_hop(&mut headers);
+    if job.body.is_empty() && !headers.contains_key(header::CONTENT_LENGTH) {
+        headers.remove(header::CONTENT_LENGTH);
+    }
+    let order = SendOrder {
+        endpoint: &endpoint.id,
+        time_left: job.time_left(now),
+        account: job.account.as_deref(),
+        model: job.model.as_deref(),
+        resume_after,
+        priority: job.priority,
+        is_generation: job.facts.tokens.is_some(),
+    };
+    cx.shared.dialect.encode_request(&mut headers, &order);
+    *request.headers_mut() = headers;
+    request
+}
+
+fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// The head of an answer as it goes to the caller.
+pub(super) fn answer_head(cx: &PublishedContext, mut head: response::Parts) -> response::Parts {
+    strip_hop_by_hop(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    cx.shared.dialect.strip_answer(&mut head.headers);
+    head.version = Version::HTTP_11;
+    head
+}
