--- a/extra/havengradectl.bash
+++ b/extra/havengradectl.bash
@@ -25,6 +25,9 @@
             havengradectl,drain)
                 cmd="havengradectl__subcmd__drain"
                 ;;
+            havengradectl,explain)
+                cmd="havengradectl__subcmd__explain"
+                ;;
             havengradectl,extra)
                 cmd="havengradectl__subcmd__extra"
                 ;;
@@ -58,6 +61,9 @@
             havengradectl__subcmd__help,drain)
                 cmd="havengradectl__subcmd__help__subcmd__drain"
                 ;;
+            havengradectl__subcmd__help,explain)
+                cmd="havengradectl__subcmd__help__subcmd__explain"
+                ;;
             havengradectl__subcmd__help,extra)
                 cmd="havengradectl__subcmd__help__subcmd__extra"
                 ;;
@@ -89,7 +95,7 @@
 
     case "${cmd}" in
         havengradectl)
-            opts="-h -V --vm --operator --format --help --version plan apply withdraw outcome show audit status drain hash-key extra help"
+            opts="-h -V --vm --operator --format --help --version plan apply withdraw outcome show audit status drain explain hash-key extra help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -212,6 +218,32 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        havengradectl__subcmd__explain)
+            opts="-h --vm --operator --format --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --vm)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --operator)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --format)
+                    COMPREPLY=($(compgen -W "table json" -- "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         havengradectl__subcmd__extra)
             opts="-h --vm --operator --format --help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
@@ -269,7 +301,7 @@
             return 0
             ;;
         havengradectl__subcmd__help)
-            opts="plan apply withdraw outcome show audit status drain hash-key extra help"
+            opts="plan apply withdraw outcome show audit status drain explain hash-key extra help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -324,6 +356,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        havengradectl__subcmd__help__subcmd__explain)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         havengradectl__subcmd__help__subcmd__extra)
             opts=""
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
--- a/extra/havengradectl.fish
+++ b/extra/havengradectl.fish
@@ -38,6 +38,7 @@
 complete -c havengradectl -n "__fish_havengradectl_needs_command" -f -a "audit" -d 'Show the audit trail: every change, also those without effect'
 complete -c havengradectl -n "__fish_havengradectl_needs_command" -f -a "status" -d 'Show the VMs and what each has in force'
 complete -c havengradectl -n "__fish_havengradectl_needs_command" -f -a "drain" -d 'Make a VM finish what is in progress and stop'
+complete -c havengradectl -n "__fish_havengradectl_needs_command" -f -a "explain" -d 'Read logs of one or more VMs from standard input and tell what became of a request'
 complete -c havengradectl -n "__fish_havengradectl_needs_command" -f -a "hash-key" -d 'Make a key for a client account or an operator and print its digest'
 complete -c havengradectl -n "__fish_havengradectl_needs_command" -f -a "extra" -d 'Write the manual page and the shell completions'
 complete -c havengradectl -n "__fish_havengradectl_needs_command" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
@@ -89,6 +90,11 @@
 complete -c havengradectl -n "__fish_havengradectl_using_subcommand drain" -l format -d 'How to print: for people or for programs' -r -f -a "table\t'Tables for people'
 json\t'JSON for programs'"
 complete -c havengradectl -n "__fish_havengradectl_using_subcommand drain" -s h -l help -d 'Print help (see more with \'--help\')'
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand explain" -l vm -d 'IP number and port of a VM for operators; any VM will do' -r
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand explain" -l operator -d 'Name of the operator' -r
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand explain" -l format -d 'How to print: for people or for programs' -r -f -a "table\t'Tables for people'
+json\t'JSON for programs'"
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand explain" -s h -l help -d 'Print help (see more with \'--help\')'
 complete -c havengradectl -n "__fish_havengradectl_using_subcommand hash-key" -l secret -d 'Secret part of the key; a random one where absent' -r
 complete -c havengradectl -n "__fish_havengradectl_using_subcommand hash-key" -l vm -d 'IP number and port of a VM for operators; any VM will do' -r
 complete -c havengradectl -n "__fish_havengradectl_using_subcommand hash-key" -l operator -d 'Name of the operator' -r
@@ -100,14 +106,15 @@
 complete -c havengradectl -n "__fish_havengradectl_using_subcommand extra" -l format -d 'How to print: for people or for programs' -r -f -a "table\t'Tables for people'
 json\t'JSON for programs'"
 complete -c havengradectl -n "__fish_havengradectl_using_subcommand extra" -s h -l help -d 'Print help (see more with \'--help\')'
-complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain hash-key extra help" -f -a "plan" -d 'Show what a change file would alter'
-complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain hash-key extra help" -f -a "apply" -d 'Apply a change file, or a plan that was written before'
-complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain hash-key extra help" -f -a "withdraw" -d 'Withdraw a version for good'
-complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain hash-key extra help" -f -a "outcome" -d 'Tell what became of a change'
-complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain hash-key extra help" -f -a "show" -d 'Show the items in force'
-complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain hash-key extra help" -f -a "audit" -d 'Show the audit trail: every change, also those without effect'
-complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain hash-key extra help" -f -a "status" -d 'Show the VMs and what each has in force'
-complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain hash-key extra help" -f -a "drain" -d 'Make a VM finish what is in progress and stop'
-complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain hash-key extra help" -f -a "hash-key" -d 'Make a key for a client account or an operator and print its digest'
-complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain hash-key extra help" -f -a "extra" -d 'Write the manual page and the shell completions'
-complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain hash-key extra help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain explain hash-key extra help" -f -a "plan" -d 'Show what a change file would alter'
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain explain hash-key extra help" -f -a "apply" -d 'Apply a change file, or a plan that was written before'
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain explain hash-key extra help" -f -a "withdraw" -d 'Withdraw a version for good'
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain explain hash-key extra help" -f -a "outcome" -d 'Tell what became of a change'
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain explain hash-key extra help" -f -a "show" -d 'Show the items in force'
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain explain hash-key extra help" -f -a "audit" -d 'Show the audit trail: every change, also those without effect'
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain explain hash-key extra help" -f -a "status" -d 'Show the VMs and what each has in force'
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain explain hash-key extra help" -f -a "drain" -d 'Make a VM finish what is in progress and stop'
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain explain hash-key extra help" -f -a "explain" -d 'Read logs of one or more VMs from standard input and tell what became of a request'
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain explain hash-key extra help" -f -a "hash-key" -d 'Make a key for a client account or an operator and print its digest'
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain explain hash-key extra help" -f -a "extra" -d 'Write the manual page and the shell completions'
+complete -c havengradectl -n "__fish_havengradectl_using_subcommand help; and not __fish_seen_subcommand_from plan apply withdraw outcome show audit status drain explain hash-key extra help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
