Give up an endpoint that says nothing, and tell of callers who leave

The caller's leaving wrote no line, so explain knew nothing.

Change: silence is given up after 1.5 times a stream's target, three times that of a whole answer, where the request may be tried again; a line tells of a caller who left before an answer.

The new test fails on the code before.

--- a/havengrade_ctl/src/explain.rs
+++ b/havengrade_ctl/src/explain.rs
@@ -113,6 +113,9 @@
         let by = format!("endpoint {} of version {}", last.text("endpoint"), last.text("version"));
         return format!("{by} answered {status} after {took} ms{tries}");
     }
+    if last.message == "the caller left before an answer" {
+        return format!("its caller left after {} ms, before an answer{tries}", last.number("held_ms"));
+    }
     if let Some(outcome) = last.message.strip_prefix("stream ended: ") {
         let (first, took, resumed) = (last.number("first_event_ms"), last.number("took_ms"), last.number("resumed"));
         return format!(
--- a/havengrade_dev/tests/published.rs
+++ b/havengrade_dev/tests/published.rs
@@ -437,6 +437,20 @@
     assert!(began.elapsed() < Duration::from_secs(4));
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_that_says_nothing_at_all_is_replaced_where_the_request_may_be_repeated() {
+    for (path, rest) in [("/stream/", Reply::Write(stream(1..=2, LAST_CHUNK))), ("/read/", signed("done"))] {
+        let bench = Bench::start_shared(2, vec![Reply::Hang, rest]).await;
+        let began = Instant::now();
+        let answer = bench.ask(&get(path, "r1")).await;
+        assert_eq!(status(&answer), "200", "{path}");
+        assert!(began.elapsed() < Duration::from_secs(4), "{path}: {:?}", began.elapsed());
+    }
+    let bench = Bench::start_shared(2, vec![Reply::Hang, signed("again")]).await;
+    assert_eq!(status(&bench.ask(&get("/once/", "r2")).await), "502");
+    assert_eq!(bench.arrivals().len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn events_are_passed_on_as_they_come() {
     let pieces = vec![stream(1..=1, ""), event(2), LAST_CHUNK.into()];
--- a/havengrade_router/src/published/events.rs
+++ b/havengrade_router/src/published/events.rs
@@ -34,8 +34,6 @@
 const STALL_FACTOR: u32 = 2;
 /// Pause after which a stream is taken up elsewhere, where its route names no pause.
 const DEFAULT_STALL: Duration = Duration::from_secs(2);
-/// Time after which a first event is looked for elsewhere, as a multiple of the route's target.
-const FIRST_EVENT_FACTOR: f64 = 1.5;
 /// Largest event, in bytes.
 const MAX_EVENT: usize = 1 << 20;
 
@@ -132,7 +130,8 @@
     let Opened { endpoint, channel, head, body, in_flight, sent, .. } = opened;
     let mut source = Source { endpoint, channel, body, buf: BytesMut::new(), in_flight, sent };
     let now = cx.shared.clock.now();
-    let patience = job.route.target.mul_f64(FIRST_EVENT_FACTOR).min(job.time_left(now));
+    let waited = now.duration_since(sent).unwrap_or_default();
+    let patience = job.patience(now).saturating_sub(waited);
     let first = match source.next(patience).await {
         Ok(first) => first,
         Err(broken) => {
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -92,6 +92,25 @@
     }
 }
 
+/// Tells of a request whose caller left before there was an answer; the library then drops its work.
+struct Unanswered<'a> {
+    cx: &'a PublishedContext,
+    id: &'a str,
+    arrived: SystemTime,
+    is_answered: bool,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        let held = self.cx.shared.clock.now().duration_since(self.arrived).unwrap_or_default();
+        metrics::counter!("callers_left").increment(1);
+        log::info!(request = self.id, held_ms = held.as_millis() as u64; "the caller left before an answer");
+    }
+}
+
 /// Answers a caller's request.
 pub async fn forward(cx: &PublishedContext, request: Request<Incoming>) -> Response<AnswerBody> {
     let guard = InProgress::new(cx);
@@ -99,10 +118,12 @@
     let (head, body) = request.into_parts();
     let facts = cx.shared.dialect.decode_request(&head.headers);
     let id = facts.id.clone().unwrap_or_default();
+    let mut unanswered = Unanswered { cx, id: &id, arrived, is_answered: false };
     let answered = match admit(cx, head, body, facts, arrived).await {
         Ok(job) => run(cx, job, guard).await,
         Err(refusal) => Err(refusal),
     };
+    unanswered.is_answered = true;
     answered.unwrap_or_else(|refusal| {
         let now = cx.shared.clock.now();
         log_refusal(cx, &id, refusal, arrived, now);
@@ -230,7 +251,7 @@
     let mut channel = cx.shared.channels.open(&endpoint.id, endpoint.address, max_idle, now).await?;
     let sent = cx.shared.clock.now();
     let request = encode(cx, job, endpoint, resume_after, sent);
-    match timeout(job.time_left(sent) + LIMIT_SLACK, channel.send(request)).await {
+    match timeout(job.patience(sent) + LIMIT_SLACK, channel.send(request)).await {
         Ok(response) => Ok((channel, response?, sent)),
         Err(_) => Err(ChannelError::NoAnswer),
     }
--- a/havengrade_router/src/published/job.rs
+++ b/havengrade_router/src/published/job.rs
@@ -6,7 +6,7 @@
 use havengrade_core::{
     ids::{AccountId, EndpointId, ServiceId},
     published::{
-        attempt::{Attempts, Promise},
+        attempt::{Attempts, Promise, RunState},
         route::{AnswerShape, PublishedRoute, Repeat, RouteTable},
         size,
     },
@@ -17,6 +17,10 @@
 
 use crate::published::{context::PublishedContext, ports::CallerFacts, program::is_too_late, refuse::Refusal};
 
+/// Time after which a first event is looked for elsewhere, as a multiple of the route's target.
+const FIRST_EVENT_FACTOR: f64 = 1.5;
+/// Time after which a whole answer is looked for elsewhere, as a multiple of the route's target.
+const WHOLE_ANSWER_FACTOR: f64 = 3.0;
 /// Age of the configuration up to which an unknown route or key is believed to be unknown.
 const TRUSTED_AGE: Duration = Duration::from_millis(2500);
 
@@ -64,6 +68,21 @@
         self.limit.duration_since(now).unwrap_or_default()
     }
 
+    /// Time for which an endpoint may be silent before another one is tried; all that is left where none may be.
+    pub(super) fn patience(&self, now: SystemTime) -> Duration {
+        let mut after = self.attempts.clone();
+        after.note(RunState::MayHaveRun);
+        let left = self.time_left(now);
+        if !after.may_try_again() {
+            return left;
+        }
+        let factor = match self.route.shape {
+            AnswerShape::Events { .. } => FIRST_EVENT_FACTOR,
+            AnswerShape::Whole => WHOLE_ANSWER_FACTOR,
+        };
+        self.route.target.mul_f64(factor).min(left)
+    }
+
     /// The refusal that says no more than is true.
     pub(super) fn refusal(&self, if_not_run: Refusal, if_unknown: Refusal) -> Refusal {
         match self.attempts.promise() {
