Leave the list of VMs at a planned stop, and check the settings of published routes

Cause: the list's leave was never called, so that new VMs told reports to addresses that had been given up; four settings and two ports of published routes were not checked. Both have tests that fail on the code before. A field that nothing read is gone.

--- a/havengrade_dev/src/stand_in/published.rs
+++ b/havengrade_dev/src/stand_in/published.rs
@@ -64,6 +64,11 @@
         lock(&self.kept).statuses.clone()
     }
 
+    /// Names of the VMs on the kept list.
+    pub fn vms(&self) -> Vec<String> {
+        lock(&self.kept).vms.keys().cloned().collect()
+    }
+
     /// The ports of a router over this store.
     pub fn ports(&self) -> Ports {
         Ports {
--- a/havengrade_dev/tests/published.rs
+++ b/havengrade_dev/tests/published.rs
@@ -491,6 +491,7 @@
     });
     sleep(Duration::from_millis(100)).await;
     let shared = &bench.router.context().shared;
+    assert_eq!(bench.store.vms(), ["vm-1"]);
     shared.start_drain(shared.clock.now());
     assert!(!bench.is_ready().await);
     let answer = bench.ask(&get("/read/", "r2")).await;
@@ -501,6 +502,7 @@
     assert_eq!(status(&answer), "503", "it may take longer than the stop");
     assert_eq!(event_ids(&asking.await.unwrap()), [1, 2]);
     assert!(bench.router.drained().await);
+    assert!(bench.store.vms().is_empty(), "it has left the list of VMs");
 }
 
 #[tokio::test(start_paused = true)]
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -261,7 +261,7 @@
     pub end: CancellationToken,
     /// Makes callers' connections end with the answer that they are at.
     pub closing: CancellationToken,
-    /// Callers' connections.
+    /// Callers' connections and whatever else a planned stop waits for.
     pub connections: TaskTracker,
     /// Number of the router within the process, since the registry of actors is the process's.
     pub number: u64,
--- a/havengrade_router/src/published/dialect.rs
+++ b/havengrade_router/src/published/dialect.rs
@@ -86,7 +86,6 @@
             request: text(headers, &REQUEST),
             is_signed: headers.contains_key(&SIGNATURE),
             load: running.map(|running| ReportedLoad { running, waiting: 0 }),
-            endpoint: text(headers, &ENDPOINT),
             confidence: number(headers, &CONFIDENCE).and_then(|value| u8::try_from(value).ok()),
             keep_alive: None,
         }
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -103,7 +103,7 @@
     hinted: Option<u64>,
     sent: Option<(SystemTime, Vec<(EndpointId, Work)>)>,
     pause: u32,
-    _tasks: [AbortOnDropHandle<()>; 3],
+    _tasks: [AbortOnDropHandle<()>; 2],
 }
 
 impl Actor for PeersActor {
@@ -113,11 +113,11 @@
 
     async fn pre_start(&self, myself: ActorRef<Look>, arguments: Arguments) -> Result<PeersState, ActorProcessingErr> {
         let Arguments { cx, roster, socket } = arguments;
+        cx.connections.spawn(cx.end.clone().run_until_cancelled_owned(keep_roster(cx.clone(), roster)));
         let questions = Arc::new(Mutex::new(Questions::default()));
         let tasks = [
             tick(myself, LOOK_EVERY, || Look),
             AbortOnDropHandle::new(tokio::spawn(receive(cx.clone(), socket.clone(), questions.clone()))),
-            AbortOnDropHandle::new(tokio::spawn(keep_roster(cx.clone(), roster))),
         ];
         Ok(PeersState { cx, socket, questions, seq: 0, hinted: None, sent: None, pause: 0, _tasks: tasks })
     }
@@ -283,7 +283,7 @@
     cx.shared.peers().report(report.work, now);
 }
 
-/// Enters this VM on the kept list and reads the others from it.
+/// Enters this VM on the kept list, reads the others from it, and takes this one out when it stops.
 async fn keep_roster(cx: PublishedContext, mut roster: Box<dyn Roster>) {
     let settings = &cx.shared.settings;
     let me = Peer { vm: settings.vm.id.clone(), incarnation: cx.shared.incarnation, address: settings.listen.peers };
@@ -302,7 +302,12 @@
                 ROSTER_RETRY
             },
         };
-        tokio::time::sleep(pause).await;
+        if cx.closing.run_until_cancelled(tokio::time::sleep(pause)).await.is_none() {
+            break;
+        }
+    }
+    if let Err(error) = roster.leave(&me.vm).await {
+        log::warn!("this VM stays on the list of VMs after its stop: {error}");
     }
 }
 
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use havengrade_core::{
-    ids::{EndpointId, RequestId, SessionId},
+    ids::{RequestId, SessionId},
     published::{
         attempt::RunState,
         directory::DirectoryEvent,
@@ -94,8 +94,6 @@
     pub is_signed: bool,
     /// Load of the endpoint.
     pub load: Option<ReportedLoad>,
-    /// The endpoint that answered, where it names itself.
-    pub endpoint: Option<EndpointId>,
     /// The model's opinion of its answer, from 0 to 100.
     pub confidence: Option<u8>,
     /// Time for which the endpoint keeps an idle connection.
--- a/havengrade_router/src/settings/check.rs
+++ b/havengrade_router/src/settings/check.rs
@@ -124,6 +124,7 @@
     check_ports(settings, &mut faults);
     check_times(settings, &mut faults);
     check_names(settings, &mut faults);
+    check_published(settings, &mut faults);
     faults
 }
 
@@ -146,10 +147,33 @@
 fn check_ports(settings: &Settings, faults: &mut Vec<Fault>) {
     let listen = &settings.listen;
     let mut seen = BTreeSet::new();
-    for (key, address) in [("callers", listen.callers), ("operators", listen.operators), ("peers", listen.peers)] {
+    let ports = [
+        ("listen.callers", listen.callers),
+        ("listen.operators", listen.operators),
+        ("listen.peers", listen.peers),
+        ("published.readiness", settings.published.readiness),
+        ("published.metrics", settings.published.metrics),
+    ];
+    for (key, address) in ports {
         if address.port() != 0 && !seen.insert(address) {
             let remedy = "another port of this VM has the same address; give each its own".into();
-            faults.push(Fault { key: format!("listen.{key}"), value: address.to_string(), remedy });
+            faults.push(Fault { key: key.into(), value: address.to_string(), remedy });
+        }
+    }
+}
+
+fn check_published(settings: &Settings, faults: &mut Vec<Fault>) {
+    let published = &settings.published;
+    let shares =
+        [("published.max_trial_share", published.max_trial_share), ("published.retry_ratio", published.retry_ratio)];
+    for (key, share) in shares {
+        if !(0.0..=1.0).contains(&share) {
+            faults.push(Fault { key: key.into(), value: share.to_string(), remedy: "must be from 0 to 1".into() });
+        }
+    }
+    for (key, seconds) in [("published.session_s", published.session_s), ("published.grace_s", published.grace_s)] {
+        if !seconds.is_finite() || seconds <= 0.0 {
+            faults.push(Fault { key: key.into(), value: seconds.to_string(), remedy: "must be more than 0".into() });
         }
     }
 }
--- a/havengrade_router/tests/settings.rs
+++ b/havengrade_router/tests/settings.rs
@@ -71,3 +71,17 @@
     let error = parse("[vm\n").unwrap_err().to_string();
     assert!(error.contains("line 1"), "{error}");
 }
+
+#[test]
+fn faults_of_published_routes_are_told_with_their_remedy() {
+    let text = "[published]\nmax_trial_share = 1.5\nsession_s = 0.0\ngrace_s = -1.0\nmetrics = \"127.0.0.1:8083\"\n";
+    let error = parse(text).unwrap_err().to_string();
+    for part in [
+        "published.max_trial_share = 1.5: must be from 0 to 1",
+        "published.session_s = 0: must be more than 0",
+        "published.grace_s = -1: must be more than 0",
+        "published.metrics = 127.0.0.1:8083: another port of this VM has the same address",
+    ] {
+        assert!(error.contains(part), "{error}");
+    }
+}
