--- a/havengrade_dev/tests/published.rs
+++ b/havengrade_dev/tests/published.rs
@@ -535,12 +535,16 @@
     }
 }
 
-/// Where a listener would be if nobody listened.
 #[tokio::test(start_paused = true)]
-async fn metrics_are_served() {
+async fn metrics_tell_the_ages_of_beliefs() {
+    havengrade_router::metrics::install();
     let bench = Bench::start(vec![vec![]]).await;
     let address: SocketAddr = bench.pipes.address(ROUTER, 3);
     let mut connection = bench.pipes.network(CALLERS).connect(address).await.unwrap();
     connection.write_all(b"GET /metrics HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").await.unwrap();
-    assert_eq!(status(&read_all(&mut connection).await), "200");
+    let answer = read_all(&mut connection).await;
+    assert_eq!(status(&answer), "200");
+    for name in ["configuration_age_seconds", "endpoints_age_seconds", "vms_known", "configuration_version"] {
+        assert!(answer.contains(name), "{name}: {answer}");
+    }
 }
