Let two VMs read the store in an idle fleet, whoever is heard from

Cause: a VM picked the readers of the store among the VMs that it had heard from within 2.5 s.

Change: readers are chosen among all VMs known, asked in turns, and passed over for a time where they don't answer or don't reach the store; a view that is told may be 2.3 s old, a VM that is told by nobody reads after 1.2 s; the waiting call is 0.7 s. VMs that start make themselves known to all, so the kept list is read once a minute. States of roll-outs are read at start only where an order stood there before.

Ruled out: reading at a longer pause for all (VMs that are cut off from the others would be late).

--- a/havengrade_core/src/published/peers.rs
+++ b/havengrade_core/src/published/peers.rs
@@ -11,7 +11,10 @@
 /// Time after which a VM's report no longer says what it has in progress.
 pub const REPORT_LIFE: Duration = Duration::from_millis(2500);
 /// Time after which a VM that is not heard from is forgotten.
-pub const SILENCE_LIMIT: Duration = Duration::from_secs(8);
+///
+/// A report goes to a few VMs only, so that in a fleet of some hundred one may hear nothing of another for
+/// half a minute although both live.
+pub const SILENCE_LIMIT: Duration = Duration::from_secs(60);
 
 /// Another VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,9 +61,20 @@
 pub struct Peers {
     by_vm: HashMap<VmId, Known>,
     sums: HashMap<EndpointId, Work>,
+    is_listed: bool,
 }
 
 impl Peers {
+    /// Notes that the kept list was read, so that the others are known, if there are any.
+    pub fn set_listed(&mut self) {
+        self.is_listed = true;
+    }
+
+    /// Whether the kept list was read at least once.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
     /// Takes a VM from the kept list; it counts as heard from, so that it has time to report.
     pub fn list(&mut self, peer: Peer, now: SystemTime) {
         let is_known = self.by_vm.get(&peer.vm).is_some_and(|known| known.peer.incarnation == peer.incarnation);
@@ -111,9 +125,9 @@
         self.by_vm.values().map(|known| &known.peer)
     }
 
-    /// VMs that were heard from lately.
-    pub fn live(&self, now: SystemTime) -> impl Iterator<Item = &Peer> {
-        self.by_vm.values().filter(move |known| now < known.heard + REPORT_LIFE).map(|known| &known.peer)
+    /// Where a VM hears reports, if it is known.
+    pub fn address(&self, vm: &str) -> Option<SocketAddr> {
+        self.by_vm.get(vm).map(|known| known.peer.address)
     }
 
     /// How many VMs are known.
--- a/havengrade_core/src/published/relay.rs
+++ b/havengrade_core/src/published/relay.rs
@@ -4,12 +4,12 @@
 //! up on its way is never believed to be younger than it is.
 
 use std::{
-    collections::VecDeque,
+    collections::{HashMap, VecDeque},
     hash::{DefaultHasher, Hash as _, Hasher as _},
     time::{Duration, SystemTime},
 };
 
-use crate::published::directory::DirectoryEvent;
+use crate::{ids::VmId, published::directory::DirectoryEvent};
 
 /// VMs that read the store, at least: one may be cut off from it.
 const MIN_READERS: usize = 2;
@@ -17,6 +17,21 @@
 const VMS_A_READER: usize = 64;
 /// Changes of the list of endpoints that are kept for VMs that ask.
 const MAX_CHANGES: usize = 128;
+/// Age of a view up to which it is taken from another VM.
+///
+/// A reader's view is up to two of its waiting calls old, and it is asked a little later. What remains until a
+/// change must be in force, two seconds, is for a VM's own read.
+pub const TOLD_LIMIT: Duration = Duration::from_millis(2300);
+/// Time without a good answer after which a VM counts as told by nobody.
+const ALONE_AFTER: Duration = Duration::from_millis(1200);
+/// Age of a view at which a VM that is told by nobody reads the store.
+const ALONE_LIMIT: Duration = Duration::from_millis(1200);
+/// Questions without a good answer after which a reader is passed over; datagrams are lost now and then.
+const MISSES: u32 = 2;
+/// Time for which it is passed over at first; each further miss doubles it.
+const FIRST_DOUBT: Duration = Duration::from_secs(2);
+/// Doublings of that time, at most.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// How many of so many VMs read the store.
 ///
@@ -30,12 +45,82 @@
 }
 
 /// Where a VM stands in the order in which they become readers; the same wherever it is asked.
-pub fn rank(vm: &str) -> u64 {
+fn rank(vm: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     vm.hash(&mut hasher);
     hasher.finish()
 }
 
+/// Whether a VM must read the store itself: its view is old, and nobody told it that nothing is newer.
+///
+/// `viewed` is when nothing newer than its view existed, `told` when it last got a good answer.
+///
+/// ```
+/// use std::time::{Duration, SystemTime};
+/// use havengrade_core::published::relay::must_read;
+///
+/// let viewed = SystemTime::UNIX_EPOCH;
+/// let now = viewed + Duration::from_millis(1500);
+/// assert!(!must_read(viewed, Some(now), now));
+/// assert!(must_read(viewed, None, now));
+/// ```
+pub fn must_read(viewed: SystemTime, told: Option<SystemTime>, now: SystemTime) -> bool {
+    let is_told = told.is_some_and(|at| now < at + ALONE_AFTER);
+    let limit = if is_told { TOLD_LIMIT } else { ALONE_LIMIT };
+    now > viewed + limit
+}
+
+/// Which VMs read the store, as far as this VM finds them to answer.
+#[derive(Clone, Debug, Default)]
+pub struct Readers {
+    doubts: HashMap<VmId, Doubt>,
+    turn: usize,
+}
+
+/// Questions in a row that a VM did not answer well, and until when it is passed over for that.
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    misses: u32,
+    until: SystemTime,
+}
+
+impl Readers {
+    /// The VMs that read the store, out of all that are known; in the same order wherever it is asked.
+    ///
+    /// Those that don't answer this VM are passed over, but itself never is.
+    pub fn among<'a>(&self, vms: impl Iterator<Item = &'a VmId>, me: &VmId, now: SystemTime) -> Vec<&'a VmId> {
+        let mut ranked: Vec<(u64, &VmId)> = vms.map(|vm| (rank(vm), vm)).collect();
+        ranked.sort_unstable();
+        let wanted = readers(ranked.len());
+        let trusted = ranked.into_iter().map(|(_, vm)| vm).filter(|vm| *vm == me || !self.is_doubted(vm, now));
+        trusted.take(wanted).collect()
+    }
+
+    fn is_doubted(&self, vm: &str, now: SystemTime) -> bool {
+        self.doubts.get(vm).is_some_and(|doubt| now < doubt.until)
+    }
+
+    /// The reader to ask next; they take turns, so that what one of them misses another one tells.
+    pub fn next<'a>(&mut self, readers: &[&'a VmId]) -> Option<&'a VmId> {
+        self.turn = self.turn.wrapping_add(1);
+        readers.get(self.turn % readers.len().max(1)).copied()
+    }
+
+    /// Notes that a VM gave no answer, or one that is too old to be of use.
+    pub fn miss(&mut self, vm: &VmId, now: SystemTime) {
+        let doubt = self.doubts.entry(vm.clone()).or_insert(Doubt { misses: 0, until: now });
+        doubt.misses += 1;
+        if let Some(more) = doubt.misses.checked_sub(MISSES) {
+            doubt.until = now + FIRST_DOUBT * 2u32.pow(more.min(MAX_DOUBLINGS));
+        }
+    }
+
+    /// Notes a good answer of a VM.
+    pub fn hear(&mut self, vm: &str) {
+        self.doubts.remove(vm);
+    }
+}
+
 /// Until when a view is known to have been the newest, from an answer to a question that was asked at `asked`.
 ///
 /// ```
--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -153,6 +153,7 @@
     sessions: HashMap<SessionId, Pin>,
     /// Sessions that other VMs keep at the old version, and until when.
     held: HashMap<SessionMark, SystemTime>,
+    has_old_orders: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -197,6 +198,16 @@
         true
     }
 
+    /// Notes that some orders stood there before this VM started, so that they may have ended since.
+    pub fn set_old_orders(&mut self) {
+        self.has_old_orders = true;
+    }
+
+    /// Whether some orders stood there before this VM started; of later ones, other VMs tell how they stand.
+    pub fn has_old_orders(&self) -> bool {
+        self.has_old_orders
+    }
+
     /// Takes a written status; tells whether it changes what is known.
     pub fn note_status(&mut self, status: RolloutStatus) -> bool {
         if self.statuses.get(&status.service) == Some(&status) {
--- a/havengrade_core/tests/published.rs
+++ b/havengrade_core/tests/published.rs
@@ -13,6 +13,7 @@
         directory::{Directory, DirectoryEvent, ListedEndpoint, RETURN_GRACE},
         peers::{Peer, Peers, REPORT_LIFE, SILENCE_LIMIT, Work, WorkReport},
         placement::{Candidate, Placement, Prompt, place},
+        relay::Readers,
         rollout::{
             Allowed, RolloutBounds, RolloutOrder, RolloutOutcome, RolloutStatus, Rollouts, RouteEvidence, Sample,
         },
@@ -374,6 +375,44 @@
     assert!(peers.is_empty());
 }
 
+#[test]
+fn readers_that_do_not_answer_are_passed_over_for_a_time() {
+    let vms: Vec<String> = (0..20).map(|index| format!("vm-{index}")).collect();
+    let me = &vms[0];
+    let mut readers = Readers::default();
+    let among =
+        |readers: &Readers, ms| -> Vec<String> { readers.among(vms.iter(), me, at(ms)).into_iter().cloned().collect() };
+    let usual = among(&readers, 0);
+    assert_eq!(usual.len(), 2);
+    readers.miss(&usual[0], at(0));
+    assert_eq!(among(&readers, 0), usual, "one datagram may be lost");
+    readers.miss(&usual[0], at(400));
+    let without = among(&readers, 400);
+    assert!(!without.contains(&usual[0]) && without.len() == 2);
+    assert_eq!(among(&readers, 2_400), usual, "it is asked again after a time");
+    readers.miss(&usual[0], at(2_400));
+    assert_eq!(among(&readers, 6_300), without, "each further miss doubles the time");
+    readers.hear(&usual[0]);
+    assert_eq!(among(&readers, 2_400), usual);
+}
+
+#[test]
+fn a_vm_never_passes_itself_over() {
+    let me = "vm-0".to_owned();
+    let mut readers = Readers::default();
+    (0..9).for_each(|_| readers.miss(&me, at(0)));
+    assert_eq!(readers.among([&me].into_iter(), &me, at(0)), [&me]);
+}
+
+#[test]
+fn readers_are_asked_in_turns() {
+    let (a, b) = ("a".to_owned(), "b".to_owned());
+    let mut readers = Readers::default();
+    let asked: Vec<_> = (0..4).filter_map(|_| readers.next(&[&a, &b]).cloned()).collect();
+    assert_eq!(asked, ["b", "a", "b", "a"]);
+    assert_eq!(readers.next(&[]), None);
+}
+
 #[test]
 fn renewed_entries_are_no_news() {
     let mut directory = Directory::default();
--- a/havengrade_dev/src/stand_in/published.rs
+++ b/havengrade_dev/src/stand_in/published.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for what published routes meet: a store in memory that can be away, and endpoints that misbehave.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -28,10 +28,13 @@
 #[derive(Default)]
 struct Kept {
     is_away: bool,
+    /// VMs that are turned away while others are served.
+    turned_away: BTreeSet<String>,
     operators: Vec<OperatorEvent>,
     endpoints: Vec<DirectoryEvent>,
     statuses: Vec<RolloutStatus>,
     vms: BTreeMap<String, Peer>,
+    calls: u64,
 }
 
 /// A store in memory.
@@ -59,6 +62,23 @@
         self.changed.notify_waiters();
     }
 
+    /// Turns a VM away, or serves it again; others are not affected.
+    pub fn turn_away(&self, vm: &str, is_turned_away: bool) {
+        let mut kept = lock(&self.kept);
+        if is_turned_away {
+            kept.turned_away.insert(vm.to_owned());
+        } else {
+            kept.turned_away.remove(vm);
+        }
+        drop(kept);
+        self.changed.notify_waiters();
+    }
+
+    /// Calls that were made, refused ones included.
+    pub fn calls(&self) -> u64 {
+        lock(&self.kept).calls
+    }
+
     /// States of roll-outs that were written, in their order.
     pub fn statuses(&self) -> Vec<RolloutStatus> {
         lock(&self.kept).statuses.clone()
@@ -69,33 +89,42 @@
         lock(&self.kept).vms.keys().cloned().collect()
     }
 
-    /// The ports of a router over this store.
-    pub fn ports(&self) -> Ports {
+    /// The ports of a VM's router over this store.
+    pub fn ports(&self, vm: &str) -> Ports {
+        let feed = || MemoryFeed { store: self.clone(), vm: vm.to_owned(), next: 0 };
         Ports {
             dialect: Box::new(OwnDialect),
-            operators: Box::new(MemoryFeed { store: self.clone(), next: 0 }),
-            endpoints: Box::new(MemoryFeed { store: self.clone(), next: 0 }),
-            statuses: Box::new(MemoryFeed { store: self.clone(), next: 0 }),
-            roster: Box::new(MemoryFeed { store: self.clone(), next: 0 }),
+            operators: Box::new(feed()),
+            endpoints: Box::new(feed()),
+            statuses: Box::new(feed()),
+            roster: Box::new(feed()),
         }
     }
-
-    fn check(&self) -> Result<(), StoreError> {
-        if lock(&self.kept).is_away {
-            return Err(StoreError::NotDone { reason: "the stand-in is away".into() });
-        }
-        Ok(())
-    }
 }
 
 struct MemoryFeed {
     store: MemoryStore,
+    vm: String,
     next: usize,
 }
 
 impl MemoryFeed {
+    /// Counts a call; it is refused while the store is away.
+    fn call(&self) -> Result<(), StoreError> {
+        lock(&self.store.kept).calls += 1;
+        self.check()
+    }
+
+    fn check(&self) -> Result<(), StoreError> {
+        let kept = lock(&self.store.kept);
+        if kept.is_away || kept.turned_away.contains(&self.vm) {
+            return Err(StoreError::NotDone { reason: "the stand-in is away".into() });
+        }
+        Ok(())
+    }
+
     fn read<T: Clone>(&mut self, of: impl Fn(&Kept) -> &Vec<T>) -> Result<Vec<T>, StoreError> {
-        self.store.check()?;
+        self.check()?;
         let kept = lock(&self.store.kept);
         let all = of(&kept);
         let new = all.get(self.next..).unwrap_or_default().to_vec();
@@ -109,6 +138,7 @@
     async fn next(&mut self, wait: Duration) -> Result<Vec<OperatorEvent>, StoreError> {
         let changed = self.store.changed.clone();
         let notified = changed.notified();
+        self.call()?;
         let events = self.read(|kept| &kept.operators)?;
         if !events.is_empty() {
             return Ok(events);
@@ -130,6 +160,7 @@
 #[async_trait]
 impl Feed<DirectoryEvent> for MemoryFeed {
     async fn next(&mut self, _wait: Duration) -> Result<Vec<DirectoryEvent>, StoreError> {
+        self.call()?;
         self.read(|kept| &kept.endpoints)
     }
 
@@ -145,11 +176,12 @@
 #[async_trait]
 impl StatusBook for MemoryFeed {
     async fn read(&mut self) -> Result<Vec<RolloutStatus>, StoreError> {
+        self.call()?;
         Self::read(self, |kept| &kept.statuses)
     }
 
     async fn write(&mut self, status: &RolloutStatus) -> Result<WriteOutcome, StoreError> {
-        self.store.check()?;
+        self.call()?;
         let mut kept = lock(&self.store.kept);
         if kept.statuses.len() != self.next {
             return Ok(WriteOutcome::Conflict);
@@ -162,19 +194,19 @@
 #[async_trait]
 impl Roster for MemoryFeed {
     async fn enter(&mut self, peer: &Peer) -> Result<(), StoreError> {
-        self.store.check()?;
+        self.call()?;
         lock(&self.store.kept).vms.insert(peer.vm.clone(), peer.clone());
         Ok(())
     }
 
     async fn leave(&mut self, vm: &str) -> Result<(), StoreError> {
-        self.store.check()?;
+        self.call()?;
         lock(&self.store.kept).vms.remove(vm);
         Ok(())
     }
 
     async fn read(&mut self) -> Result<Vec<Peer>, StoreError> {
-        self.store.check()?;
+        self.call()?;
         Ok(lock(&self.store.kept).vms.values().cloned().collect())
     }
 }
--- a/havengrade_dev/tests/published.rs
+++ b/havengrade_dev/tests/published.rs
@@ -126,7 +126,7 @@
         settings.published.metrics = pipes.address(ROUTER, 3);
         let origin = SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000);
         let parts = Parts { network: pipes.network(ROUTER), clock: Clock::starting_at(origin), seed: 7 };
-        let router = PublishedRouter::start(settings, parts, store.ports(), &Handle::current()).await.unwrap();
+        let router = PublishedRouter::start(settings, parts, store.ports("vm-1"), &Handle::current()).await.unwrap();
         let bench = Self { pipes, store, router, endpoints };
         while !bench.is_ready().await {
             sleep(Duration::from_millis(10)).await;
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -12,6 +12,8 @@
 use async_trait::async_trait;
 use havengrade_core::published::{
     directory::{Directory, DirectoryEvent},
+    relay::{TOLD_LIMIT, must_read},
+    rollout::RolloutOrder,
     route::{Publication, RouteTable},
 };
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
@@ -33,8 +35,6 @@
 
 /// Time between two looks at whether the store must be asked.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
-/// Age of a view that is told by others at which a VM asks the store itself.
-const RELAY_LIMIT: Duration = Duration::from_millis(1600);
 /// First pause after a store that did not answer; each further one is twice as long.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause of a VM that reads for others.
@@ -115,6 +115,7 @@
             taker,
             lost: None,
             viewed: SystemTime::UNIX_EPOCH,
+            told: None,
             is_hurried: false,
             not_before: Instant::now(),
         };
@@ -133,6 +134,8 @@
     lost: Option<Duration>,
     /// When nothing newer than this VM's view existed.
     viewed: SystemTime,
+    /// When another VM last told what is new enough.
+    told: Option<SystemTime>,
     is_hurried: bool,
     not_before: Instant,
 }
@@ -178,8 +181,7 @@
 
 impl<T: 'static> Follower<T> {
     fn must_ask(&self) -> bool {
-        let now = self.cx.shared.clock.now();
-        let is_old = now.duration_since(self.viewed).unwrap_or_default() > RELAY_LIMIT;
+        let is_old = must_read(self.viewed, self.told, self.cx.shared.clock.now());
         let is_wanted = self.cx.shared.is_reader() || self.is_hurried || is_old;
         is_wanted && Instant::now() >= self.not_before
     }
@@ -231,6 +233,10 @@
             return;
         }
         self.feed.advance(relayed.position);
+        let now = self.cx.shared.clock.now();
+        if now < relayed.at + TOLD_LIMIT {
+            self.told = Some(now);
+        }
         self.viewed = self.viewed.max(relayed.at);
         self.taker.take(&self.cx, relayed.events, relayed.position, relayed.at);
     }
@@ -249,15 +255,11 @@
     }
 
     fn take(&mut self, cx: &PublishedContext, events: Vec<OperatorEvent>, position: u64, at: SystemTime) {
+        let is_first_read = cx.shared.view().operators.is_none();
         for event in events {
             match event {
                 OperatorEvent::Publication(publication) => publish(cx, publication),
-                OperatorEvent::Rollout(order) => {
-                    let line = format!("{} to {}", order.service, order.version);
-                    if cx.shared.rollouts().order(order, cx.shared.clock.now()) {
-                        log::info!(order = line.as_str(); "roll-out ordered");
-                    }
-                },
+                OperatorEvent::Rollout(order) => take_order(cx, order, is_first_read),
             }
         }
         cx.shared.view().operators = Some(position);
@@ -265,6 +267,18 @@
     }
 }
 
+/// Takes up an order to roll out a version.
+fn take_order(cx: &PublishedContext, order: RolloutOrder, is_old: bool) {
+    let line = format!("{} to {}", order.service, order.version);
+    let mut rollouts = cx.shared.rollouts();
+    if rollouts.order(order, cx.shared.clock.now()) {
+        log::info!(order = line.as_str(); "roll-out ordered");
+    }
+    if is_old {
+        rollouts.set_old_orders();
+    }
+}
+
 /// Puts a configuration in force, unless a newer one is.
 fn publish(cx: &PublishedContext, publication: Publication) {
     let known = cx.shared.routes.load().version();
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -41,10 +41,12 @@
 const FAN_OUT: usize = 8;
 /// Looks that are passed over between two reports where there are more VMs than a report goes to.
 const LARGE_FLEET_PAUSE: u32 = 1;
+/// Time between this VM's entry on the kept list and its first read of it, in which those enter that start with it.
+const ROSTER_SETTLE: Duration = Duration::from_millis(300);
 /// Time between two reads of the kept list while no other VM is known.
 const ROSTER_LONELY: Duration = Duration::from_secs(2);
-/// Time between two reads of the kept list.
-const ROSTER_EVERY: Duration = Duration::from_secs(20);
+/// Time between two reads of the kept list; in between, VMs that start tell all others of themselves.
+const ROSTER_EVERY: Duration = Duration::from_secs(60);
 /// Time after which the kept list is tried again that could not be read or written.
 const ROSTER_RETRY: Duration = Duration::from_millis(500);
 /// Largest datagram that is read, in bytes; the limits below keep ours within a packet of a common network.
@@ -102,6 +104,8 @@
     /// Position in operators' records of which the others were told.
     hinted: Option<u64>,
     sent: Option<(SystemTime, Vec<(EndpointId, Work)>)>,
+    /// Whether all others were told that this VM has started.
+    is_introduced: bool,
     pause: u32,
     _tasks: [AbortOnDropHandle<()>; 2],
 }
@@ -119,7 +123,17 @@
             tick(myself, LOOK_EVERY, || Look),
             AbortOnDropHandle::new(tokio::spawn(receive(cx.clone(), socket.clone(), questions.clone()))),
         ];
-        Ok(PeersState { cx, socket, questions, seq: 0, hinted: None, sent: None, pause: 0, _tasks: tasks })
+        Ok(PeersState {
+            cx,
+            socket,
+            questions,
+            seq: 0,
+            hinted: None,
+            sent: None,
+            is_introduced: false,
+            pause: 0,
+            _tasks: tasks,
+        })
     }
 
     async fn handle(
@@ -140,24 +154,28 @@
         self.ask(now).await;
         self.hint(now).await;
         let is_same = self.sent.as_ref().is_some_and(|(at, sent)| *sent == work && now < *at + REPORT_EVERY);
-        if is_same || self.pause > 0 {
+        let is_first = !self.is_introduced && self.cx.shared.peers().is_listed();
+        if !is_first && (is_same || self.pause > 0) {
             self.pause = self.pause.saturating_sub(1);
             return;
         }
         let peers = self.cx.shared.peers().len();
         self.pause = if peers > FAN_OUT { LARGE_FLEET_PAUSE } else { 0 };
         self.cx.shared.peers().expire(now);
-        self.report(&work).await;
+        self.report(&work, is_first).await;
+        self.is_introduced |= is_first;
         self.sent = Some((now, work));
     }
 
-    async fn report(&mut self, work: &[(EndpointId, Work)]) {
+    /// Reports to a few others; the first time to all, since they read the kept list only now and then.
+    async fn report(&mut self, work: &[(EndpointId, Work)], is_first: bool) {
         self.seq += 1;
         let report = own_report(&self.cx, self.seq, work);
         let datagram = Datagram::Report(encode_report(report));
         let to: Vec<SocketAddr> = {
             let peers = self.cx.shared.peers();
-            peers.all().map(|peer| peer.address).sample(&mut *self.cx.shared.rng(), FAN_OUT)
+            let all = peers.all().map(|peer| peer.address);
+            if is_first { all.collect() } else { all.sample(&mut *self.cx.shared.rng(), FAN_OUT) }
         };
         send(&*self.socket, &datagram, &to).await;
     }
@@ -291,6 +309,7 @@
         log::warn!("this VM is not on the list of VMs yet: {error}");
         tokio::time::sleep(ROSTER_RETRY).await;
     }
+    tokio::time::sleep(ROSTER_SETTLE).await;
     loop {
         let pause = match roster.read().await {
             Ok(peers) => {
@@ -314,6 +333,7 @@
 fn list(cx: &PublishedContext, peers: Vec<Peer>) {
     let now = cx.shared.clock.now();
     let mut known = cx.shared.peers();
+    known.set_listed();
     for peer in peers.into_iter().filter(|peer| peer.vm != cx.shared.settings.vm.id) {
         known.list(peer, now);
     }
--- a/havengrade_router/src/published/rollouts.rs
+++ b/havengrade_router/src/published/rollouts.rs
@@ -106,9 +106,7 @@
             return;
         }
         let now = self.cx.shared.clock.now();
-        // Others learn of written states from reports, but for the first time.
-        let is_read = self.read_at.is_some_and(|at| !self.cx.shared.is_reader() || now < at + READ_EVERY);
-        if !is_read && !self.read().await {
+        if self.must_read(now) && !self.read().await {
             return;
         }
         let verdicts = self.cx.shared.rollouts().verdicts(now);
@@ -119,6 +117,15 @@
         }
     }
 
+    /// Whether the store must be asked; VMs that don't read it for others learn of written states from reports.
+    fn must_read(&self, now: SystemTime) -> bool {
+        let is_reader = self.cx.shared.is_reader();
+        match self.read_at {
+            Some(at) => is_reader && now >= at + READ_EVERY,
+            None => is_reader || self.cx.shared.rollouts().has_old_orders(),
+        }
+    }
+
     /// Reads what other VMs wrote; tells whether the store could be read.
     async fn read(&mut self) -> bool {
         let asked = self.cx.shared.clock.now();
--- a/havengrade_router/src/published/store_view.rs
+++ b/havengrade_router/src/published/store_view.rs
@@ -9,7 +9,7 @@
     ids::VmId,
     published::{
         directory::DirectoryEvent,
-        relay::{confirmed_at, rank, readers},
+        relay::{Readers, TOLD_LIMIT, confirmed_at},
     },
 };
 use havengrade_rpc::reports::{StoreAnswer, StoreQuestion};
@@ -27,18 +27,18 @@
 
 /// Time between two questions.
 const ASK_EVERY: Duration = Duration::from_millis(400);
-/// Time after which a question without an answer makes the next one go to another reader.
-const ANSWER_LIMIT: Duration = Duration::from_millis(300);
-/// Most changes in one answer, so that it fits a packet; who misses more reads the store.
-const MAX_CHANGES: usize = 10;
+/// Most changes in one answer, so that it fits a datagram; who misses more reads the store.
+const MAX_CHANGES: usize = 32;
 
 /// Number of an answer that nobody asked for: it only says that operators wrote something.
 const HINT: u64 = 0;
 
 /// A question that was asked.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Asked {
     number: u64,
+    /// The VM that was asked.
+    vm: VmId,
     at: SystemTime,
     is_answered: bool,
     operators: u64,
@@ -50,31 +50,41 @@
 pub(super) struct Questions {
     last: Option<Asked>,
     number: u64,
-    /// Which of the readers is asked.
-    turn: usize,
+    readers: Readers,
 }
 
 impl Questions {
     /// Finds out who reads the store; gives a question and whom to ask, if it is time for one.
     pub(super) fn next(&mut self, cx: &PublishedContext, now: SystemTime) -> Option<(StoreQuestion, SocketAddr)> {
-        let readers = find_readers(cx, now);
-        cx.shared.set_reader(readers.is_none());
-        let readers = readers?;
-        let last = self.last;
-        if last.is_some_and(|asked| now < asked.at + ASK_EVERY) {
+        if self.last.as_ref().is_some_and(|asked| now < asked.at + ASK_EVERY) {
             return None;
         }
-        if last.is_some_and(|asked| !asked.is_answered && now >= asked.at + ANSWER_LIMIT) {
-            self.turn += 1;
+        if let Some(asked) = self.last.take_if(|asked| !asked.is_answered) {
+            self.readers.miss(&asked.vm, now);
         }
-        let to = readers.get(self.turn % readers.len()).copied()?;
+        let (vm, to) = self.choose(cx, now)?;
         let (operators, endpoints) = positions(cx)?;
         self.number += 1;
-        self.last = Some(Asked { number: self.number, at: now, is_answered: false, operators, endpoints });
+        self.last = Some(Asked { number: self.number, vm, at: now, is_answered: false, operators, endpoints });
         let address = cx.shared.settings.listen.peers.to_string();
         Some((StoreQuestion::new(to_i64(self.number), address, to_i64(operators), to_i64(endpoints)), to))
     }
 
+    /// The reader to ask; none where this VM is one of them, or the others are not known yet.
+    fn choose(&mut self, cx: &PublishedContext, now: SystemTime) -> Option<(VmId, SocketAddr)> {
+        let me = &cx.shared.settings.vm.id;
+        let peers = cx.shared.peers();
+        if !peers.is_listed() {
+            return None;
+        }
+        let vms = peers.all().map(|peer| &peer.vm).chain([me]);
+        let readers = self.readers.among(vms, me, now);
+        let is_reader = readers.contains(&me);
+        cx.shared.set_reader(is_reader);
+        let vm = self.readers.next(&readers).filter(|_| !is_reader)?;
+        Some((vm.clone(), peers.address(vm)?))
+    }
+
     /// Takes an answer and hands it to the services that follow the store.
     pub(super) fn take(&mut self, cx: &PublishedContext, answer: StoreAnswer) {
         if from_i64(answer.number) == HINT {
@@ -82,10 +92,14 @@
             return;
         }
         let Some(asked) = self.last.as_mut().filter(|asked| asked.number == from_i64(answer.number)) else { return };
-        asked.is_answered = true;
-        let asked = *asked;
-        take_operators(cx, &asked, &answer);
-        take_endpoints(cx, &asked, answer);
+        let age = Duration::from_millis(from_i64(answer.operators_age_ms.max(answer.endpoints_age_ms)));
+        // One that does not reach the store itself is of no more use than one that does not answer.
+        asked.is_answered = age < TOLD_LIMIT;
+        if asked.is_answered {
+            self.readers.hear(&asked.vm);
+        }
+        take_operators(cx, asked, &answer);
+        take_endpoints(cx, asked, answer);
     }
 }
 
@@ -104,19 +118,6 @@
     }
 }
 
-/// The VMs that read the store; none where this one is among them.
-fn find_readers(cx: &PublishedContext, now: SystemTime) -> Option<Vec<SocketAddr>> {
-    let me = &cx.shared.settings.vm.id;
-    let peers = cx.shared.peers();
-    let mut ranked: Vec<(u64, &VmId, SocketAddr)> =
-        peers.live(now).map(|peer| (rank(&peer.vm), &peer.vm, peer.address)).collect();
-    ranked.push((rank(me), me, cx.shared.settings.listen.peers));
-    ranked.sort_unstable();
-    ranked.truncate(readers(ranked.len()));
-    let is_reader = ranked.iter().any(|(_, vm, _)| *vm == me);
-    (!is_reader).then(|| ranked.into_iter().map(|(_, _, address)| address).collect())
-}
-
 /// How far this VM has read the store; none before its first reads.
 fn positions(cx: &PublishedContext) -> Option<(u64, u64)> {
     let view = cx.shared.view();
--- a/havengrade_router/src/settings/sections.rs
+++ b/havengrade_router/src/settings/sections.rs
@@ -262,7 +262,7 @@
             readiness: loopback(8083),
             metrics: loopback(8084),
             store: loopback(8090),
-            config_wait_ms: 1000,
+            config_wait_ms: 700,
             endpoints_poll_ms: 600,
             store_timeout_ms: 1500,
             withdrawal_ms: 5000,
