Publish routes by configuration items of the router itself

Cause: published routes were served by the platform's program only; operators of `havengrade-router` could not publish a script's existing HTTP traffic.

Change: items `[[route]]` (checked, planned, applied and shown like all others) and the setting `published.callers`. The router starts the same published routes over ports of its own: configuration and endpoints as its services replay them, the platform's list of VMs, keys known by their digests. A feed now says when what it gave was the newest for sure, since a replayed configuration may be older than the question. Callers may leave the request's id to the router; services that know nothing of it need not echo it or sign. `published.retry_ratio` may exceed 1.

Ruled out: a second dialect on the callers' port of the chat API (its paths and errors are another interface).

--- a/havengrade_core/src/config/change.rs
+++ b/havengrade_core/src/config/change.rs
@@ -29,6 +29,8 @@
     Migration,
     /// Roll-outs.
     Rollout,
+    /// Published routes.
+    Route,
 }
 
 impl fmt::Display for ScopeKind {
@@ -42,6 +44,7 @@
             Self::SessionKey => "session_key",
             Self::Migration => "migration",
             Self::Rollout => "rollout",
+            Self::Route => "route",
         };
         f.write_str(name)
     }
--- a/havengrade_core/src/config/file.rs
+++ b/havengrade_core/src/config/file.rs
@@ -5,7 +5,7 @@
 
 use crate::config::{
     Account, Cascade, Change, Config, Endpoint, Invalid, Item, MigrationRule, ModelVersion, RequestClass, Rollout,
-    Scope, ScopedChange, SessionKey, validate,
+    Route, Scope, ScopedChange, SessionKey, validate,
 };
 
 /// Why a change file can't be used.
@@ -48,6 +48,8 @@
     pub migration: Vec<MigrationRule>,
     /// Roll-outs to create or replace.
     pub rollout: Vec<Rollout>,
+    /// Published routes to create or replace.
+    pub route: Vec<Route>,
     /// Items to remove.
     pub remove: Vec<Scope>,
 }
@@ -109,6 +111,7 @@
         items.extend(self.session_key.iter().cloned().map(Item::SessionKey));
         items.extend(self.migration.iter().cloned().map(Item::Migration));
         items.extend(self.rollout.iter().cloned().map(Item::Rollout));
+        items.extend(self.route.iter().cloned().map(Item::Route));
         let puts = items.into_iter().map(|item| Change::Put { item });
         puts.chain(self.remove.iter().cloned().map(|scope| Change::Remove { scope })).collect()
     }
--- a/havengrade_core/src/config/items.rs
+++ b/havengrade_core/src/config/items.rs
@@ -252,6 +252,59 @@
     }
 }
 
+/// The shape of a published route's answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RouteAnswers {
+    /// One body each.
+    #[default]
+    Whole,
+    /// A stream of numbered events.
+    Events,
+    /// A stream of numbered events that may go on at another endpoint.
+    ResumableEvents,
+}
+
+/// A published route: existing HTTP requests that pass unchanged to the endpoints of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Name of the route.
+    pub id: String,
+    /// Host that callers name, without a port.
+    pub host: String,
+    /// What the path begins with; it begins and ends with a slash, and the longest one counts.
+    pub path_prefix: String,
+    /// Plain service that answers.
+    pub service: ServiceId,
+    /// Whether running a request twice does no harm.
+    #[serde(default)]
+    pub repeatable: bool,
+    /// Shape of the answers.
+    #[serde(default)]
+    pub answers: RouteAnswers,
+    /// Longest time for which a request may be held, in milliseconds.
+    pub time_limit_ms: u64,
+    /// Time in which an answer, or the first event of one, should be there, in milliseconds.
+    pub target_ms: u64,
+    /// Longest pause between two events that counts as in time, in milliseconds.
+    #[serde(default)]
+    pub pause_target_ms: Option<u64>,
+    /// Priority; 0 comes first.
+    #[serde(default)]
+    pub priority: u8,
+    /// Most endpoints that one request may be sent to.
+    #[serde(default = "default_tries")]
+    pub max_tries: u32,
+    /// Whether requests need no key.
+    #[serde(default)]
+    pub public: bool,
+}
+
+fn default_tries() -> u32 {
+    2
+}
+
 /// Any item of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "item")]
@@ -272,6 +325,8 @@
     Migration(MigrationRule),
     /// A roll-out.
     Rollout(Rollout),
+    /// A published route.
+    Route(Route),
 }
 
 impl Item {
@@ -286,6 +341,7 @@
             Self::SessionKey(item) => (ScopeKind::SessionKey, item.id.clone()),
             Self::Migration(item) => (ScopeKind::Migration, item.name()),
             Self::Rollout(item) => (ScopeKind::Rollout, item.id.clone()),
+            Self::Route(item) => (ScopeKind::Route, item.id.clone()),
         };
         Scope { kind, name }
     }
--- a/havengrade_core/src/config/mod.rs
+++ b/havengrade_core/src/config/mod.rs
@@ -12,7 +12,7 @@
     file::{ChangeFile, Difference, FileError},
     items::{
         Account, Cascade, Endpoint, EndpointKind, Item, MigrationRule, MigrationState, ModelVersion, RequestClass,
-        Rollout, RolloutState, SessionKey, VersionState,
+        Rollout, RolloutState, Route, RouteAnswers, SessionKey, VersionState,
     },
     replay::{Effect, VoidReason},
     state::{Catalog, ChangeOutcome, Config},
--- a/havengrade_core/src/config/replay.rs
+++ b/havengrade_core/src/config/replay.rs
@@ -166,6 +166,7 @@
             Item::SessionKey(item) => drop(self.session_keys.insert(name, item)),
             Item::Migration(item) => drop(self.migrations.insert(name, item)),
             Item::Rollout(item) => drop(self.rollouts.insert(name, item)),
+            Item::Route(item) => drop(self.routes.insert(name, item)),
         }
     }
 
@@ -180,6 +181,7 @@
             ScopeKind::SessionKey => drop(self.session_keys.remove(name)),
             ScopeKind::Migration => drop(self.migrations.remove(name)),
             ScopeKind::Rollout => drop(self.rollouts.remove(name)),
+            ScopeKind::Route => drop(self.routes.remove(name)),
         }
     }
 
@@ -195,6 +197,7 @@
             ScopeKind::SessionKey => self.session_keys.get(name).cloned().map(Item::SessionKey),
             ScopeKind::Migration => self.migrations.get(name).cloned().map(Item::Migration),
             ScopeKind::Rollout => self.rollouts.get(name).cloned().map(Item::Rollout),
+            ScopeKind::Route => self.routes.get(name).cloned().map(Item::Route),
         }
     }
 
--- a/havengrade_core/src/config/state.rs
+++ b/havengrade_core/src/config/state.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     config::{
-        Account, Base, Cascade, Endpoint, EndpointKind, MigrationRule, ModelVersion, RequestClass, Rollout, Scope,
-        SessionKey, VersionState, VoidReason,
+        Account, Base, Cascade, Endpoint, EndpointKind, MigrationRule, ModelVersion, RequestClass, Rollout, Route,
+        Scope, SessionKey, VersionState, VoidReason,
     },
     ids::{AccountId, CascadeId, ChangeId, ClassId, EndpointId, Offset, RolloutId, ServiceId, VersionId},
 };
@@ -52,6 +52,9 @@
     pub migrations: OrdMap<String, MigrationRule>,
     /// Roll-outs by name.
     pub rollouts: OrdMap<RolloutId, Rollout>,
+    /// Published routes by name; snapshots of before there were any have none.
+    #[serde(default)]
+    pub routes: OrdMap<String, Route>,
     /// Offset of the last change of each scope, removed ones included.
     #[serde(with = "scope_list")]
     pub(crate) revisions: OrdMap<Scope, Offset>,
--- a/havengrade_core/src/config/validate.rs
+++ b/havengrade_core/src/config/validate.rs
@@ -7,7 +7,7 @@
 use crate::{
     config::{
         Account, Cascade, Change, Config, Endpoint, EndpointKind, Item, MigrationRule, MigrationState, ModelVersion,
-        RequestClass, Rollout, Scope, ScopeKind, SessionKey, VersionState,
+        RequestClass, Rollout, Route, Scope, ScopeKind, SessionKey, VersionState,
     },
     secret,
 };
@@ -86,13 +86,17 @@
         Item::SessionKey(item) => check_session_key(item, faults),
         Item::Migration(item) => check_migration(cfg, item, faults),
         Item::Rollout(item) => check_rollout(cfg, item, faults),
+        Item::Route(item) => check_route(cfg, item, faults),
     }
 }
 
 /// Checks what a replaced item may have taken something away from.
 fn check_dependents(cfg: &Config, item: &Item, faults: &mut Vec<Invalid>) {
     match item {
-        Item::Endpoint(_) => cfg.migrations.values().for_each(|item| check_migration(cfg, item, faults)),
+        Item::Endpoint(_) => {
+            cfg.migrations.values().for_each(|item| check_migration(cfg, item, faults));
+            cfg.routes.values().for_each(|item| check_route(cfg, item, faults));
+        },
         Item::SessionKey(_) => cfg.classes.values().for_each(|item| check_class(cfg, item, faults)),
         _ => {},
     }
@@ -110,6 +114,7 @@
     cfg.cascades.values().for_each(|item| check_cascade(cfg, item, faults));
     cfg.migrations.values().for_each(|item| check_migration(cfg, item, faults));
     cfg.rollouts.values().for_each(|item| check_rollout(cfg, item, faults));
+    cfg.routes.values().for_each(|item| check_route(cfg, item, faults));
     cfg.session_keys.values().for_each(|item| check_session_key(item, faults));
     cfg.versions.values().for_each(|item| check_version(item, faults));
     cfg.classes.values().for_each(|item| check_class(cfg, item, faults));
@@ -243,6 +248,34 @@
     }
 }
 
+fn check_route(cfg: &Config, item: &Route, faults: &mut Vec<Invalid>) {
+    let field = |name: &str| format!("route {}.{name}", item.id);
+    if item.host.is_empty() || item.host.contains([':', '/']) {
+        faults.push(fault(field("host"), "must be a host name without a port"));
+    }
+    if !item.path_prefix.starts_with('/') || !item.path_prefix.ends_with('/') {
+        faults.push(fault(field("path_prefix"), "must begin and end with a slash"));
+    }
+    for (name, value) in [("time_limit_ms", item.time_limit_ms), ("target_ms", item.target_ms)] {
+        if value == 0 {
+            faults.push(fault(field(name), "must be 1 or more"));
+        }
+    }
+    if item.max_tries == 0 {
+        faults.push(fault(field("max_tries"), "must be 1 or more"));
+    }
+    let serves =
+        |endpoint: &Endpoint| matches!(&endpoint.kind, EndpointKind::Service { service } if *service == item.service);
+    if !cfg.endpoints.values().any(serves) {
+        let remedy = format!("no endpoint serves {}; add one of kind service first", item.service);
+        faults.push(fault(field("service"), remedy));
+    }
+    let is_same = |other: &&Route| other.host.eq_ignore_ascii_case(&item.host) && other.path_prefix == item.path_prefix;
+    for other in cfg.routes.values().filter(|other| other.id != item.id).filter(is_same) {
+        faults.push(fault(field("path_prefix"), format!("route {} has the same host and path; remove one", other.id)));
+    }
+}
+
 fn check_session_key(item: &SessionKey, faults: &mut Vec<Invalid>) {
     /// Fewest bytes of a secret that signs sessions.
     const MIN_SECRET: usize = 16;
@@ -268,7 +301,7 @@
 
 impl ScopeKind {
     /// All kinds, in the order in which they are shown.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Account,
         Self::Version,
         Self::Endpoint,
@@ -277,5 +310,6 @@
         Self::SessionKey,
         Self::Migration,
         Self::Rollout,
+        Self::Route,
     ];
 }
--- /dev/null
+++ b/havengrade_core/src/published/configured.rs
@@ -0,0 +1,84 @@
+//! Published routes and endpoints as the router's own configuration names them.
+
+use std::time::Duration;
+
+use crate::{
+    config::{Account, Config, Endpoint, EndpointKind, Route, RouteAnswers},
+    published::{
+        directory::ListedEndpoint,
+        route::{
+            AnswerShape, CallerLimits, Publication, PublishedAccount, PublishedRoute, PublishedService, Repeat,
+            RouteTarget,
+        },
+    },
+};
+
+/// The published part of a configuration; a key of an account is known by its digest.
+///
+/// ```
+/// use havengrade_core::{config::Config, published::{configured::publication, route::CallerLimits}};
+///
+/// let limits = CallerLimits::default();
+/// assert_eq!(publication(&Config::default(), limits).version, 0);
+/// ```
+pub fn publication(cfg: &Config, limits: CallerLimits) -> Publication {
+    let mut services: Vec<PublishedService> = Vec::new();
+    for route in cfg.routes.values() {
+        if services.iter().all(|service| service.name != route.service) {
+            services.push(PublishedService { name: route.service.clone(), ..PublishedService::default() });
+        }
+    }
+    Publication {
+        // Versions begin at 1, offsets at 0.
+        version: cfg.revision.map_or(0, |offset| offset + 1),
+        routes: cfg.routes.values().map(route).collect(),
+        services,
+        accounts: Some(cfg.accounts.values().map(account).collect()),
+        limits,
+    }
+}
+
+fn route(item: &Route) -> PublishedRoute {
+    let shape = match item.answers {
+        RouteAnswers::Whole => AnswerShape::Whole,
+        RouteAnswers::Events => AnswerShape::Events { is_resumable: false },
+        RouteAnswers::ResumableEvents => AnswerShape::Events { is_resumable: true },
+    };
+    PublishedRoute {
+        name: item.id.clone(),
+        host: item.host.clone(),
+        path_prefix: item.path_prefix.clone(),
+        repeat: if item.repeatable { Repeat::Allowed } else { Repeat::Never },
+        shape,
+        time_limit: Duration::from_millis(item.time_limit_ms),
+        target: Duration::from_millis(item.target_ms),
+        pause_target: item.pause_target_ms.map(Duration::from_millis),
+        priority: item.priority,
+        targets: vec![RouteTarget { service: item.service.clone(), weight: 1 }],
+        max_tries: item.max_tries,
+        is_public: item.public,
+        models: Vec::new(),
+    }
+}
+
+fn account(item: &Account) -> PublishedAccount {
+    PublishedAccount { name: item.id.clone(), keys: vec![item.key_sha256.to_ascii_lowercase()], priority: None }
+}
+
+/// The endpoints of plain services.
+pub fn endpoints(cfg: &Config) -> Vec<ListedEndpoint> {
+    cfg.endpoints.values().filter_map(endpoint).collect()
+}
+
+fn endpoint(item: &Endpoint) -> Option<ListedEndpoint> {
+    let EndpointKind::Service { service } = &item.kind else { return None };
+    Some(ListedEndpoint {
+        id: item.id.clone(),
+        service: service.clone(),
+        address: item.address,
+        failure_domain: item.failure_domain.clone(),
+        version: String::new(),
+        slots: item.capacity,
+        is_leaving: false,
+    })
+}
--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -4,6 +4,7 @@
 //! chooses account, endpoint and model for each request, and leaves its body and headers as they are.
 
 pub mod attempt;
+pub mod configured;
 pub mod directory;
 pub mod peers;
 pub mod placement;
--- a/havengrade_core/src/secret.rs
+++ b/havengrade_core/src/secret.rs
@@ -19,6 +19,17 @@
     Sha256::digest(secret).into()
 }
 
+/// The digest of a secret, in hexadecimal.
+///
+/// ```
+/// use havengrade_core::secret::{digest_hex, parse_digest};
+///
+/// assert!(parse_digest(&digest_hex(b"key")).is_some());
+/// ```
+pub fn digest_hex(secret: &[u8]) -> String {
+    hex::encode(digest(secret))
+}
+
 /// Reads a digest from 64 hexadecimal digits.
 pub fn parse_digest(text: &str) -> Option<Digest> {
     let mut digest = Digest::default();
--- a/havengrade_router/src/kernel.rs
+++ b/havengrade_router/src/kernel.rs
@@ -31,6 +31,12 @@
         /// What the system says.
         source: std::io::Error,
     },
+    /// A setting that is needed has no value.
+    #[snafu(display("{key} is not set; give it a value"))]
+    Unset {
+        /// Key of the setting.
+        key: &'static str,
+    },
     /// A service that another one needs is not there.
     #[snafu(display("service {name} is not there"))]
     Missing {
--- /dev/null
+++ b/havengrade_router/src/published/configured.rs
@@ -0,0 +1,203 @@
+//! Published routes over the router's own configuration: what it follows, and whom it tells.
+//!
+//! Every VM replays the configuration itself, so that reading it costs nothing.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use async_trait::async_trait;
+use havengrade_core::{
+    config::Config,
+    published::{
+        configured::{endpoints, publication},
+        directory::DirectoryEvent,
+        peers::Peer,
+        rollout::RolloutStatus,
+        route::CallerLimits,
+    },
+    secret,
+};
+use hyper::{HeaderMap, StatusCode};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    kernel::Context,
+    platform::VmList,
+    published::{
+        dialect::OwnDialect,
+        ports::{
+            CallerFacts, Dialect, EndpointHead, Feed, NotDoneSnafu, OperatorEvent, Ports, Roster, SendOrder,
+            StatusBook, StoreError, WriteOutcome,
+        },
+    },
+    shared::Shared,
+};
+
+/// Time between two looks at whether the configuration has changed.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// The ports of published routes over the configuration that a router's services replay.
+pub fn ports(cx: &Context) -> Ports {
+    Ports {
+        dialect: Box::new(ConfiguredDialect { own: OwnDialect, shared: cx.shared.clone() }),
+        operators: Box::new(ConfigFeed::new(cx.shared.clone())),
+        endpoints: Box::new(ConfigFeed::new(cx.shared.clone())),
+        statuses: Box::new(NoRollouts),
+        roster: Box::new(ListedVms(cx.vm_list.clone())),
+    }
+}
+
+/// The router's own dialect, for callers and endpoints that don't know it.
+///
+/// Callers may leave the id of their attempt to the router, and their keys are known by their digests, as accounts
+/// are configured. Endpoints neither echo the id nor sign their answers; where one echoes it, it must be the right one.
+struct ConfiguredDialect {
+    own: OwnDialect,
+    shared: Arc<Shared>,
+}
+
+impl Dialect for ConfiguredDialect {
+    fn decode_request(&self, headers: &HeaderMap) -> CallerFacts {
+        let facts = self.own.decode_request(headers);
+        let id = facts.id.or_else(|| Some(self.shared.new_request_id()));
+        let key = facts.key.map(|key| secret::digest_hex(key.as_bytes()));
+        CallerFacts { id, key, ..facts }
+    }
+
+    fn encode_request(&self, headers: &mut HeaderMap, order: &SendOrder<'_>) {
+        self.own.encode_request(headers, order);
+    }
+
+    fn decode_answer(&self, status: StatusCode, headers: &HeaderMap) -> EndpointHead {
+        EndpointHead { is_proven: true, ..self.own.decode_answer(status, headers) }
+    }
+
+    fn strip_answer(&self, headers: &mut HeaderMap) {
+        self.own.strip_answer(headers);
+    }
+}
+
+/// Follows the configuration in force.
+struct ConfigFeed {
+    shared: Arc<Shared>,
+    position: Option<u64>,
+}
+
+impl ConfigFeed {
+    fn new(shared: Arc<Shared>) -> Self {
+        Self { shared, position: None }
+    }
+
+    /// Waits for another configuration than the one that was given last; none if there is none in time.
+    async fn changed(&mut self, wait: Duration) -> Result<Option<Config>, StoreError> {
+        let until = Instant::now() + wait;
+        loop {
+            if !self.shared.is_caught_up() {
+                return NotDoneSnafu { reason: "the configuration is not replayed yet" }.fail();
+            }
+            let catalog = self.shared.catalog.load_full();
+            let position = catalog.config.revision.map_or(0, |offset| offset + 1);
+            if self.position != Some(position) {
+                self.position = Some(position);
+                return Ok(Some(catalog.config.clone()));
+            }
+            if Instant::now() >= until {
+                return Ok(None);
+            }
+            sleep(LOOK_EVERY).await;
+        }
+    }
+
+    fn known_at(&self, asked: SystemTime) -> SystemTime {
+        self.shared.confirmed().min(asked)
+    }
+}
+
+#[async_trait]
+impl Feed<OperatorEvent> for ConfigFeed {
+    async fn next(&mut self, wait: Duration) -> Result<Vec<OperatorEvent>, StoreError> {
+        let limits = caller_limits(&self.shared);
+        let changed = self.changed(wait).await?;
+        Ok(changed.iter().map(|cfg| OperatorEvent::Publication(publication(cfg, limits))).collect())
+    }
+
+    fn position(&self) -> Option<u64> {
+        self.position
+    }
+
+    fn advance(&mut self, _position: u64) {
+        // What other VMs have replayed, this one replays itself.
+    }
+
+    fn known_at(&self, asked: SystemTime) -> SystemTime {
+        Self::known_at(self, asked)
+    }
+}
+
+#[async_trait]
+impl Feed<DirectoryEvent> for ConfigFeed {
+    async fn next(&mut self, wait: Duration) -> Result<Vec<DirectoryEvent>, StoreError> {
+        let changed = self.changed(wait).await?;
+        Ok(changed.iter().map(|cfg| DirectoryEvent::All(endpoints(cfg))).collect())
+    }
+
+    fn position(&self) -> Option<u64> {
+        self.position
+    }
+
+    fn advance(&mut self, _position: u64) {
+        // What other VMs have replayed, this one replays itself.
+    }
+
+    fn known_at(&self, asked: SystemTime) -> SystemTime {
+        Self::known_at(self, asked)
+    }
+}
+
+/// Limits on what callers may send, as the settings name them.
+fn caller_limits(shared: &Shared) -> CallerLimits {
+    let limits = &shared.settings.limits;
+    CallerLimits {
+        header_bytes: limits.max_header_bytes,
+        body_bytes: limits.max_body_bytes,
+        header_timeout: Duration::from_millis(limits.read_timeout_ms),
+        ..CallerLimits::default()
+    }
+}
+
+/// Plain services are not rolled out by the router's own configuration.
+struct NoRollouts;
+
+#[async_trait]
+impl StatusBook for NoRollouts {
+    async fn read(&mut self) -> Result<Vec<RolloutStatus>, StoreError> {
+        Ok(Vec::new())
+    }
+
+    async fn write(&mut self, _status: &RolloutStatus) -> Result<WriteOutcome, StoreError> {
+        NotDoneSnafu { reason: "no roll-out of a plain service can be ordered here" }.fail()
+    }
+}
+
+/// The platform's list of VMs, which enters and takes out VMs by itself.
+struct ListedVms(Arc<dyn VmList>);
+
+#[async_trait]
+impl Roster for ListedVms {
+    async fn enter(&mut self, _peer: &Peer) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn leave(&mut self, _vm: &str) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn read(&mut self) -> Result<Vec<Peer>, StoreError> {
+        let listing = self.0.read().await.or_else(|error| NotDoneSnafu { reason: error.to_string() }.fail())?;
+        // The list does not tell runs of a process; a VM's first report does.
+        let peers = listing.entries.into_iter().filter(|vm| !vm.leaving);
+        Ok(peers.map(|vm| Peer { vm: vm.id, incarnation: 0, address: vm.peer_address }).collect())
+    }
+}
--- a/havengrade_router/src/published/dialect.rs
+++ b/havengrade_router/src/published/dialect.rs
@@ -84,7 +84,7 @@
         EndpointHead {
             run: if is_not_run { RunState::NotRun } else { RunState::Ran },
             request: text(headers, &REQUEST),
-            is_signed: headers.contains_key(&SIGNATURE),
+            is_proven: headers.contains_key(&REQUEST) && (!status.is_success() || headers.contains_key(&SIGNATURE)),
             load: running.map(|running| ReportedLoad { running, waiting: 0 }),
             confidence: number(headers, &CONFIDENCE).and_then(|value| u8::try_from(value).ok()),
             keep_alive: None,
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -205,9 +205,10 @@
                     log::info!(feed = self.name; "store answers again");
                 }
                 self.is_hurried = false;
-                self.viewed = asked;
+                let at = self.feed.known_at(asked);
+                self.viewed = at;
                 let position = self.feed.position().unwrap_or_default();
-                self.taker.take(&self.cx, events, position, asked);
+                self.taker.take(&self.cx, events, position, at);
             },
             Err(error) => self.lose(&error),
         }
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -277,7 +277,7 @@
         }
         return Err(RunState::NotRun);
     }
-    if facts.request.is_none() || (status.is_success() && !facts.is_signed) {
+    if !facts.is_proven {
         log_try(job, endpoint, "the answer has no id or no signature");
         return Err(RunState::MayHaveRun);
     }
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod channels;
 mod choose;
+pub mod configured;
 pub mod context;
 pub mod dialect;
 pub mod events;
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -1,6 +1,6 @@
 //! The borders of published routes: what an adapter of a deployment provides.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use async_trait::async_trait;
 use havengrade_core::{
@@ -90,8 +90,8 @@
     pub run: RunState,
     /// Id of the request that is answered.
     pub request: Option<RequestId>,
-    /// Whether the answer carries the endpoint's signature.
-    pub is_signed: bool,
+    /// Whether the answer shows that it is the endpoint's own to this request, as far as its like can.
+    pub is_proven: bool,
     /// Load of the endpoint.
     pub load: Option<ReportedLoad>,
     /// The model's opinion of its answer, from 0 to 100.
@@ -163,6 +163,11 @@
     /// Position in the store up to which everything was given; none before the first call.
     fn position(&self) -> Option<u64>;
 
+    /// When what the last call gave was the newest for sure, where the call began at `asked`.
+    fn known_at(&self, asked: SystemTime) -> SystemTime {
+        asked
+    }
+
     /// Goes on from a later position, since what lies before it was learned from another VM.
     fn advance(&mut self, position: u64);
 }
--- a/havengrade_router/src/published/program.rs
+++ b/havengrade_router/src/published/program.rs
@@ -10,7 +10,7 @@
 };
 
 use havengrade_core::drain::{DrainState, DrainStep};
-use snafu::ResultExt as _;
+use snafu::{OptionExt as _, ResultExt as _};
 use tokio::{
     runtime::Handle,
     time::{sleep, timeout},
@@ -21,7 +21,7 @@
 };
 
 use crate::{
-    kernel::{BindSnafu, Kernel, Service, StartError},
+    kernel::{BindSnafu, Kernel, Service, StartError, UnsetSnafu},
     net::Listener,
     published::{
         context::{Published, PublishedContext},
@@ -72,7 +72,8 @@
             number: ROUTERS.fetch_add(1, Ordering::Relaxed),
         };
         let settings = &cx.shared.settings;
-        let callers = bind(&cx, "listen.callers", settings.listen.callers).await?;
+        let address = settings.published.callers.context(UnsetSnafu { key: "published.callers" })?;
+        let callers = bind(&cx, "published.callers", address).await?;
         let balancer = bind(&cx, "published.readiness", settings.published.readiness).await?;
         let metrics = bind(&cx, "published.metrics", settings.published.metrics).await?;
         let services: Vec<Box<dyn Service<PublishedContext>>> = vec![
@@ -126,6 +127,12 @@
         sleep(notice.saturating_sub(passed)).await;
     }
 
+    /// Ends the router at once, as a crash would.
+    pub fn kill(mut self) {
+        self.cx.end.cancel();
+        self.kernel.kill();
+    }
+
     /// Stops the router in order; what is still open is cut.
     pub async fn stop(self) {
         drop(self.servers);
--- a/havengrade_router/src/router.rs
+++ b/havengrade_router/src/router.rs
@@ -26,6 +26,7 @@
     kernel::{BindSnafu, Context, Kernel, Service, StartError, service},
     net::Network,
     platform::{HttpLogService, HttpRating, HttpVmList, LogService, Rating, VmList},
+    published::{configured, program::PublishedRouter},
     services::{
         bills::{self, BillsActor, BillsMessage},
         config::{self, ConfigActor},
@@ -65,6 +66,8 @@
     cx: Context,
     kernel: Kernel,
     server: AbortOnDropHandle<()>,
+    /// Serves published routes, where the settings ask for it.
+    published: Option<PublishedRouter>,
 }
 
 impl Router {
@@ -74,13 +77,21 @@
     ///
     /// [`StartError`] where a port can't be opened or a service does not start.
     pub async fn start(settings: Settings, parts: Parts, traffic: &Handle) -> Result<Self, StartError> {
+        let published_parts = Parts { network: parts.network.clone(), ..parts };
         let cx = context(settings, parts);
         let address = cx.shared.settings.listen.callers;
         let callers = cx.network.bind(address).await.context(BindSnafu { key: "listen.callers", address })?;
         let kernel = Kernel::start(services(), &cx).await?;
         let server = AbortOnDropHandle::new(traffic.spawn(traffic::serve(cx.clone(), callers)));
+        let published = match cx.shared.settings.published.callers {
+            Some(_) => {
+                let settings = Settings::clone(&cx.shared.settings);
+                Some(PublishedRouter::start(settings, published_parts, configured::ports(&cx), traffic).await?)
+            },
+            None => None,
+        };
         log::info!(vm = cx.shared.vm().as_str(), callers = address.to_string().as_str(); "router started");
-        Ok(Self { cx, kernel, server })
+        Ok(Self { cx, kernel, server, published })
     }
 
     /// What the router's services share.
@@ -92,6 +103,16 @@
     ///
     /// Tells whether all requests in progress ended before the limit.
     pub async fn drained(&self) -> bool {
+        match &self.published {
+            Some(published) => {
+                let (is_whole, is_published_whole) = tokio::join!(self.own_drained(), published.drained());
+                is_whole && is_published_whole
+            },
+            None => self.own_drained().await,
+        }
+    }
+
+    async fn own_drained(&self) -> bool {
         let limit = Duration::from_secs(self.cx.shared.settings.drain.limit_s);
         let mut state = DrainState::Serving;
         loop {
@@ -99,6 +120,9 @@
             if state == DrainState::Serving && self.cx.shared.is_draining() {
                 state = DrainState::Draining { since: now };
                 log::info!(vm = self.cx.shared.vm().as_str(); "drain begins");
+                if let Some(published) = &self.published {
+                    published.context().shared.start_drain(now);
+                }
             }
             match state.step(self.unfinished().await, limit, now) {
                 DrainStep::Serve | DrainStep::Wait => sleep(DRAIN_LOOK).await,
@@ -131,6 +155,9 @@
         if timeout(CLOSE_LIMIT, self.cx.connections.wait()).await.is_err() {
             log::warn!(vm = self.cx.shared.vm().as_str(); "callers read too slowly, their connections are cut");
         }
+        if let Some(published) = self.published {
+            published.stop().await;
+        }
         self.cx.end.cancel();
         self.kernel.stop().await;
         log::info!(vm = self.cx.shared.vm().as_str(); "router stopped");
@@ -140,6 +167,9 @@
     pub fn kill(mut self) {
         self.cx.end.cancel();
         self.kernel.kill();
+        if let Some(published) = self.published {
+            published.kill();
+        }
     }
 }
 
--- a/havengrade_router/src/settings/check.rs
+++ b/havengrade_router/src/settings/check.rs
@@ -154,7 +154,8 @@
         ("published.readiness", settings.published.readiness),
         ("published.metrics", settings.published.metrics),
     ];
-    for (key, address) in ports {
+    let published = settings.published.callers.map(|address| ("published.callers", address));
+    for (key, address) in ports.into_iter().chain(published) {
         if address.port() != 0 && !seen.insert(address) {
             let remedy = "another port of this VM has the same address; give each its own".into();
             faults.push(Fault { key: key.into(), value: address.to_string(), remedy });
@@ -162,13 +163,19 @@
     }
 }
 
+/// Most retries for each request that can be meant; more would multiply an overload.
+const MAX_RETRY_RATIO: f64 = 10.0;
+
 fn check_published(settings: &Settings, faults: &mut Vec<Fault>) {
     let published = &settings.published;
-    let shares =
-        [("published.max_trial_share", published.max_trial_share), ("published.retry_ratio", published.retry_ratio)];
-    for (key, share) in shares {
-        if !(0.0..=1.0).contains(&share) {
-            faults.push(Fault { key: key.into(), value: share.to_string(), remedy: "must be from 0 to 1".into() });
+    let ranges = [
+        ("published.max_trial_share", published.max_trial_share, 1.0),
+        ("published.retry_ratio", published.retry_ratio, MAX_RETRY_RATIO),
+    ];
+    for (key, value, most) in ranges {
+        if !(0.0..=most).contains(&value) {
+            let remedy = format!("must be from 0 to {most}");
+            faults.push(Fault { key: key.into(), value: value.to_string(), remedy });
         }
     }
     for (key, seconds) in [("published.session_s", published.session_s), ("published.grace_s", published.grace_s)] {
--- a/havengrade_router/src/settings/sections.rs
+++ b/havengrade_router/src/settings/sections.rs
@@ -232,6 +232,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct PublishedSettings {
+    /// IP number and port for callers of published routes; where it is left out, none are served.
+    pub callers: Option<SocketAddr>,
     /// IP number and port at which a balancer asks whether this VM takes connections.
     pub readiness: SocketAddr,
     /// IP number and port at which metrics are served.
@@ -259,6 +261,7 @@
 impl Default for PublishedSettings {
     fn default() -> Self {
         Self {
+            callers: None,
             readiness: loopback(8083),
             metrics: loopback(8084),
             store: loopback(8090),
--- a/havengrade_router/src/shared.rs
+++ b/havengrade_router/src/shared.rs
@@ -147,9 +147,14 @@
         freshness.is_caught_up && membership::may_serve(self.staleness(now), hears_majority, max_staleness)
     }
 
+    /// When nothing newer than the configuration in force existed for sure.
+    pub fn confirmed(&self) -> SystemTime {
+        self.freshness.load().confirmed
+    }
+
     /// How long ago nothing newer than the configuration in force existed for sure.
     pub fn staleness(&self, now: SystemTime) -> Duration {
-        now.duration_since(self.freshness.load().confirmed).unwrap_or_default()
+        now.duration_since(self.confirmed()).unwrap_or_default()
     }
 
     /// Notes that nothing newer existed at `at`.
