Accept callers at a start once it is known where requests go

Cause: a VM opened its port some 10 ms before its first reads of the store were answered.

Change: connections wait unread until configuration and endpoints are known, 0.25 s at most; after that callers are told to come back, as before.

Ruled out: a longer time to come back (one VM's callers would wait though the others serve).

Test: a_vm_that_starts_reads_requests_once_it_knows_where_they_go, which failed before.

--- a/havengrade_dev/src/stand_in/published.rs
+++ b/havengrade_dev/src/stand_in/published.rs
@@ -21,7 +21,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     sync::Notify,
-    time::timeout,
+    time::{sleep, timeout},
 };
 use tokio_util::task::AbortOnDropHandle;
 
@@ -35,6 +35,8 @@
     statuses: Vec<RolloutStatus>,
     vms: BTreeMap<String, Peer>,
     calls: u64,
+    /// Time that each answer to a read takes.
+    takes: Duration,
 }
 
 /// A store in memory.
@@ -74,6 +76,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Lets each answer to a read take so long.
+    pub fn set_slow(&self, takes: Duration) {
+        lock(&self.kept).takes = takes;
+    }
+
     /// Calls that were made, refused ones included.
     pub fn calls(&self) -> u64 {
         lock(&self.kept).calls
@@ -110,8 +117,13 @@
 
 impl MemoryFeed {
     /// Counts a call; it is refused while the store is away.
-    fn call(&self) -> Result<(), StoreError> {
-        lock(&self.store.kept).calls += 1;
+    async fn call(&self) -> Result<(), StoreError> {
+        let takes = {
+            let mut kept = lock(&self.store.kept);
+            kept.calls += 1;
+            kept.takes
+        };
+        sleep(takes).await;
         self.check()
     }
 
@@ -138,7 +150,7 @@
     async fn next(&mut self, wait: Duration) -> Result<Vec<OperatorEvent>, StoreError> {
         let changed = self.store.changed.clone();
         let notified = changed.notified();
-        self.call()?;
+        self.call().await?;
         let events = self.read(|kept| &kept.operators)?;
         if !events.is_empty() {
             return Ok(events);
@@ -160,7 +172,7 @@
 #[async_trait]
 impl Feed<DirectoryEvent> for MemoryFeed {
     async fn next(&mut self, _wait: Duration) -> Result<Vec<DirectoryEvent>, StoreError> {
-        self.call()?;
+        self.call().await?;
         self.read(|kept| &kept.endpoints)
     }
 
@@ -176,12 +188,12 @@
 #[async_trait]
 impl StatusBook for MemoryFeed {
     async fn read(&mut self) -> Result<Vec<RolloutStatus>, StoreError> {
-        self.call()?;
+        self.call().await?;
         Self::read(self, |kept| &kept.statuses)
     }
 
     async fn write(&mut self, status: &RolloutStatus) -> Result<WriteOutcome, StoreError> {
-        self.call()?;
+        self.call().await?;
         let mut kept = lock(&self.store.kept);
         if kept.statuses.len() != self.next {
             return Ok(WriteOutcome::Conflict);
@@ -194,19 +206,19 @@
 #[async_trait]
 impl Roster for MemoryFeed {
     async fn enter(&mut self, peer: &Peer) -> Result<(), StoreError> {
-        self.call()?;
+        self.call().await?;
         lock(&self.store.kept).vms.insert(peer.vm.clone(), peer.clone());
         Ok(())
     }
 
     async fn leave(&mut self, vm: &str) -> Result<(), StoreError> {
-        self.call()?;
+        self.call().await?;
         lock(&self.store.kept).vms.remove(vm);
         Ok(())
     }
 
     async fn read(&mut self) -> Result<Vec<Peer>, StoreError> {
-        self.call()?;
+        self.call().await?;
         Ok(lock(&self.store.kept).vms.values().cloned().collect())
     }
 }
--- a/havengrade_dev/tests/published.rs
+++ b/havengrade_dev/tests/published.rs
@@ -109,8 +109,16 @@
     }
 
     async fn start_with(replies: Vec<Replies>) -> Self {
+        let bench = Self::begin(replies, MemoryStore::default()).await;
+        while !bench.is_ready().await {
+            sleep(Duration::from_millis(10)).await;
+        }
+        bench
+    }
+
+    /// A router that has just started.
+    async fn begin(replies: Vec<Replies>, store: MemoryStore) -> Self {
         let pipes = Pipes::default();
-        let store = MemoryStore::default();
         let mut endpoints = Vec::new();
         for (index, replies) in (0..).zip(replies) {
             let host = FIRST_ENDPOINT + index;
@@ -127,11 +135,7 @@
         let origin = SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000);
         let parts = Parts { network: pipes.network(ROUTER), clock: Clock::starting_at(origin), seed: 7 };
         let router = PublishedRouter::start(settings, parts, store.ports("vm-1"), &Handle::current()).await.unwrap();
-        let bench = Self { pipes, store, router, endpoints };
-        while !bench.is_ready().await {
-            sleep(Duration::from_millis(10)).await;
-        }
-        bench
+        Self { pipes, store, router, endpoints }
     }
 
     async fn connect(&self, port: u16) -> BoxConnection {
@@ -211,6 +215,26 @@
     assert!(seen.header("havengrade-time-left-ms").unwrap().parse::<u64>().unwrap() <= 9000);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_starts_reads_requests_once_it_knows_where_they_go() {
+    let store = MemoryStore::default();
+    store.set_slow(Duration::from_millis(60));
+    let bench = Bench::begin(vec![Replies::default()], store).await;
+    assert_eq!(status(&bench.ask(&get("/read/", "r1")).await), "200");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_starts_while_the_store_is_away_says_so_soon() {
+    let store = MemoryStore::default();
+    store.set_away(true);
+    let bench = Bench::begin(vec![Replies::default()], store).await;
+    let asked = Instant::now();
+    let answer = bench.ask(&get("/read/", "r1")).await;
+    assert!(status(&answer) == "503" && answer.contains("retry-after"), "{answer}");
+    assert!(asked.elapsed() < Duration::from_millis(300), "{:?}", asked.elapsed());
+    assert!(bench.arrivals().is_empty());
+}
+
 #[tokio::test(start_paused = true)]
 async fn unknown_routes_and_keys_are_refused() {
     let bench = Bench::start(vec![vec![]]).await;
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -24,6 +24,7 @@
 };
 use rand::Rng as _;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
+use tokio::sync::Notify;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
@@ -75,6 +76,8 @@
     pub in_progress: AtomicUsize,
     confirmed: AtomicU64,
     knows_endpoints: AtomicBool,
+    /// Tells those who wait that the configuration or the endpoints became known.
+    learned: Notify,
     /// When a planned stop began, in milliseconds since the Unix epoch; 0 for not yet.
     drain_since: AtomicU64,
     rollouts: Mutex<Rollouts>,
@@ -108,6 +111,7 @@
             in_progress: AtomicUsize::new(0),
             confirmed: AtomicU64::new(0),
             knows_endpoints: AtomicBool::new(false),
+            learned: Notify::new(),
             drain_since: AtomicU64::new(0),
             rollouts: Mutex::default(),
             peers: Mutex::default(),
@@ -147,7 +151,31 @@
 
     /// Notes that the endpoints have been listed once.
     pub fn set_endpoints_known(&self) {
-        self.knows_endpoints.store(true, Ordering::Release);
+        if !self.knows_endpoints.swap(true, Ordering::AcqRel) {
+            self.learned.notify_waiters();
+        }
+    }
+
+    /// Puts a configuration in force.
+    pub fn publish(&self, routes: RouteTable) {
+        self.routes.store(Arc::new(routes));
+        self.learned.notify_waiters();
+    }
+
+    /// Whether this VM knows where requests go: a configuration, and the endpoints.
+    pub fn knows_all(&self) -> bool {
+        self.routes.load().version() > 0 && self.knows_endpoints.load(Ordering::Acquire)
+    }
+
+    /// Waits until this VM knows where requests go.
+    pub async fn learned_all(&self) {
+        loop {
+            let learned = self.learned.notified();
+            if self.knows_all() {
+                return;
+            }
+            learned.await;
+        }
     }
 
     /// Begins a planned stop; later calls have no effect.
@@ -170,9 +198,8 @@
 
     /// Whether new connections are welcome.
     pub fn is_ready(&self, now: SystemTime) -> bool {
-        let routes = self.routes.load();
-        let knows_all = routes.version() > 0 && self.knows_endpoints.load(Ordering::Acquire);
-        knows_all && !self.is_draining() && (!routes.needs_keys() || self.may_use_key(now))
+        let needs_keys = self.routes.load().needs_keys();
+        self.knows_all() && !self.is_draining() && (!needs_keys || self.may_use_key(now))
     }
 
     /// The roll-outs, locked for a moment.
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -289,7 +289,7 @@
     let routes = publication.routes.len();
     log::info!(version = publication.version, before = known, routes = routes; "configuration in force");
     metrics::gauge!("configuration_version").set(publication.version as f64);
-    cx.shared.routes.store(Arc::new(RouteTable::new(publication)));
+    cx.shared.publish(RouteTable::new(publication));
 }
 
 /// Takes changes of the list of endpoints.
--- a/havengrade_router/src/published/server.rs
+++ b/havengrade_router/src/published/server.rs
@@ -11,7 +11,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     net::{BoxConnection, Listener},
@@ -29,8 +29,17 @@
 /// Headers that a request may have; more are refused by the library.
 const MAX_HEADERS: usize = 128;
 
+/// Time for which a VM that starts leaves connections unread until it knows where requests go.
+///
+/// After a restart callers come back at once, and each of them may try only a few times. A caller waits a
+/// second for a connection to come up, so that this is not noticed as a delay.
+const START_LIMIT: Duration = Duration::from_millis(250);
+
 /// Accepts callers' connections until the router ends.
 pub(super) async fn serve_callers(cx: PublishedContext, mut listener: Box<dyn Listener>) {
+    if timeout(START_LIMIT, cx.shared.learned_all()).await.is_err() {
+        log::warn!("callers are told to come back: configuration or endpoints are not known yet");
+    }
     loop {
         match listener.accept().await {
             Ok(connection) => {
