Know how roll-outs stand before callers are accepted

Cause: a VM that started read the order of a roll-out 0.1 s before it read how it had ended.

Change: states are read at once where an order stood there before the start, and a VM that starts waits for them too. Where a service has no endpoint of the wanted version left, the others are taken.

Ruled out: the moment of the roll-out's own end (all VMs knew it within 0.1 s).

Tests: a_vm_that_starts_after_a_roll_out_.. and requests_go_to_the_new_version_.., both failed before.

--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -154,6 +154,7 @@
     /// Sessions that other VMs keep at the old version, and until when.
     held: HashMap<SessionMark, SystemTime>,
     has_old_orders: bool,
+    are_statuses_read: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -203,9 +204,16 @@
         self.has_old_orders = true;
     }
 
-    /// Whether some orders stood there before this VM started; of later ones, other VMs tell how they stand.
-    pub fn has_old_orders(&self) -> bool {
-        self.has_old_orders
+    /// Notes that all written statuses were read.
+    pub fn set_statuses_read(&mut self) {
+        self.are_statuses_read = true;
+    }
+
+    /// Whether orders stood there before this VM started of which it does not know yet how they ended.
+    ///
+    /// Of later orders, other VMs tell how they stand.
+    pub fn needs_statuses(&self) -> bool {
+        self.has_old_orders && !self.are_statuses_read
     }
 
     /// Takes a written status; tells whether it changes what is known.
--- a/havengrade_dev/src/stand_in/published.rs
+++ b/havengrade_dev/src/stand_in/published.rs
@@ -86,6 +86,11 @@
         lock(&self.kept).calls
     }
 
+    /// Writes a state of a roll-out, as a VM did that is gone.
+    pub fn write_status(&self, status: RolloutStatus) {
+        lock(&self.kept).statuses.push(status);
+    }
+
     /// States of roll-outs that were written, in their order.
     pub fn statuses(&self) -> Vec<RolloutStatus> {
         lock(&self.kept).statuses.clone()
--- a/havengrade_dev/tests/published.rs
+++ b/havengrade_dev/tests/published.rs
@@ -9,7 +9,7 @@
 
 use havengrade_core::published::{
     directory::{DirectoryEvent, ListedEndpoint},
-    rollout::{RolloutOrder, RolloutOutcome},
+    rollout::{RolloutOrder, RolloutOutcome, RolloutStatus},
     route::{AnswerShape, Publication, PublishedAccount, PublishedRoute, Repeat, RouteTarget},
 };
 use havengrade_dev::{
@@ -223,6 +223,39 @@
     assert_eq!(status(&bench.ask(&get("/read/", "r1")).await), "200");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_starts_after_a_roll_out_knows_its_end_before_the_first_request() {
+    let store = MemoryStore::default();
+    store.set_slow(Duration::from_millis(20));
+    let duration = Duration::from_secs(20);
+    let order = RolloutOrder { service: "events".into(), version: "v1".into(), duration };
+    store.operate(OperatorEvent::Rollout(order));
+    store.write_status(RolloutStatus {
+        service: "events".into(),
+        version: "v1".into(),
+        outcome: RolloutOutcome::Succeeded,
+    });
+    let bench = Bench::begin(vec![Replies::default(), Replies::default()], store).await;
+    bench.store.list(DirectoryEvent::Seen(listed(&bench.pipes, 1, "v0")));
+    for id in 0..8 {
+        assert_eq!(status(&bench.ask(&get("/read/", &format!("r{id}"))).await), "200");
+    }
+    assert_eq!(bench.log_of(0).len(), 8, "the old version gets nothing");
+}
+
+#[tokio::test(start_paused = true)]
+async fn requests_go_to_the_new_version_where_no_other_is_left() {
+    let bench = Bench::start(vec![vec![], vec![]]).await;
+    let order = RolloutOrder { service: "events".into(), version: "v2".into(), duration: Duration::from_secs(20) };
+    bench.store.operate(OperatorEvent::Rollout(order));
+    bench.store.list(DirectoryEvent::Seen(listed(&bench.pipes, 1, "v2")));
+    bench.store.list(DirectoryEvent::Gone("e0".into()));
+    sleep(Duration::from_millis(900)).await;
+    for id in 0..8 {
+        assert_eq!(status(&bench.ask(&get("/read/", &format!("r{id}"))).await), "200");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_vm_that_starts_while_the_store_is_away_says_so_soon() {
     let store = MemoryStore::default();
--- a/havengrade_router/src/published/choose.rs
+++ b/havengrade_router/src/published/choose.rs
@@ -28,8 +28,12 @@
     let endpoints = usable.get(&job.service)?;
     let session = job.facts.session.as_deref();
     let allowed = cx.shared.rollouts().allowed(&job.service, &job.id, session, cx.shared.rollout_bounds(), now);
-    let versioned: Vec<_> =
+    let mut versioned: Vec<_> =
         endpoints.iter().filter(|e| allowed.includes(&e.version)).map(|e| candidate(cx, e)).collect();
+    if versioned.is_empty() {
+        // The old version has left the list: the roll-out has ended, and this VM has not heard of it yet.
+        versioned = endpoints.iter().map(|e| candidate(cx, e)).collect();
+    }
     let prompt = prompt(cx, job);
     let domain = &cx.shared.settings.vm.failure_domain;
     let placement = Placement { failure_domain: domain, tried: &job.tried, prompt: prompt.as_ref(), now };
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -152,26 +152,31 @@
     /// Notes that the endpoints have been listed once.
     pub fn set_endpoints_known(&self) {
         if !self.knows_endpoints.swap(true, Ordering::AcqRel) {
-            self.learned.notify_waiters();
+            self.tell_learned();
         }
     }
 
+    /// Tells those who wait for it that something became known.
+    pub fn tell_learned(&self) {
+        self.learned.notify_waiters();
+    }
+
     /// Puts a configuration in force.
     pub fn publish(&self, routes: RouteTable) {
         self.routes.store(Arc::new(routes));
-        self.learned.notify_waiters();
+        self.tell_learned();
     }
 
-    /// Whether this VM knows where requests go: a configuration, and the endpoints.
-    pub fn knows_all(&self) -> bool {
+    /// Whether this VM knows where requests go: a configuration and the endpoints.
+    pub fn knows_routes(&self) -> bool {
         self.routes.load().version() > 0 && self.knows_endpoints.load(Ordering::Acquire)
     }
 
-    /// Waits until this VM knows where requests go.
+    /// Waits until this VM knows where requests go, and how roll-outs of before its start stand.
     pub async fn learned_all(&self) {
         loop {
             let learned = self.learned.notified();
-            if self.knows_all() {
+            if self.knows_routes() && !self.rollouts().needs_statuses() {
                 return;
             }
             learned.await;
@@ -199,7 +204,7 @@
     /// Whether new connections are welcome.
     pub fn is_ready(&self, now: SystemTime) -> bool {
         let needs_keys = self.routes.load().needs_keys();
-        self.knows_all() && !self.is_draining() && (!needs_keys || self.may_use_key(now))
+        self.knows_routes() && !self.is_draining() && (!needs_keys || self.may_use_key(now))
     }
 
     /// The roll-outs, locked for a moment.
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -24,6 +24,7 @@
     published::{
         context::{EndpointsByService, PublishedContext},
         ports::{Feed, OperatorEvent, StoreError},
+        rollouts,
     },
     shared::lock,
 };
@@ -257,12 +258,17 @@
 
     fn take(&mut self, cx: &PublishedContext, events: Vec<OperatorEvent>, position: u64, at: SystemTime) {
         let is_first_read = cx.shared.view().operators.is_none();
+        let mut publications = Vec::new();
         for event in events {
             match event {
-                OperatorEvent::Publication(publication) => publish(cx, publication),
+                OperatorEvent::Publication(publication) => publications.push(publication),
                 OperatorEvent::Rollout(order) => take_order(cx, order, is_first_read),
             }
         }
+        // Last, since callers are let in once there is a configuration.
+        for publication in publications {
+            publish(cx, publication);
+        }
         cx.shared.view().operators = Some(position);
         cx.shared.confirm(at);
     }
@@ -271,12 +277,12 @@
 /// Takes up an order to roll out a version.
 fn take_order(cx: &PublishedContext, order: RolloutOrder, is_old: bool) {
     let line = format!("{} to {}", order.service, order.version);
-    let mut rollouts = cx.shared.rollouts();
-    if rollouts.order(order, cx.shared.clock.now()) {
+    if cx.shared.rollouts().order(order, cx.shared.clock.now()) {
         log::info!(order = line.as_str(); "roll-out ordered");
     }
     if is_old {
-        rollouts.set_old_orders();
+        cx.shared.rollouts().set_old_orders();
+        rollouts::hurry(cx);
     }
 }
 
--- a/havengrade_router/src/published/job.rs
+++ b/havengrade_router/src/published/job.rs
@@ -100,10 +100,10 @@
     facts: CallerFacts,
     arrived: SystemTime,
 ) -> Result<Job, Refusal> {
-    let routes = cx.shared.routes.load_full();
-    if routes.version() == 0 {
+    if !cx.shared.knows_routes() {
         return Err(Refusal::Starting);
     }
+    let routes = cx.shared.routes.load_full();
     check_host(&head)?;
     let id = facts.id.clone().ok_or(Refusal::Malformed)?;
     let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
--- a/havengrade_router/src/published/rollouts.rs
+++ b/havengrade_router/src/published/rollouts.rs
@@ -16,7 +16,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
-    kernel::{Service, StartError, spawn},
+    kernel::{Service, ServiceContext as _, StartError, spawn},
     published::{
         context::PublishedContext,
         ports::{StatusBook, WriteOutcome},
@@ -65,6 +65,14 @@
 /// Time to look.
 struct Look;
 
+/// Makes the service look at once.
+pub(super) fn hurry(cx: &PublishedContext) {
+    let service = ractor::registry::where_is(cx.actor_name(NAME)).map(ActorRef::<Look>::from);
+    if let Some(Err(error)) = service.map(|service| service.cast(Look)) {
+        log::debug!("the service of roll-outs is gone: {error}");
+    }
+}
+
 struct RolloutState {
     cx: PublishedContext,
     book: Box<dyn StatusBook>,
@@ -122,7 +130,7 @@
         let is_reader = self.cx.shared.is_reader();
         match self.read_at {
             Some(at) => is_reader && now >= at + READ_EVERY,
-            None => is_reader || self.cx.shared.rollouts().has_old_orders(),
+            None => is_reader || self.cx.shared.rollouts().needs_statuses(),
         }
     }
 
@@ -143,6 +151,8 @@
                 log::info!(state = line.as_str(); "state of a roll-out read");
             }
         }
+        self.cx.shared.rollouts().set_statuses_read();
+        self.cx.shared.tell_learned();
         true
     }
 
