Reload settings while running, and divide an endpoint's connections between VMs

Cause: a signal to reload was only logged, and a settings file that changes without one was never noticed. An endpoint accepts a number of connections from all VMs together; each VM opened as many as it liked.

Change: the settings file is read again at SIGHUP and every five seconds; faulty settings are logged and those in force stay, each key that differs is named with when it takes effect. Bounds of published routes and the level of logs take effect at once. A VM has its part of `max_connections` to an endpoint, and passes over one where that is used up.

Ruled out: a queue for connections in the router (a request that waits there is not offered to an endpoint).

--- a/havengrade_core/src/published/route.rs
+++ b/havengrade_core/src/published/route.rs
@@ -111,6 +111,21 @@
 }
 
 impl PublishedService {
+    /// Connections to one endpoint that each of so many VMs may have; none where there is no limit.
+    ///
+    /// ```
+    /// use havengrade_core::published::route::PublishedService;
+    ///
+    /// let service = PublishedService { max_connections: 100, ..PublishedService::default() };
+    /// assert_eq!(service.connection_share(9), Some(11));
+    /// assert_eq!(service.connection_share(390), Some(1));
+    /// assert_eq!(PublishedService::default().connection_share(9), None);
+    /// ```
+    pub fn connection_share(&self, vms: usize) -> Option<u32> {
+        let vms = u32::try_from(vms).unwrap_or(u32::MAX).max(1);
+        (self.max_connections > 0).then(|| (self.max_connections / vms).max(1))
+    }
+
     /// Work that a token of a model is, where one of the dearest model is 1.
     ///
     /// What a model costs stands for the work that it is, since nothing else is told of it.
--- a/havengrade_core/src/retry.rs
+++ b/havengrade_core/src/retry.rs
@@ -43,6 +43,11 @@
         Self { saved: most_saved, most_saved, earned_percent: u64::from(earned_percent) }
     }
 
+    /// Changes what each first try adds, in hundredths of a retry; what is saved stays.
+    pub fn set_earned(&mut self, earned_percent: u32) {
+        self.earned_percent = u64::from(earned_percent);
+    }
+
     /// Notes a first try.
     pub fn earn(&mut self) {
         self.saved = (self.saved + self.earned_percent).min(self.most_saved);
--- a/havengrade_dev/src/stand_in/published.rs
+++ b/havengrade_dev/src/stand_in/published.rs
@@ -233,6 +233,8 @@
 pub enum Reply {
     /// Writes these bytes, in which `{id}` stands for the request's id, and keeps the connection.
     Write(String),
+    /// Writes these bytes after a time, and keeps the connection.
+    Late(Duration, String),
     /// Writes these bytes piece by piece, with a pause after each, and keeps the connection.
     Pieces(Vec<String>, Duration),
     /// Writes these bytes and closes the connection.
@@ -276,10 +278,19 @@
 
 /// A whole signed answer to a request.
 pub fn signed(body: &str) -> Reply {
-    Reply::Write(format!(
-        "HTTP/1.1 200 OK\r\nhavengrade-request: {{id}}\r\nhavengrade-signature: s\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    ))
+    Reply::Write(signed_text(body))
+}
+
+/// A whole signed answer to a request, after a time.
+pub fn signed_late(body: &str, after: Duration) -> Reply {
+    Reply::Late(after, signed_text(body))
+}
+
+fn signed_text(body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nhavengrade-request: {{id}}\r\nhavengrade-signature: s\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
 }
 
 /// The head of a signed stream, in chunks.
@@ -350,6 +361,10 @@
     let text = |bytes: &str| bytes.replace("{id}", id).into_bytes();
     match reply {
         Reply::Write(bytes) => connection.write_all(&text(&bytes)).await.is_ok(),
+        Reply::Late(after, bytes) => {
+            sleep(after).await;
+            connection.write_all(&text(&bytes)).await.is_ok()
+        },
         Reply::Close(bytes) => {
             // A caller that has left does not matter to an endpoint that closes anyway.
             let _ = connection.write_all(&text(&bytes)).await;
--- a/havengrade_dev/tests/published.rs
+++ b/havengrade_dev/tests/published.rs
@@ -10,12 +10,12 @@
 use havengrade_core::published::{
     directory::{DirectoryEvent, ListedEndpoint},
     rollout::{RolloutOrder, RolloutOutcome, RolloutStatus},
-    route::{AnswerShape, Publication, PublishedAccount, PublishedRoute, Repeat, RouteTarget},
+    route::{AnswerShape, Publication, PublishedAccount, PublishedRoute, PublishedService, Repeat, RouteTarget},
 };
 use havengrade_dev::{
     fabric::{Fabric as _, Host, Pipes},
     stand_in::published::{
-        LAST_CHUNK, MemoryStore, Replies, Reply, STREAM_HEAD, ScriptedEndpoint, chunk, event, signed,
+        LAST_CHUNK, MemoryStore, Replies, Reply, STREAM_HEAD, ScriptedEndpoint, chunk, event, signed, signed_late,
     },
 };
 use havengrade_router::{
@@ -389,6 +389,34 @@
     assert_eq!(status(&bench.ask(&get("/read/", "r1")).await), "401");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_shorter_bound_on_withdrawn_keys_takes_effect_without_a_restart() {
+    let bench = Bench::start(vec![vec![]]).await;
+    let mut settings = Settings::default();
+    settings.published.withdrawal_ms = 2000;
+    bench.router.reload(&settings);
+    bench.store.set_away(true);
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(status(&bench.ask(&get("/read/", "r1")).await), "503");
+}
+
+#[tokio::test(start_paused = true)]
+async fn connections_to_an_endpoint_stay_within_this_vms_share() {
+    let late = signed_late("ok", Duration::from_secs(2));
+    let bench = Bench::start_shared(2, vec![late; 4]).await;
+    let mut limited = publication(2, &["k1"]);
+    limited.services =
+        vec![PublishedService { name: "events".into(), max_connections: 2, ..PublishedService::default() }];
+    bench.store.operate(OperatorEvent::Publication(limited));
+    sleep(Duration::from_millis(100)).await;
+    let asks: Vec<String> = (0..5).map(|id| get("/once/", &format!("r{id}"))).collect();
+    let asking = futures::future::join_all(asks.iter().map(|ask| bench.ask(ask)));
+    let answers = asking.await;
+    let refused = answers.iter().filter(|answer| status(answer) == "503").count();
+    assert_eq!(refused, 1, "each endpoint takes two, and the fifth is told to come back: {answers:?}");
+    assert_eq!(bench.arrivals().len(), 4);
+}
+
 #[tokio::test(start_paused = true)]
 async fn keys_are_not_used_once_the_store_was_away_for_too_long() {
     let bench = Bench::start(vec![vec![]]).await;
--- a/havengrade_router/src/logging.rs
+++ b/havengrade_router/src/logging.rs
@@ -39,9 +39,9 @@
         return;
     }
     let vm = vm.to_owned();
-    let level = settings.level.parse().unwrap_or(LevelFilter::Info);
     let builder = Builder::new()
-        .filter_level(level)
+        // The level in force is the one below, which may change while the program runs.
+        .filter_level(LevelFilter::Trace)
         .target(Target::Pipe(Box::new(writer)))
         .format(move |f, record| {
             let line = line(record, &vm, SystemTime::now());
@@ -51,6 +51,12 @@
     if builder.is_err() {
         eprintln!("logs are written by another logger");
     }
+    set_level(settings);
+}
+
+/// Puts the set level in force.
+pub fn set_level(settings: &LoggingSettings) {
+    log::set_max_level(settings.level.parse().unwrap_or(LevelFilter::Info));
 }
 
 /// Hands lines to the thread that writes them; a line that finds the queue full is dropped and counted.
--- a/havengrade_router/src/main.rs
+++ b/havengrade_router/src/main.rs
@@ -6,20 +6,22 @@
 use havengrade_router::{
     cli::Options,
     clock::Clock,
-    launch::{NOT_STARTED, StopSignals, launch, stopped},
+    launch::{NOT_STARTED, Start, StopSignals, follow_settings, launch, stopped},
     net::TcpNetwork,
     router::{Parts, Router},
-    settings::Settings,
 };
 use rand::Rng as _;
-use tokio::runtime::Handle;
+use tokio::{
+    runtime::Handle,
+    signal::unix::{SignalKind, signal},
+};
 
 fn main() -> ExitCode {
     launch(&Options::parse(), serve)
 }
 
-async fn serve(settings: Settings, traffic: &Handle) -> ExitCode {
-    let Ok(mut signals) = StopSignals::new() else {
+async fn serve(mut start: Start, traffic: &Handle) -> ExitCode {
+    let (Ok(mut signals), Ok(hangup)) = (StopSignals::new(), signal(SignalKind::hangup())) else {
         log::error!("signals can't be received");
         return ExitCode::from(NOT_STARTED);
     };
@@ -28,7 +30,7 @@
         clock: Clock::starting_at(SystemTime::now()),
         seed: rand::rng().next_u64(),
     };
-    let router = match Router::start(settings, parts, traffic).await {
+    let router = match Router::start(start.settings.clone(), parts, traffic).await {
         Ok(router) => router,
         Err(error) => {
             log::error!("{error}");
@@ -39,6 +41,7 @@
     let code = tokio::select! {
         biased;
         code = signals.stop(|| { shared.start_drain(); }) => code,
+        never = follow_settings(&mut start, hangup, |settings| router.reload(settings)) => match never {},
         is_whole = router.drained() => stopped(is_whole),
     };
     router.stop().await;
--- a/havengrade_router/src/published/choose.rs
+++ b/havengrade_router/src/published/choose.rs
@@ -28,19 +28,32 @@
     let endpoints = usable.get(&job.service)?;
     let session = job.facts.session.as_deref();
     let allowed = cx.shared.rollouts().allowed(&job.service, &job.id, session, cx.shared.rollout_bounds(), now);
-    let mut versioned: Vec<_> =
-        endpoints.iter().filter(|e| allowed.includes(&e.version)).map(|e| candidate(cx, e)).collect();
+    let share = connection_share(cx, job);
+    let has_room = |endpoint: &&ListedEndpoint| share.is_none_or(|share| in_flight(cx, endpoint) < share);
+    let mut versioned: Vec<&ListedEndpoint> = endpoints.iter().filter(|e| allowed.includes(&e.version)).collect();
     if versioned.is_empty() {
         // The old version has left the list: the roll-out has ended, and this VM has not heard of it yet.
-        versioned = endpoints.iter().map(|e| candidate(cx, e)).collect();
+        versioned = endpoints.iter().collect();
     }
+    let candidates: Vec<_> = versioned.into_iter().filter(has_room).map(|e| candidate(cx, e)).collect();
     let prompt = prompt(cx, job);
     let domain = &cx.shared.settings.vm.failure_domain;
     let placement = Placement { failure_domain: domain, tried: &job.tried, prompt: prompt.as_ref(), now };
-    let placed = place(&versioned, placement, &mut *cx.shared.rng())?;
+    let placed = place(&candidates, placement, &mut *cx.shared.rng())?;
     Some(Chosen { endpoint: placed.endpoint.clone(), tokens: placed.tokens })
 }
 
+/// Connections to one endpoint of the request's service that this VM may have.
+fn connection_share(cx: &PublishedContext, job: &Job) -> Option<u32> {
+    let vms = cx.shared.peers().len() + 1;
+    cx.shared.routes.load().service(&job.service)?.connection_share(vms)
+}
+
+/// Connections of this VM to an endpoint that are in use; kept ones are used before new ones are opened.
+fn in_flight(cx: &PublishedContext, endpoint: &ListedEndpoint) -> u32 {
+    cx.shared.states.slot(&endpoint.id).map_or(0, |slot| slot.in_flight())
+}
+
 fn candidate<'a>(cx: &PublishedContext, endpoint: &'a ListedEndpoint) -> Candidate<'a> {
     let own = cx.shared.states.slot(&endpoint.id);
     let (requests, tokens) = own.map_or((0, 0), |slot| (slot.in_flight(), slot.unread()));
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -33,7 +33,7 @@
     kernel::ServiceContext,
     net::Network,
     published::{channels::Channels, ports::Dialect},
-    settings::Settings,
+    settings::{PublishedSettings, Settings},
     shared::lock,
 };
 
@@ -56,8 +56,10 @@
 
 /// State of a router of published routes.
 pub struct Published {
-    /// Settings of the router.
+    /// Settings that the router was started with.
     pub settings: Settings,
+    /// Settings of published routes in force.
+    tuning: ArcSwap<PublishedSettings>,
     /// Run of this process.
     pub incarnation: Incarnation,
     /// The clock.
@@ -124,10 +126,23 @@
             is_reader: AtomicBool::new(true),
             retries: Mutex::default(),
             rng: Mutex::new(rng),
+            tuning: ArcSwap::from_pointee(settings.published.clone()),
             settings,
         }
     }
 
+    /// Settings of published routes in force; addresses are those of the start.
+    pub fn tuning(&self) -> Arc<PublishedSettings> {
+        self.tuning.load_full()
+    }
+
+    /// Puts settings of published routes in force.
+    pub fn tune(&self, settings: PublishedSettings) {
+        let percent = earned_percent(&settings);
+        lock(&self.retries).values_mut().for_each(|budget| budget.set_earned(percent));
+        self.tuning.store(Arc::new(settings));
+    }
+
     /// Notes that nothing newer than the configuration in force existed at `at`.
     pub fn confirm(&self, at: SystemTime) {
         self.confirmed.fetch_max(to_millis(at), Ordering::AcqRel);
@@ -140,7 +155,7 @@
 
     /// Whether a request with a key may be sent to an endpoint now.
     pub fn may_use_key(&self, now: SystemTime) -> bool {
-        let bound = Duration::from_millis(self.settings.published.withdrawal_ms);
+        let bound = Duration::from_millis(self.tuning.load().withdrawal_ms);
         attempt::may_use_key(self.confirmed(), bound, now)
     }
 
@@ -236,7 +251,7 @@
 
     /// The operators' bounds on roll-outs.
     pub fn rollout_bounds(&self) -> RolloutBounds {
-        let settings = &self.settings.published;
+        let settings = self.tuning.load();
         RolloutBounds { max_share: settings.max_trial_share, session_time: Duration::from_secs_f64(settings.session_s) }
     }
 
@@ -265,7 +280,7 @@
         if let Some(budget) = budgets.get_mut(service) {
             return act(budget);
         }
-        let percent = (self.settings.published.retry_ratio * RETRY_SHARE * PERCENT) as u32;
+        let percent = earned_percent(&self.tuning.load());
         let budget =
             budgets.entry(service.to_owned()).or_insert_with(|| RetryBudget::with_savings(percent, SAVED_RETRIES));
         act(budget)
@@ -282,6 +297,11 @@
 /// Hundredths in a whole.
 const PERCENT: f64 = 100.0;
 
+/// What a first try adds to the retry budget, in hundredths of a retry.
+fn earned_percent(settings: &PublishedSettings) -> u32 {
+    (settings.retry_ratio * RETRY_SHARE * PERCENT) as u32
+}
+
 /// What every service of published routes is given.
 #[derive(Clone)]
 pub struct PublishedContext {
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -249,7 +249,7 @@
 
 impl Take<OperatorEvent> for Operators {
     fn wait(&self, cx: &PublishedContext) -> Duration {
-        Duration::from_millis(cx.shared.settings.published.config_wait_ms)
+        Duration::from_millis(cx.shared.tuning().config_wait_ms)
     }
 
     fn pause(&self, _cx: &PublishedContext) -> Duration {
@@ -311,7 +311,7 @@
     }
 
     fn pause(&self, cx: &PublishedContext) -> Duration {
-        Duration::from_millis(cx.shared.settings.published.endpoints_poll_ms)
+        Duration::from_millis(cx.shared.tuning().endpoints_poll_ms)
     }
 
     fn take(&mut self, cx: &PublishedContext, events: Vec<DirectoryEvent>, position: u64, at: SystemTime) {
--- a/havengrade_router/src/published/program.rs
+++ b/havengrade_router/src/published/program.rs
@@ -97,6 +97,11 @@
         &self.cx
     }
 
+    /// Takes over the settings that take effect while the router runs.
+    pub fn reload(&self, settings: &Settings) {
+        self.cx.shared.tune(settings.published.clone());
+    }
+
     /// Waits until a planned stop has let everything end, or its time is over.
     ///
     /// Tells whether all requests in progress ended before the limit.
@@ -149,7 +154,7 @@
 
 /// Time from the beginning of a planned stop until what is still open is cut.
 fn stop_limit(cx: &PublishedContext) -> Duration {
-    Duration::from_secs_f64(cx.shared.settings.published.grace_s).saturating_sub(CUT_MARGIN)
+    Duration::from_secs_f64(cx.shared.tuning().grace_s).saturating_sub(CUT_MARGIN)
 }
 
 /// Whether a request that arrives now, and may take `longest`, could be cut by a planned stop.
--- a/havengrade_router/src/router.rs
+++ b/havengrade_router/src/router.rs
@@ -99,6 +99,13 @@
         &self.cx
     }
 
+    /// Takes over the settings that take effect while the router runs.
+    pub fn reload(&self, settings: &Settings) {
+        if let Some(published) = &self.published {
+            published.reload(settings);
+        }
+    }
+
     /// Waits until a planned stop, begun by a signal or an operator, has let everything end.
     ///
     /// Tells whether all requests in progress ended before the limit.
--- a/havengrade_router/src/settings/mod.rs
+++ b/havengrade_router/src/settings/mod.rs
@@ -1,12 +1,14 @@
 //! Settings of the router, one file a section.
 
 mod check;
+mod reload;
 mod sections;
 
 use serde::{Deserialize, Serialize};
 
 pub use self::{
     check::{Fault, SettingsError, parse},
+    reload::{ReadError, SettingsFile, differences},
     sections::{
         ClaimSettings, DrainSettings, EndpointSettings, LimitSettings, ListenSettings, LogServiceSettings,
         LoggingSettings, Operator, PeerSettings, PublishedSettings, RatingSettings, VmListSettings, VmSettings,
--- a/havengrade_router/tests/settings.rs
+++ b/havengrade_router/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Faulty settings: all faults at once, each with its key, value and remedy.
 #![allow(clippy::unwrap_used)]
 
-use havengrade_router::settings::{Fault, Settings, SettingsError, parse};
+use havengrade_router::settings::{Fault, ReadError, Settings, SettingsError, SettingsFile, parse};
 
 fn faults(text: &str) -> Vec<Fault> {
     match parse(text).unwrap_err() {
@@ -85,3 +85,19 @@
         assert!(error.contains(part), "{error}");
     }
 }
+
+#[test]
+fn a_file_is_taken_over_when_its_text_changes_and_is_without_faults() {
+    let path = std::env::temp_dir().join(format!("havengrade-settings-{}.toml", std::process::id()));
+    std::fs::write(&path, "[published]\nwithdrawal_ms = 4000\n").unwrap();
+    let (mut file, settings) = SettingsFile::open(&path).unwrap();
+    assert_eq!(settings.published.withdrawal_ms, 4000);
+    assert!(file.changed().unwrap().is_none());
+    std::fs::write(&path, "[published]\nwithdrawal_ms = 0\n").unwrap();
+    assert!(matches!(file.changed(), Err(ReadError::Faulty { .. })));
+    assert!(file.changed().unwrap().is_none(), "a faulty text is told once");
+    std::fs::write(&path, "[published]\nwithdrawal_ms = 3000\n").unwrap();
+    assert_eq!(file.changed().unwrap().unwrap().published.withdrawal_ms, 3000);
+    std::fs::remove_file(&path).unwrap();
+    assert!(matches!(file.changed(), Err(ReadError::Unreadable { .. })));
+}
