Hand what operators wrote from VM to VM, and leave a store alone that does not answer

Change: the VM that tells of news hands the configuration and orders on, deflated, to each that connects (32 KB at most, more is read from the store; at most one taking in 0.3 s). An answer between VMs holds 128 changes of the list. A failure of one feed pauses both. A VM that the store turns away learns of changes this way.

Tests: a_change_costs_few_reads.., a_vm_that_the_store_turns_away_learns_.. (both need the handing on), a_configuration_too_large_.., a_fleet_that_loses_power_as_a_whole_..

--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -5,6 +5,8 @@
     time::{Duration, SystemTime},
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     evidence::{Evidence, Subject, Tally},
     ids::{Incarnation, ServiceId, SessionId},
@@ -13,7 +15,7 @@
 };
 
 /// An operator's order to shift a service to a new version.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutOrder {
     /// The service.
     pub service: ServiceId,
@@ -216,6 +218,11 @@
         self.has_old_orders && !self.are_statuses_read
     }
 
+    /// The newest order of each service.
+    pub fn orders(&self) -> impl Iterator<Item = &RolloutOrder> {
+        self.by_service.values().map(|running| &running.order)
+    }
+
     /// Takes a written status; tells whether it changes what is known.
     pub fn note_status(&mut self, status: RolloutStatus) -> bool {
         if self.statuses.get(&status.service) == Some(&status) {
--- a/havengrade_core/src/published/route.rs
+++ b/havengrade_core/src/published/route.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     ids::{AccountId, ModelId, ServiceId},
     secret::spread,
@@ -11,7 +13,7 @@
 pub type RouteId = String;
 
 /// Whether and how a request of a route may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
     /// It may run more than once.
     Allowed,
@@ -20,7 +22,7 @@
 }
 
 /// The shape of a route's answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AnswerShape {
     /// One body, passed on when it is whole.
     Whole,
@@ -32,7 +34,7 @@
 }
 
 /// A service among which a route's requests are divided.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTarget {
     /// Name of the service.
     pub service: ServiceId,
@@ -41,7 +43,7 @@
 }
 
 /// A route that is published to callers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublishedRoute {
     /// Name of the route.
     pub name: RouteId,
@@ -91,7 +93,7 @@
 }
 
 /// A model that the endpoints of a service run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelPrice {
     /// Name of the model.
     pub name: ModelId,
@@ -100,7 +102,7 @@
 }
 
 /// What is known of a service as a whole.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PublishedService {
     /// Name of the service.
     pub name: ServiceId,
@@ -149,7 +151,7 @@
 }
 
 /// A client account and the keys by which its requests are known.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublishedAccount {
     /// Name of the account.
     pub name: AccountId,
@@ -160,7 +162,7 @@
 }
 
 /// Limits on what callers may send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest head of a request, in bytes.
     pub header_bytes: usize,
@@ -184,7 +186,7 @@
 }
 
 /// A whole published configuration, as an operator wrote it.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Publication {
     /// Version, rising with each change.
     pub version: u64,
@@ -229,6 +231,11 @@
         self.publication.version
     }
 
+    /// The configuration itself.
+    pub fn publication(&self) -> &Publication {
+        &self.publication
+    }
+
     /// Limits on what callers may send.
     pub fn limits(&self) -> CallerLimits {
         self.publication.limits
--- a/havengrade_dev/src/stand_in/published.rs
+++ b/havengrade_dev/src/stand_in/published.rs
@@ -110,6 +110,7 @@
             endpoints: Box::new(feed()),
             statuses: Box::new(feed()),
             roster: Box::new(feed()),
+            hands_news_on: true,
         }
     }
 }
--- a/havengrade_dev/tests/published_fleet.rs
+++ b/havengrade_dev/tests/published_fleet.rs
@@ -152,3 +152,53 @@
         assert!(router.context().shared.peers().all().any(|peer| peer.vm == name(20)));
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_change_costs_few_reads_of_the_store_however_many_vms_there_are() {
+    let bench = Bench::start(40).await;
+    let before = bench.store.calls();
+    bench.store.operate(publication(2));
+    sleep(Duration::from_secs(2)).await;
+    assert!(bench.versions().iter().all(|version| *version == 2));
+    let calls = bench.store.calls() - before;
+    // Two readers' own calls in two seconds, and one more each for the news.
+    assert!(calls <= 20, "{calls} calls");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_the_store_turns_away_learns_of_a_change_from_another() {
+    let bench = Bench::start(8).await;
+    let told = (0..8).find(|index| !bench.readers().contains(index)).unwrap();
+    bench.store.turn_away(&name(told), true);
+    bench.store.operate(publication(2));
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(bench.versions()[told], 2);
+    assert_eq!(bench.stale(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_configuration_too_large_to_hand_on_is_read_from_the_store() {
+    let bench = Bench::start(8).await;
+    let keys = (0..9_000).map(|number| format!("key-{number}")).collect();
+    let accounts = Some(vec![PublishedAccount { name: "gate".into(), keys, priority: None }]);
+    bench.store.operate(OperatorEvent::Publication(Publication { version: 2, accounts, ..Publication::default() }));
+    sleep(Duration::from_secs(2)).await;
+    assert!(bench.versions().iter().all(|version| *version == 2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_fleet_that_loses_power_as_a_whole_comes_back_with_all_that_was_kept() {
+    let mut bench = Bench::start(6).await;
+    bench.store.operate(publication(7));
+    for router in bench.routers.drain(..) {
+        router.kill();
+    }
+    sleep(Duration::from_secs(1)).await;
+    for host in 1..=6 {
+        bench.add(host).await;
+    }
+    sleep(START).await;
+    assert_eq!(bench.versions(), [7; 6]);
+    assert_eq!((bench.stale(), bench.readers().len()), (0, 2));
+    assert!(bench.routers.iter().all(|router| router.context().shared.peers().len() == 5));
+}
--- a/havengrade_router/src/published/configured.rs
+++ b/havengrade_router/src/published/configured.rs
@@ -46,6 +46,7 @@
         endpoints: Box::new(ConfigFeed::new(cx.shared.clone())),
         statuses: Box::new(NoRollouts),
         roster: Box::new(ListedVms(cx.vm_list.clone())),
+        hands_news_on: false,
     }
 }
 
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -24,7 +24,7 @@
 };
 use rand::Rng as _;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::Instant};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
@@ -74,6 +74,12 @@
     pub states: EndpointTable,
     /// Connections to endpoints.
     pub channels: Channels,
+    /// Whether what operators wrote is being taken from another VM.
+    pub(super) is_fetching: AtomicBool,
+    /// What is handed on to other VMs, and the position in operators' records that it was written for.
+    pub(super) news: Mutex<Option<(u64, Vec<u8>)>>,
+    /// Until when the store is left alone after it did not answer.
+    store_pause: Mutex<Option<Instant>>,
     /// Requests in progress.
     pub in_progress: AtomicUsize,
     confirmed: AtomicU64,
@@ -110,6 +116,9 @@
             usable: ArcSwap::default(),
             states: EndpointTable::default(),
             channels: Channels::new(network, connect_timeout),
+            is_fetching: AtomicBool::new(false),
+            news: Mutex::default(),
+            store_pause: Mutex::default(),
             in_progress: AtomicUsize::new(0),
             confirmed: AtomicU64::new(0),
             knows_endpoints: AtomicBool::new(false),
@@ -249,6 +258,16 @@
         }
     }
 
+    /// Whether the store is left alone at `now`, since it lately did not answer one of the feeds.
+    pub fn leaves_store_alone(&self, now: Instant) -> bool {
+        lock(&self.store_pause).is_some_and(|until| now < until)
+    }
+
+    /// Leaves the store alone until a time, or no longer.
+    pub fn pause_store(&self, until: Option<Instant>) {
+        *lock(&self.store_pause) = until;
+    }
+
     /// The operators' bounds on roll-outs.
     pub fn rollout_bounds(&self) -> RolloutBounds {
         let settings = self.tuning.load();
@@ -315,6 +334,8 @@
     pub closing: CancellationToken,
     /// Callers' connections and whatever else a planned stop waits for.
     pub connections: TaskTracker,
+    /// Whether VMs take what operators wrote from each other.
+    pub hands_news_on: bool,
     /// Number of the router within the process, since the registry of actors is the process's.
     pub number: u64,
 }
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -57,8 +57,8 @@
 pub(super) struct Relayed<T> {
     /// Events since `from`.
     pub(super) events: Vec<T>,
-    /// Position that was asked about.
-    pub(super) from: u64,
+    /// Position that was asked about; none where the events are the newest of everything.
+    pub(super) from: Option<u64>,
     /// Position after the events.
     pub(super) position: u64,
     /// When nothing newer existed.
@@ -184,7 +184,8 @@
     fn must_ask(&self) -> bool {
         let is_old = must_read(self.viewed, self.told, self.cx.shared.clock.now());
         let is_wanted = self.cx.shared.is_reader() || self.is_hurried || is_old;
-        is_wanted && Instant::now() >= self.not_before
+        let at = Instant::now();
+        is_wanted && at >= self.not_before && !self.cx.shared.leaves_store_alone(at)
     }
 
     /// Time until the next look.
@@ -205,6 +206,7 @@
                 if self.lost.take().is_some() {
                     log::info!(feed = self.name; "store answers again");
                 }
+                self.cx.shared.pause_store(None);
                 self.is_hurried = false;
                 let at = self.feed.known_at(asked);
                 self.viewed = at;
@@ -227,13 +229,18 @@
         };
         self.lost = Some(pause);
         self.not_before = Instant::now() + pause;
+        // All feeds read one store, so that what one of them finds holds for the others, until one is answered.
+        self.cx.shared.pause_store(Some(self.not_before));
     }
 
     /// Takes what another VM read, if it begins where this VM's view ends.
     fn take_relayed(&mut self, relayed: Relayed<T>) {
-        if self.feed.position() != Some(relayed.from) || relayed.position < relayed.from {
+        let known = self.feed.position();
+        let follows = relayed.from.is_none() || known == relayed.from;
+        if !follows || known.is_some_and(|known| relayed.position < known) {
             return;
         }
+        self.is_hurried &= relayed.from.is_some();
         self.feed.advance(relayed.position);
         let now = self.cx.shared.clock.now();
         if now < relayed.at + TOLD_LIMIT {
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -13,6 +13,7 @@
 pub mod forward;
 mod framing;
 mod job;
+mod news;
 pub mod peers;
 pub mod ports;
 pub mod program;
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -49,8 +49,9 @@
 const ROSTER_EVERY: Duration = Duration::from_secs(60);
 /// Time after which the kept list is tried again that could not be read or written.
 const ROSTER_RETRY: Duration = Duration::from_millis(500);
-/// Largest datagram that is read, in bytes; the limits below keep ours within a packet of a common network.
-const MAX_DATAGRAM: usize = 4096;
+/// Largest datagram that is read, in bytes; reports fit a packet of a common network by the limits below, and an
+/// answer with many changes of the list of endpoints may be this large.
+const MAX_DATAGRAM: usize = 32 << 10;
 /// Endpoints that a report names; those with the most work come first.
 const MAX_ENDPOINTS: usize = 36;
 /// Counters that a report names.
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -236,4 +236,6 @@
     pub statuses: Box<dyn StatusBook>,
     /// The VMs that serve published routes.
     pub roster: Box<dyn Roster>,
+    /// Whether VMs take what operators wrote from each other, since reading it has its price.
+    pub hands_news_on: bool,
 }
--- a/havengrade_router/src/published/program.rs
+++ b/havengrade_router/src/published/program.rs
@@ -26,6 +26,7 @@
     published::{
         context::{Published, PublishedContext},
         follow::FollowService,
+        news::serve_news,
         peers::PeersService,
         ports::Ports,
         rollouts::RolloutService,
@@ -61,7 +62,7 @@
     ///
     /// [`StartError`] where a port can't be opened or a service does not start.
     pub async fn start(settings: Settings, parts: Parts, ports: Ports, traffic: &Handle) -> Result<Self, StartError> {
-        let Ports { dialect, operators, endpoints, statuses, roster } = ports;
+        let Ports { dialect, operators, endpoints, statuses, roster, hands_news_on } = ports;
         let shared = Published::new(settings, parts.clock, dialect, parts.network.clone(), parts.seed);
         let cx = PublishedContext {
             shared: Arc::new(shared),
@@ -69,6 +70,7 @@
             end: CancellationToken::new(),
             closing: CancellationToken::new(),
             connections: TaskTracker::new(),
+            hands_news_on,
             number: ROUTERS.fetch_add(1, Ordering::Relaxed),
         };
         let settings = &cx.shared.settings;
@@ -83,11 +85,16 @@
             Box::new(PeersService::new(roster)),
         ];
         let kernel = Kernel::start(services, &cx).await?;
-        let servers = vec![
+        let mut servers = Vec::new();
+        if hands_news_on {
+            let news = bind(&cx, "listen.peers", cx.shared.settings.listen.peers).await?;
+            servers.push(AbortOnDropHandle::new(tokio::spawn(serve_news(cx.clone(), news))));
+        }
+        servers.extend([
             AbortOnDropHandle::new(traffic.spawn(serve_callers(cx.clone(), callers))),
             AbortOnDropHandle::new(tokio::spawn(serve_page(cx.clone(), balancer, readiness))),
             AbortOnDropHandle::new(tokio::spawn(serve_page(cx.clone(), metrics, metrics_page))),
-        ];
+        ]);
         log::info!(vm = cx.shared.settings.vm.id.as_str(); "router of published routes started");
         Ok(Self { cx, kernel, servers })
     }
--- a/havengrade_router/src/published/store_view.rs
+++ b/havengrade_router/src/published/store_view.rs
@@ -20,6 +20,7 @@
     published::{
         context::PublishedContext,
         follow::{ENDPOINTS, FollowMessage, OPERATORS, Relayed},
+        news::fetch,
         ports::OperatorEvent,
         wire::{decode_change, encode_change, from_i64, to_i64},
     },
@@ -27,8 +28,9 @@
 
 /// Time between two questions.
 const ASK_EVERY: Duration = Duration::from_millis(400);
-/// Most changes in one answer, so that it fits a datagram; who misses more reads the store.
-const MAX_CHANGES: usize = 32;
+/// Most changes in one answer, so that it fits a datagram; a roll-out of some dozen endpoints does. Who misses
+/// more reads the store.
+const MAX_CHANGES: usize = 128;
 
 /// Number of an answer that nobody asked for: it only says that operators wrote something.
 const HINT: u64 = 0;
@@ -112,9 +114,22 @@
 /// A hint is believed no further than that the store is worth a look.
 fn take_hint(cx: &PublishedContext, hint: &StoreAnswer) {
     let known = cx.shared.view().operators;
-    let is_news = known.is_some_and(|known| from_i64(hint.operators_position) > known);
-    if let (true, Some(service)) = (is_news, find::<OperatorEvent>(cx, OPERATORS)) {
-        send(&service, FollowMessage::Hurry);
+    let position = from_i64(hint.operators_position);
+    if known.is_some_and(|known| position > known) {
+        look(cx, hint, position);
+    }
+}
+
+/// Takes news from the VM that told of them where it hands them on, or else from the store.
+fn look(cx: &PublishedContext, answer: &StoreAnswer, position: u64) {
+    let from = answer.address.as_ref().and_then(|address| address.parse().ok());
+    match from {
+        Some(from) => fetch(cx, from, position),
+        None => {
+            if let Some(service) = find::<OperatorEvent>(cx, OPERATORS) {
+                send(&service, FollowMessage::Hurry);
+            }
+        },
     }
 }
 
@@ -127,15 +142,13 @@
 fn take_operators(cx: &PublishedContext, asked: &Asked, answer: &StoreAnswer) {
     let Some(service) = find::<OperatorEvent>(cx, OPERATORS) else { return };
     let position = from_i64(answer.operators_position);
-    let message = if position > asked.operators {
-        FollowMessage::Hurry
+    if position > asked.operators {
+        look(cx, answer, position);
     } else if position == asked.operators {
         let at = confirmed_at(asked.at, Duration::from_millis(from_i64(answer.operators_age_ms)));
-        FollowMessage::Relayed(Relayed { events: Vec::new(), from: position, position, at })
-    } else {
-        return;
-    };
-    send(&service, message);
+        let relayed = Relayed { events: Vec::new(), from: Some(position), position, at };
+        send(&service, FollowMessage::Relayed(relayed));
+    }
 }
 
 fn take_endpoints(cx: &PublishedContext, asked: &Asked, answer: StoreAnswer) {
@@ -148,18 +161,18 @@
     let message = match events.flatten() {
         Some(events) => {
             let at = confirmed_at(asked.at, Duration::from_millis(from_i64(answer.endpoints_age_ms)));
-            FollowMessage::Relayed(Relayed { events, from: asked.endpoints, position, at })
+            FollowMessage::Relayed(Relayed { events, from: Some(asked.endpoints), position, at })
         },
         None => FollowMessage::Hurry,
     };
     send(&service, message);
 }
 
-fn find<T: Send + 'static>(cx: &PublishedContext, name: &str) -> Option<ActorRef<FollowMessage<T>>> {
+pub(super) fn find<T: Send + 'static>(cx: &PublishedContext, name: &str) -> Option<ActorRef<FollowMessage<T>>> {
     ractor::registry::where_is(cx.actor_name(name)).map(ActorRef::from)
 }
 
-fn send<T: Send + 'static>(service: &ActorRef<FollowMessage<T>>, message: FollowMessage<T>) {
+pub(super) fn send<T: Send + 'static>(service: &ActorRef<FollowMessage<T>>, message: FollowMessage<T>) {
     if let Err(error) = service.cast(message) {
         log::debug!("a service that follows the store is gone: {error}");
     }
@@ -179,5 +192,6 @@
         to_i64(view.endpoints.position()),
         age(view.endpoints_at),
         changes,
+        cx.hands_news_on.then(|| cx.shared.settings.listen.peers.to_string()),
     ))
 }
--- a/schema/reports.thrift
+++ b/schema/reports.thrift
@@ -80,6 +80,17 @@
   5: required i64 endpoints_age_ms,
   /** Changes between the asked position and this one; absent where they are not all known or too many. */
   6: optional list<EndpointChange> changes,
+  /** IP number and port at which the sender hears, and at which it hands out what operators wrote. */
+  7: optional string address,
+}
+
+/** What operators wrote, as a VM knows it: the configuration in force and the orders to roll out. */
+struct OperatorsState {
+  1: required i64 position,
+  /** Time since nothing newer than this position existed for sure. */
+  2: required i64 age_ms,
+  /** Deflated JSON of the router's own types, which the sender and the receiver share. */
+  3: required binary document,
 }
 
 /** One datagram. */
