Split the largest files of published routes by topic

Tries at endpoints (tries.rs), what becomes of followed records (takers.rs) and bets on failure rates (odds.rs) have files of their own.

--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 pub mod configured;
 pub mod directory;
+mod odds;
 pub mod peers;
 pub mod placement;
 pub mod relay;
--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -10,7 +10,7 @@
 use crate::{
     evidence::{Evidence, Subject, Tally},
     ids::{Incarnation, ServiceId, SessionId},
-    published::{directory::SoftwareVersion, route::RouteId},
+    published::{directory::SoftwareVersion, odds::odds_of, route::RouteId},
     secret::spread,
 };
 
@@ -485,29 +485,6 @@
     }
 }
 
-/// Rises of the failure rate that are bet on, in equal parts.
-const RISES: [f64; 3] = [0.1, 0.25, 0.5];
-/// Rise of the failure rate that is accepted, so that a rate of nought does not make one failure a proof.
-const ACCEPTED_RISE: f64 = 0.02;
-/// Highest failure rate that is bet on.
-const MOST_FEARED: f64 = 0.95;
-
-/// Logarithm of what a bet on a rise of the failure rate has won, by a version against the others.
-///
-/// The others' rate is taken at the upper end of what their answers leave open, so that few of them prove
-/// nothing.
-fn odds_of(new: &Tally, old: &Tally) -> f64 {
-    let answers = old.ended as f64 + 4.0;
-    let rate = (old.failed as f64 + 1.0) / answers;
-    let usual = (rate + (rate * (1.0 - rate) / answers).sqrt() + ACCEPTED_RISE).min(0.9);
-    let (failed, fine) = (new.failed as f64, new.ended.saturating_sub(new.failed) as f64);
-    let won = RISES.map(|rise| {
-        let feared = (usual + rise).min(MOST_FEARED);
-        (failed * (feared / usual).ln() + fine * ((1.0 - feared) / (1.0 - usual)).ln()).exp()
-    });
-    (won.iter().sum::<f64>() / RISES.len() as f64).max(f64::MIN_POSITIVE).ln()
-}
-
 /// Where a subject stands among the slots, evenly spread and the same on every VM and for every order.
 fn place(subject: &str) -> u64 {
     spread(&[subject]) % SLOTS
--- a/havengrade_router/src/published/events.rs
+++ b/havengrade_router/src/published/events.rs
@@ -21,10 +21,11 @@
         channels::Channel,
         choose::choose,
         context::PublishedContext,
-        forward::{InProgress, Opened, count_answer, log_try, note_answer, open},
+        forward::{InProgress, count_answer, note_answer},
         job::Job,
         refuse::{AnswerBody, BodyError},
         rewrite::answer_head,
+        tries::{Opened, log_try, open},
     },
 };
 
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -4,17 +4,14 @@
 //! ask the store themselves where they miss something or hear nothing.
 
 use std::{
-    collections::{HashMap, HashSet},
-    sync::{Arc, Mutex},
+    sync::Mutex,
     time::{Duration, SystemTime},
 };
 
 use async_trait::async_trait;
 use havengrade_core::published::{
-    directory::{Directory, DirectoryEvent},
+    directory::DirectoryEvent,
     relay::{TOLD_LIMIT, must_read},
-    rollout::RolloutOrder,
-    route::{Publication, RouteTable},
 };
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
 use tokio::time::{Instant, sleep};
@@ -22,9 +19,9 @@
 use crate::{
     kernel::{Service, StartError, spawn},
     published::{
-        context::{EndpointsByService, PublishedContext},
+        context::PublishedContext,
         ports::{Feed, OperatorEvent, StoreError},
-        rollouts,
+        takers::{Endpoints, Operators},
     },
     shared::lock,
 };
@@ -66,7 +63,7 @@
 }
 
 /// Takes what a feed brings.
-trait Take<T>: Send + Sync + 'static {
+pub(super) trait Take<T>: Send + Sync + 'static {
     /// How long a call of a reader may wait for something new.
     fn wait(&self, cx: &PublishedContext) -> Duration;
 
@@ -250,118 +247,3 @@
         self.taker.take(&self.cx, relayed.events, relayed.position, relayed.at);
     }
 }
-
-/// Takes operators' configurations and orders.
-struct Operators;
-
-impl Take<OperatorEvent> for Operators {
-    fn wait(&self, cx: &PublishedContext) -> Duration {
-        Duration::from_millis(cx.shared.tuning().config_wait_ms)
-    }
-
-    fn pause(&self, _cx: &PublishedContext) -> Duration {
-        Duration::ZERO
-    }
-
-    fn take(&mut self, cx: &PublishedContext, events: Vec<OperatorEvent>, position: u64, at: SystemTime) {
-        let is_first_read = cx.shared.view().operators.is_none();
-        let mut publications = Vec::new();
-        for event in events {
-            match event {
-                OperatorEvent::Publication(publication) => publications.push(publication),
-                OperatorEvent::Rollout(order) => take_order(cx, order, is_first_read),
-            }
-        }
-        // Last, since callers are let in once there is a configuration.
-        for publication in publications {
-            publish(cx, publication);
-        }
-        cx.shared.view().operators = Some(position);
-        cx.shared.confirm(at);
-    }
-}
-
-/// Takes up an order to roll out a version.
-fn take_order(cx: &PublishedContext, order: RolloutOrder, is_old: bool) {
-    let line = format!("{} to {}", order.service, order.version);
-    if cx.shared.rollouts().order(order, cx.shared.clock.now()) {
-        log::info!(order = line.as_str(); "roll-out ordered");
-    }
-    if is_old {
-        cx.shared.rollouts().set_old_orders();
-        rollouts::hurry(cx);
-    }
-}
-
-/// Puts a configuration in force, unless a newer one is.
-fn publish(cx: &PublishedContext, publication: Publication) {
-    let known = cx.shared.routes.load().version();
-    if publication.version <= known {
-        return;
-    }
-    let routes = publication.routes.len();
-    log::info!(version = publication.version, before = known, routes = routes; "configuration in force");
-    metrics::gauge!("configuration_version").set(publication.version as f64);
-    cx.shared.publish(RouteTable::new(publication));
-}
-
-/// Takes changes of the list of endpoints.
-#[derive(Default)]
-struct Endpoints {
-    directory: Directory,
-}
-
-impl Take<DirectoryEvent> for Endpoints {
-    fn wait(&self, _cx: &PublishedContext) -> Duration {
-        // Endpoints write all the time, so that a call would hardly wait; calls are paused in between instead.
-        Duration::ZERO
-    }
-
-    fn pause(&self, cx: &PublishedContext) -> Duration {
-        Duration::from_millis(cx.shared.tuning().endpoints_poll_ms)
-    }
-
-    fn take(&mut self, cx: &PublishedContext, events: Vec<DirectoryEvent>, position: u64, at: SystemTime) {
-        let now = cx.shared.clock.now();
-        let (changes, has_changed) = self.directory.apply(events, at, now);
-        {
-            let mut view = cx.shared.view();
-            view.endpoints.note(&changes, position);
-            view.endpoints_at = view.endpoints_at.max(at);
-        }
-        if has_changed {
-            self.show(cx);
-        }
-        cx.shared.set_endpoints_known();
-        let directory = &self.directory;
-        cx.shared.channels.prune(|id| directory.all().any(|endpoint| endpoint.id == id), now);
-        cx.shared.rollouts().prune(cx.shared.rollout_bounds().session_time, now);
-    }
-}
-
-impl Endpoints {
-    /// Shows the endpoints to traffic.
-    fn show(&self, cx: &PublishedContext) {
-        let now = cx.shared.clock.now();
-        cx.shared.states.configure(self.directory.all().map(|endpoint| &endpoint.id));
-        let mut usable: EndpointsByService = HashMap::new();
-        for endpoint in self.directory.usable() {
-            if let Some(slot) = cx.shared.states.slot(&endpoint.id) {
-                slot.hear(now);
-            }
-            usable.entry(endpoint.service.clone()).or_default().push(endpoint.clone());
-        }
-        let before = cx.shared.usable.swap(Arc::new(usable));
-        log_changes(&before, &cx.shared.usable.load());
-    }
-}
-
-fn log_changes(before: &EndpointsByService, after: &EndpointsByService) {
-    let list = |of: &EndpointsByService, other: &EndpointsByService| -> Vec<String> {
-        let known: HashSet<&str> = other.values().flatten().map(|e| e.id.as_str()).collect();
-        let all = of.values().flatten().filter(|endpoint| !known.contains(endpoint.id.as_str()));
-        all.map(|endpoint| format!("{}@{}", endpoint.id, endpoint.version)).collect()
-    };
-    let (gained, lost) = (list(after, before).join(","), list(before, after).join(","));
-    log::info!(gained = gained.as_str(), lost = lost.as_str(); "endpoints changed");
-}
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -22,4 +22,6 @@
 pub mod rollouts;
 pub mod server;
 mod store_view;
+mod takers;
+mod tries;
 mod wire;
--- /dev/null
+++ b/havengrade_router/src/published/tries.rs
@@ -0,0 +1,157 @@
+//! One try at an endpoint: the request is sent, and the head of its answer is checked.
+
+use std::time::{Duration, SystemTime};
+
+use havengrade_core::published::{attempt::RunState, directory::ListedEndpoint};
+use hyper::{Response, StatusCode, body::Incoming, http::response};
+use tokio::time::timeout;
+
+use crate::{
+    endpoints::InFlight,
+    published::{
+        channels::{Channel, ChannelError},
+        choose::Chosen,
+        context::PublishedContext,
+        job::Job,
+        ports::EndpointHead,
+        rewrite::encode,
+    },
+};
+
+/// Time for which a kept connection may have rested before a request that must not be repeated; a longer
+/// rest makes it likelier that the endpoint closes it just then.
+const MAX_IDLE_ONCE: Duration = Duration::from_millis(600);
+/// Time for which a kept connection may have rested before a request that may be repeated.
+const MAX_IDLE: Duration = Duration::from_secs(8);
+/// Time beyond a route's limit by which an endpoint may end its own work before we end it.
+pub(super) const LIMIT_SLACK: Duration = Duration::from_millis(30);
+/// Failures in a row after which an endpoint is passed over.
+const EJECT_AFTER: u32 = 2;
+/// Time for which it is passed over.
+const EJECT_FOR: Duration = Duration::from_secs(2);
+/// A try at an endpoint that got the head of an answer.
+pub(super) struct Opened {
+    /// The endpoint.
+    pub(super) endpoint: ListedEndpoint,
+    /// The connection; dropping it ends the work on it.
+    pub(super) channel: Channel,
+    /// Head of the answer.
+    pub(super) head: response::Parts,
+    /// Body of the answer.
+    pub(super) body: Incoming,
+    /// Counts the request as in progress there.
+    pub(super) in_flight: InFlight,
+    /// When it was sent.
+    pub(super) sent: SystemTime,
+    /// The model's opinion of its answer, from 0 to 100.
+    pub(super) confidence: Option<u8>,
+}
+
+/// Sends a request to an endpoint and waits for the head of its answer.
+pub(super) async fn open(
+    cx: &PublishedContext,
+    job: &Job,
+    Chosen { endpoint, tokens }: Chosen,
+    resume_after: Option<&str>,
+) -> Result<Opened, RunState> {
+    let in_flight = cx.shared.states.enter_with(&endpoint.id, tokens);
+    let max_idle = if job.attempts.is_repeatable() { MAX_IDLE } else { MAX_IDLE_ONCE };
+    let (mut channel, response, sent) = match exchange(cx, job, &endpoint, resume_after, max_idle).await {
+        // A kept connection may have ended just before; whether the endpoint lives, a new one tells.
+        Err(ChannelError::NotSent { .. }) => exchange(cx, job, &endpoint, resume_after, Duration::ZERO).await,
+        exchanged => exchanged,
+    }
+    .map_err(|error| failed(cx, job, &endpoint, &error))?;
+    let (head, body) = response.into_parts();
+    let facts = cx.shared.dialect.decode_answer(head.status, &head.headers);
+    if let Some(keep) = facts.keep_alive {
+        channel.set_keep(keep);
+    }
+    if let (Some(load), Some(slot)) = (facts.load, cx.shared.states.slot(&endpoint.id)) {
+        slot.report(load.running + load.waiting, slot.in_flight());
+    }
+    check(cx, job, &endpoint, head.status, &facts)?;
+    Ok(Opened { endpoint, channel, head, body, in_flight, sent, confidence: facts.confidence })
+}
+
+/// Sends a request over a connection that rested for less than `max_idle`, or a new one.
+async fn exchange(
+    cx: &PublishedContext,
+    job: &Job,
+    endpoint: &ListedEndpoint,
+    resume_after: Option<&str>,
+    max_idle: Duration,
+) -> Result<(Channel, Response<Incoming>, SystemTime), ChannelError> {
+    let now = cx.shared.clock.now();
+    let mut channel = cx.shared.channels.open(&endpoint.id, endpoint.address, max_idle, now).await?;
+    let sent = cx.shared.clock.now();
+    let request = encode(cx, job, endpoint, resume_after, sent);
+    match timeout(job.patience(sent) + LIMIT_SLACK, channel.send(request)).await {
+        Ok(response) => Ok((channel, response?, sent)),
+        Err(_) => Err(ChannelError::NoAnswer),
+    }
+}
+
+/// Tells an answer that can be used from one that can't.
+fn check(
+    cx: &PublishedContext,
+    job: &Job,
+    endpoint: &ListedEndpoint,
+    status: StatusCode,
+    facts: &EndpointHead,
+) -> Result<(), RunState> {
+    let is_other = facts.request.as_ref().is_some_and(|id| *id != job.id);
+    if is_other {
+        log_try(job, endpoint, "the answer belongs to another request");
+        return Err(RunState::MayHaveRun);
+    }
+    if facts.run.is_surely_not_run() {
+        log_try(job, endpoint, if status == StatusCode::MISDIRECTED_REQUEST { "not the endpoint" } else { "full" });
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            fail(cx, endpoint);
+        }
+        return Err(RunState::NotRun);
+    }
+    if !facts.is_proven {
+        log_try(job, endpoint, "the answer has no id or no signature");
+        return Err(RunState::MayHaveRun);
+    }
+    Ok(())
+}
+
+/// Notes a failure of the connection; tells how far the request got.
+fn failed(cx: &PublishedContext, job: &Job, endpoint: &ListedEndpoint, error: &ChannelError) -> RunState {
+    log_try(job, endpoint, &error.to_string());
+    let state = run_state(error);
+    // One refused connection says more than a failed answer does.
+    fail_after(cx, endpoint, if state == RunState::NotSent { 1 } else { EJECT_AFTER });
+    state
+}
+
+fn run_state(error: &ChannelError) -> RunState {
+    match error {
+        ChannelError::NotSent { .. } => RunState::NotSent,
+        ChannelError::Lost { .. } | ChannelError::NoAnswer => RunState::MayHaveRun,
+    }
+}
+
+pub(super) fn fail(cx: &PublishedContext, endpoint: &ListedEndpoint) {
+    fail_after(cx, endpoint, EJECT_AFTER);
+}
+
+/// Notes a failure; after so many in a row the endpoint is passed over for a time.
+fn fail_after(cx: &PublishedContext, endpoint: &ListedEndpoint, failures: u32) {
+    if let Some(slot) = cx.shared.states.slot(&endpoint.id) {
+        slot.fail(failures, EJECT_FOR, cx.shared.clock.now());
+    }
+}
+
+pub(super) fn log_try(job: &Job, endpoint: &ListedEndpoint, outcome: &str) {
+    log::info!(
+        request = job.id.as_str(),
+        endpoint = endpoint.id.as_str(),
+        version = endpoint.version.as_str(),
+        tries = job.tried.len();
+        "try failed: {outcome}"
+    );
+}
