Never fall back to a version that was found bad

Where no endpoint of the wanted version is left, others are taken; that held for versions that were rolled back as well. Test: a_version_that_was_rolled_back_gets_nothing_even_where_no_other_is_left, which failed before.

--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -301,6 +301,13 @@
         if takes_new { Allowed::Only(new.clone()) } else { Allowed::Not(new.clone()) }
     }
 
+    /// Whether any version may answer where none of the allowed ones is left; one that was found bad never may.
+    pub fn may_take_any(&self, service: &str) -> bool {
+        self.by_service
+            .get(service)
+            .is_none_or(|running| running.outcome != RolloutOutcome::RolledBack && running.odds() <= HALT_ODDS)
+    }
+
     /// Notes which version answers a session.
     pub fn pin(&mut self, session: &str, version: &str, now: SystemTime) {
         match self.sessions.get_mut(session) {
--- a/havengrade_dev/tests/published.rs
+++ b/havengrade_dev/tests/published.rs
@@ -85,6 +85,23 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_version_that_was_rolled_back_gets_nothing_even_where_no_other_is_left() {
+    let bench = Bench::start(vec![vec![], vec![]]).await;
+    let order = RolloutOrder { service: "events".into(), version: "v2".into(), duration: Duration::from_secs(20) };
+    bench.store.write_status(RolloutStatus {
+        service: "events".into(),
+        version: "v2".into(),
+        outcome: RolloutOutcome::RolledBack,
+    });
+    bench.store.operate(OperatorEvent::Rollout(order));
+    bench.store.list(DirectoryEvent::Seen(listed(&bench.pipes, 1, "v2")));
+    bench.store.list(DirectoryEvent::Gone("e0".into()));
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(status(&bench.ask(&get("/read/", "r1")).await), "503");
+    assert!(bench.arrivals().is_empty());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_vm_that_starts_while_the_store_is_away_says_so_soon() {
     let store = MemoryStore::default();
--- a/havengrade_router/src/published/choose.rs
+++ b/havengrade_router/src/published/choose.rs
@@ -31,7 +31,7 @@
     let share = connection_share(cx, job);
     let has_room = |endpoint: &&ListedEndpoint| share.is_none_or(|share| in_flight(cx, endpoint) < share);
     let mut versioned: Vec<&ListedEndpoint> = endpoints.iter().filter(|e| allowed.includes(&e.version)).collect();
-    if versioned.is_empty() {
+    if versioned.is_empty() && cx.shared.rollouts().may_take_any(&job.service) {
         // The old version has left the list: the roll-out has ended, and this VM has not heard of it yet.
         versioned = endpoints.iter().collect();
     }
