--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -7,6 +7,7 @@
 pub mod configured;
 pub mod directory;
 mod odds;
+mod order;
 pub mod peers;
 pub mod placement;
 pub mod relay;
--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -5,8 +5,7 @@
     time::{Duration, SystemTime},
 };
 
-use serde::{Deserialize, Serialize};
-
+pub use crate::published::order::{RolloutOrder, RolloutOutcome, RolloutStatus};
 use crate::{
     evidence::{Evidence, Subject, Tally},
     ids::{Incarnation, ServiceId, SessionId},
@@ -14,39 +13,6 @@
     secret::spread,
 };
 
-/// An operator's order to shift a service to a new version.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RolloutOrder {
-    /// The service.
-    pub service: ServiceId,
-    /// The new version.
-    pub version: SoftwareVersion,
-    /// Time from the order until it should be done.
-    pub duration: Duration,
-}
-
-/// How an order stands, as it is written for the operator.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RolloutOutcome {
-    /// It is under way.
-    Running,
-    /// The new version has taken over.
-    Succeeded,
-    /// The new version was worse and gets no more requests.
-    RolledBack,
-}
-
-/// A written state of an order.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RolloutStatus {
-    /// The service.
-    pub service: ServiceId,
-    /// The new version.
-    pub version: SoftwareVersion,
-    /// How it stands.
-    pub outcome: RolloutOutcome,
-}
-
 /// Part of the bound on a bad version that is used; the rest is for sessions that ask more than others.
 const USED_BOUND: f64 = 0.87;
 /// Part of an order's time, as a part of the bound, at whose end the new version takes all requests.
--- /dev/null
+++ b/havengrade_core/tests/published_fleet.rs
@@ -0,0 +1,81 @@
+//! Decisions on the other VMs of published routes: whose reports count, and who reads the store.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime},
+};
+
+use havengrade_core::published::{
+    peers::{Peer, Peers, REPORT_LIFE, SILENCE_LIMIT, Work, WorkReport},
+    relay::Readers,
+};
+
+const START: SystemTime = SystemTime::UNIX_EPOCH;
+
+fn at(millis: u64) -> SystemTime {
+    START + Duration::from_millis(millis)
+}
+
+fn report(incarnation: u64, seq: u64, requests: u32) -> WorkReport {
+    let peer = Peer { vm: "vm-2".into(), incarnation, address: SocketAddr::from(([10, 0, 0, 2], 80)) };
+    WorkReport { peer, seq, work: vec![("a".into(), Work { requests, tokens: 10 })] }
+}
+
+#[test]
+fn late_reports_have_no_effect() {
+    let mut peers = Peers::default();
+    peers.report(report(1, 2, 5), at(0));
+    peers.report(report(1, 1, 9), at(10));
+    assert_eq!(peers.work("a").requests, 5);
+    peers.report(report(2, 1, 7), at(20));
+    assert_eq!(peers.work("a").requests, 7);
+}
+
+#[test]
+fn a_silent_vm_has_no_work_and_is_forgotten() {
+    let mut peers = Peers::default();
+    peers.report(report(1, 1, 5), at(0));
+    peers.expire(START + REPORT_LIFE);
+    assert_eq!(peers.work("a"), Work::default());
+    assert_eq!(peers.len(), 1);
+    peers.expire(START + SILENCE_LIMIT);
+    assert!(peers.is_empty());
+}
+
+#[test]
+fn readers_that_do_not_answer_are_passed_over_for_a_time() {
+    let vms: Vec<String> = (0..20).map(|index| format!("vm-{index}")).collect();
+    let me = &vms[0];
+    let mut readers = Readers::default();
+    let among =
+        |readers: &Readers, ms| -> Vec<String> { readers.among(vms.iter(), me, at(ms)).into_iter().cloned().collect() };
+    let usual = among(&readers, 0);
+    assert_eq!(usual.len(), 2);
+    readers.miss(&usual[0], at(0));
+    assert_eq!(among(&readers, 0), usual, "one datagram may be lost");
+    readers.miss(&usual[0], at(400));
+    let without = among(&readers, 400);
+    assert!(!without.contains(&usual[0]) && without.len() == 2);
+    assert_eq!(among(&readers, 2_400), usual, "it is asked again after a time");
+    readers.miss(&usual[0], at(2_400));
+    assert_eq!(among(&readers, 6_300), without, "each further miss doubles the time");
+    readers.hear(&usual[0]);
+    assert_eq!(among(&readers, 2_400), usual);
+}
+
+#[test]
+fn a_vm_never_passes_itself_over() {
+    let me = "vm-0".to_owned();
+    let mut readers = Readers::default();
+    (0..9).for_each(|_| readers.miss(&me, at(0)));
+    assert_eq!(readers.among([&me].into_iter(), &me, at(0)), [&me]);
+}
+
+#[test]
+fn readers_are_asked_in_turns() {
+    let (a, b) = ("a".to_owned(), "b".to_owned());
+    let mut readers = Readers::default();
+    let asked: Vec<_> = (0..4).filter_map(|_| readers.next(&[&a, &b]).cloned()).collect();
+    assert_eq!(asked, ["b", "a", "b", "a"]);
+    assert_eq!(readers.next(&[]), None);
+}
