Serve known keys while the store is away, where operators chose so

Change: published.withdrawal is 'bounded' (as before, the default) or 'when-learned'. Unknown keys and routes still get 503 in an old view. Ruled out: a very large bound; it would say something else than the operators mean. Deployments that ask for strict withdrawal run as before.

--- a/havengrade_core/src/published/attempt.rs
+++ b/havengrade_core/src/published/attempt.rs
@@ -1,7 +1,5 @@
 //! What is known of whether a request has run, and what its caller may be told.
 
-use std::time::{Duration, SystemTime};
-
 use crate::published::route::Repeat;
 
 /// How far one try at an endpoint got.
@@ -102,26 +100,3 @@
         if self.may_have_run { Promise::None } else { Promise::NotRun }
     }
 }
-
-/// Whether a request with a key may still be sent to an endpoint.
-///
-/// `confirmed` is the latest time at which nothing newer than the configuration in force existed. A key
-/// that was withdrawn after it may be used until `bound` has passed, which the margin shortens by the time
-/// that a request takes to reach its endpoint.
-///
-/// ```
-/// use std::time::{Duration, SystemTime};
-/// use havengrade_core::published::attempt::may_use_key;
-///
-/// let confirmed = SystemTime::UNIX_EPOCH;
-/// let bound = Duration::from_secs(5);
-/// assert!(may_use_key(Some(confirmed), bound, confirmed + Duration::from_secs(4)));
-/// assert!(!may_use_key(Some(confirmed), bound, confirmed + Duration::from_secs(5)));
-/// assert!(!may_use_key(None, bound, confirmed));
-/// ```
-pub fn may_use_key(confirmed: Option<SystemTime>, bound: Duration, now: SystemTime) -> bool {
-    confirmed.is_some_and(|at| now + KEY_MARGIN < at + bound)
-}
-
-/// Time that a request may take from the check of its key to its endpoint.
-const KEY_MARGIN: Duration = Duration::from_millis(400);
--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -14,3 +14,4 @@
 pub mod rollout;
 pub mod route;
 pub mod size;
+pub mod withdrawal;
--- a/havengrade_core/tests/published.rs
+++ b/havengrade_core/tests/published.rs
@@ -9,7 +9,7 @@
 
 use havengrade_core::{
     published::{
-        attempt::{Attempts, Promise, RunState, may_use_key},
+        attempt::{Attempts, Promise, RunState},
         directory::{Directory, DirectoryEvent, ListedEndpoint, RETURN_GRACE},
         peers::Work,
         placement::{Candidate, Placement, Prompt, place},
@@ -17,6 +17,7 @@
             Allowed, RolloutBounds, RolloutOrder, RolloutOutcome, RolloutStatus, Rollouts, RouteEvidence, Sample,
         },
         route::{AnswerShape, Publication, PublishedAccount, PublishedRoute, Repeat, RouteTable, RouteTarget},
+        withdrawal::Withdrawal,
     },
     selection::EndpointState,
 };
@@ -126,7 +127,7 @@
     #[test]
     fn a_key_is_never_used_beyond_its_bound(confirmed in 0u64..10_000, now in 0u64..30_000, bound in 1u64..8_000) {
         let bound = Duration::from_millis(bound);
-        if may_use_key(Some(at(confirmed)), bound, at(now)) {
+        if Withdrawal::Bounded.may_use_key(Some(at(confirmed)), bound, at(now)) {
             prop_assert!(at(now) < at(confirmed) + bound);
         }
     }
--- a/havengrade_dev/tests/published.rs
+++ b/havengrade_dev/tests/published.rs
@@ -9,6 +9,7 @@
     directory::{DirectoryEvent, ListedEndpoint},
     rollout::{RolloutOrder, RolloutOutcome, RolloutStatus},
     route::PublishedService,
+    withdrawal::Withdrawal,
 };
 use havengrade_dev::{
     fabric::Fabric as _,
@@ -282,6 +283,24 @@
     assert!(bench.is_ready().await);
 }
 
+#[tokio::test(start_paused = true)]
+async fn known_keys_are_served_while_the_store_is_away_where_operators_chose_so() {
+    let bench = Bench::start(vec![vec![]]).await;
+    let mut settings = Settings::default();
+    settings.published.withdrawal = Withdrawal::WhenLearned;
+    bench.router.reload(&settings);
+    bench.store.set_away(true);
+    sleep(Duration::from_secs(20)).await;
+    assert_eq!(status(&bench.ask(&get("/read/", "r1")).await), "200");
+    assert!(bench.is_ready().await);
+    let unknown = get("/read/", "r2").replace("havengrade-key: k1", "havengrade-key: k2");
+    assert_eq!(status(&bench.ask(&unknown).await), "503", "the key may have been added since");
+    bench.store.operate(OperatorEvent::Publication(publication(2, &["k2"])));
+    bench.store.set_away(false);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(status(&bench.ask(&get("/read/", "r3")).await), "401", "a withdrawal holds once it is learned");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_leaving_endpoint_gets_nothing_new() {
     let bench = Bench::start(vec![vec![], vec![]]).await;
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -13,7 +13,6 @@
 use havengrade_core::{
     ids::{Incarnation, ServiceId},
     published::{
-        attempt,
         directory::ListedEndpoint,
         peers::Peers,
         relay::ChangeLog,
@@ -164,8 +163,8 @@
 
     /// Whether a request with a key may be sent to an endpoint now.
     pub fn may_use_key(&self, now: SystemTime) -> bool {
-        let bound = Duration::from_millis(self.tuning.load().withdrawal_ms);
-        attempt::may_use_key(self.confirmed(), bound, now)
+        let tuning = self.tuning.load();
+        tuning.withdrawal.may_use_key(self.confirmed(), Duration::from_millis(tuning.withdrawal_ms), now)
     }
 
     /// Age of the configuration in force: time since nothing newer existed for sure.
--- a/havengrade_router/src/settings/reload.rs
+++ b/havengrade_router/src/settings/reload.rs
@@ -11,10 +11,11 @@
 use crate::settings::{Settings, SettingsError, parse};
 
 /// Keys that take effect while a program runs; all others do so with the next start.
-const LIVE: [&str; 8] = [
+const LIVE: [&str; 9] = [
     "logging.level",
     "published.config_wait_ms",
     "published.endpoints_poll_ms",
+    "published.withdrawal",
     "published.withdrawal_ms",
     "published.max_trial_share",
     "published.session_s",
--- a/havengrade_router/src/settings/sections.rs
+++ b/havengrade_router/src/settings/sections.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use havengrade_core::ids::{DomainId, Permille, VmId};
+use havengrade_core::{
+    ids::{DomainId, Permille, VmId},
+    published::withdrawal::Withdrawal,
+};
 use serde::{Deserialize, Serialize};
 
 /// The VM itself.
@@ -246,7 +249,10 @@
     pub endpoints_poll_ms: u64,
     /// Time after which a call to the store counts as failed, beside the time it may wait, in milliseconds.
     pub store_timeout_ms: u64,
-    /// Time after which a withdrawn key must no longer be used, in milliseconds.
+    /// Whether requests with keys are refused while it can't be known that their keys still hold.
+    pub withdrawal: Withdrawal,
+    /// Time after which a withdrawn key must no longer be used, in milliseconds; it counts where `withdrawal` is
+    /// `bounded`.
     pub withdrawal_ms: u64,
     /// Share of a service's requests that a bad new version may get.
     pub max_trial_share: f64,
@@ -268,6 +274,7 @@
             config_wait_ms: 700,
             endpoints_poll_ms: 600,
             store_timeout_ms: 1500,
+            withdrawal: Withdrawal::Bounded,
             withdrawal_ms: 5000,
             max_trial_share: 0.15,
             session_s: 5.0,
