Report work to other VMs every 0.2 s, and every 0.4 s in large fleets

Cause: a VM with traffic reported every 50 ms to five others, most of them in other failure domains. Ruled out: placement does not need reports that often. Change: a least time between two reports; hints and questions between VMs still go at once.

--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -33,14 +33,17 @@
 /// Name of the service.
 pub const NAME: &str = "published-peers";
 
-/// Time between two looks at whether there is something to report.
+/// Time between two looks at whether there is something to tell or to ask.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// Time after which a VM reports although nothing has changed.
 const REPORT_EVERY: Duration = Duration::from_millis(1000);
 /// VMs that one report goes to; with more, each report goes to others, drawn at random.
 const FAN_OUT: usize = 8;
-/// Looks that are passed over between two reports where there are more VMs than a report goes to.
-const LARGE_FLEET_PAUSE: u32 = 1;
+/// Least time between two reports: with 50 ms, reports were half of all bytes between failure domains, and
+/// endpoints were chosen no better.
+const REPORT_PAUSE: Duration = Duration::from_millis(200);
+/// Least time between two reports where there are more VMs than a report goes to, since the bytes grow with the fleet.
+const LARGE_FLEET_PAUSE: Duration = Duration::from_millis(400);
 /// Time between this VM's entry on the kept list and its first read of it, in which those enter that start with it.
 const ROSTER_SETTLE: Duration = Duration::from_millis(300);
 /// Time between two reads of the kept list while no other VM is known.
@@ -107,7 +110,6 @@
     sent: Option<(SystemTime, Vec<(EndpointId, Work)>)>,
     /// Whether all others were told that this VM has started.
     is_introduced: bool,
-    pause: u32,
     _tasks: [AbortOnDropHandle<()>; 2],
 }
 
@@ -132,7 +134,6 @@
             hinted: None,
             sent: None,
             is_introduced: false,
-            pause: 0,
             _tasks: tasks,
         })
     }
@@ -154,20 +155,24 @@
         let work = own_work(&self.cx);
         self.ask(now).await;
         self.hint(now).await;
-        let is_same = self.sent.as_ref().is_some_and(|(at, sent)| *sent == work && now < *at + REPORT_EVERY);
         let is_first = !self.is_introduced && self.cx.shared.peers().is_listed();
-        if !is_first && (is_same || self.pause > 0) {
-            self.pause = self.pause.saturating_sub(1);
+        if !is_first && !self.is_report_due(&work, now) {
             return;
         }
-        let peers = self.cx.shared.peers().len();
-        self.pause = if peers > FAN_OUT { LARGE_FLEET_PAUSE } else { 0 };
         self.cx.shared.peers().expire(now);
         self.report(&work, is_first).await;
         self.is_introduced |= is_first;
         self.sent = Some((now, work));
     }
 
+    /// Whether it is time for a report: soon where the work has changed, now and then where it is the same.
+    fn is_report_due(&self, work: &[(EndpointId, Work)], now: SystemTime) -> bool {
+        let Some((at, sent)) = &self.sent else { return true };
+        let is_large = self.cx.shared.peers().len() > FAN_OUT;
+        let pause = if is_large { LARGE_FLEET_PAUSE } else { REPORT_PAUSE };
+        now >= *at + if sent == work { REPORT_EVERY } else { pause }
+    }
+
     /// Reports to a few others; the first time to all, since they read the kept list only now and then.
     async fn report(&mut self, work: &[(EndpointId, Work)], is_first: bool) {
         self.seq += 1;
