Ask the store every 0.1 s while a VM knows nothing yet

Change: a VM that does not know where requests go pauses for 0.1 s after a failed call; one that serves pauses as before. Test: a_vm_that_started_without_the_store_serves_soon_after_its_return, which failed before (503 a quarter second after the return).

--- a/havengrade_dev/tests/published.rs
+++ b/havengrade_dev/tests/published.rs
@@ -115,6 +115,20 @@
     assert!(bench.arrivals().is_empty());
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_started_without_the_store_serves_soon_after_its_return() {
+    // The moment of the return falls anywhere between two questions to the store.
+    for away_ms in [1000, 1130, 1260, 1390] {
+        let store = MemoryStore::default();
+        store.set_away(true);
+        let bench = Bench::begin(vec![Replies::default()], store).await;
+        sleep(Duration::from_millis(away_ms)).await;
+        bench.store.set_away(false);
+        sleep(Duration::from_millis(250)).await;
+        assert_eq!(status(&bench.ask(&get("/read/", "r1")).await), "200", "away for {away_ms} ms");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn unknown_routes_and_keys_are_refused() {
     let bench = Bench::start(vec![vec![]]).await;
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -35,6 +35,8 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// First pause after a store that did not answer; each further one is twice as long.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
+/// Pause of a VM that does not know yet where requests go: until it does, it refuses all callers.
+const START_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause of a VM that reads for others.
 const READER_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause of a VM that others read for.
@@ -216,20 +218,25 @@
 
     fn lose(&mut self, error: &StoreError) {
         metrics::counter!("store_errors", "feed" => self.name).increment(1);
-        let longest = if self.cx.shared.is_reader() { READER_PAUSE } else { OTHER_PAUSE };
-        let pause = match self.lost {
-            Some(pause) => (pause * 2).min(longest),
-            None => {
-                log::warn!(feed = self.name; "store is lost: {error}");
-                FIRST_PAUSE
-            },
-        };
+        if self.lost.is_none() {
+            log::warn!(feed = self.name; "store is lost: {error}");
+        }
+        let pause = self.pause_after(self.lost);
         self.lost = Some(pause);
         self.not_before = Instant::now() + pause;
         // All feeds read one store, so that what one of them finds holds for the others, until one is answered.
         self.cx.shared.pause_store(Some(self.not_before));
     }
 
+    /// Time for which the store is left alone after it did not answer; `last` is the time before that.
+    fn pause_after(&self, last: Option<Duration>) -> Duration {
+        if !self.cx.shared.knows_routes() {
+            return START_PAUSE;
+        }
+        let longest = if self.cx.shared.is_reader() { READER_PAUSE } else { OTHER_PAUSE };
+        last.map_or(FIRST_PAUSE, |pause| (pause * 2).min(longest))
+    }
+
     /// Takes what another VM read, if it begins where this VM's view ends.
     fn take_relayed(&mut self, relayed: Relayed<T>) {
         let known = self.feed.position();
