Tell callers of a VM that knows nothing yet to come back when the store may be back

Cause: after a restart while the store is away, each VM told its callers to come back in 50 ms. Change: they are told a second at least, as long again as the VM has already waited, and up to half more, so that they do not come all at once. Callers of a VM that is stopped or cut off are still told 50 ms, since another VM serves them. Test: callers_of_a_vm_without_the_store_are_told_to_come_back_later_and_not_all_at_once. Ruled out: 0.5 s instead of 1 s, alike. Conclusion: kept for VMs that know nothing yet.

--- /dev/null
+++ b/havengrade_core/src/published/come_back.rs
@@ -0,0 +1,56 @@
+//! When a caller whose request did not run should come back.
+//!
+//! Most callers come back once. Told too early, they are refused again and are lost; told all the same time,
+//! they come all at once.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt as _};
+
+/// Why a request was not run, as far as it matters to when it may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Obstacle {
+    /// This VM can't serve it, another one can.
+    ThisVm,
+    /// No endpoint has room.
+    FullEndpoints,
+    /// No VM can serve it until the store is back.
+    StoreAway {
+        /// Time for which the store has not been reached, as far as is known.
+        known_for: Duration,
+    },
+}
+
+/// Time to come back to another VM.
+const TO_ANOTHER_VM: Duration = Duration::from_millis(50);
+/// Time in which the queue of a full endpoint gets shorter.
+const UNTIL_ROOM: Duration = Duration::from_millis(200);
+/// Least time that an outage of the store is expected to last on.
+const LEAST_OUTAGE: Duration = Duration::from_millis(1000);
+/// Most time that a caller is told to wait for the store.
+const MOST_OUTAGE: Duration = Duration::from_secs(5);
+/// Part of the time by which callers are spread.
+const SPREAD: f64 = 0.5;
+
+/// Time after which a caller should come back.
+///
+/// Nothing tells how long an outage will last; it is expected to last as long again as it has lasted.
+///
+/// ```
+/// use std::time::Duration;
+/// use havengrade_core::published::come_back::{Obstacle, after};
+/// use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
+///
+/// let mut rng = ChaCha8Rng::seed_from_u64(1);
+/// let wait = after(Obstacle::StoreAway { known_for: Duration::from_secs(3) }, &mut rng);
+/// assert!(wait >= Duration::from_secs(3) && wait < Duration::from_millis(4500));
+/// ```
+pub fn after(obstacle: Obstacle, rng: &mut dyn Rng) -> Duration {
+    match obstacle {
+        Obstacle::ThisVm => TO_ANOTHER_VM,
+        Obstacle::FullEndpoints => UNTIL_ROOM,
+        Obstacle::StoreAway { known_for } => {
+            known_for.clamp(LEAST_OUTAGE, MOST_OUTAGE).mul_f64(1.0 + SPREAD * rng.random::<f64>())
+        },
+    }
+}
--- a/havengrade_dev/tests/published.rs
+++ b/havengrade_dev/tests/published.rs
@@ -115,6 +115,27 @@
     assert!(bench.arrivals().is_empty());
 }
 
+fn retry_after(answer: &str) -> f64 {
+    let value = answer.split("retry-after: ").nth(1).and_then(|rest| rest.split("\r\n").next());
+    value.and_then(|value| value.parse().ok()).unwrap()
+}
+
+#[tokio::test(start_paused = true)]
+async fn callers_of_a_vm_without_the_store_are_told_to_come_back_later_and_not_all_at_once() {
+    let store = MemoryStore::default();
+    store.set_away(true);
+    let bench = Bench::begin(vec![Replies::default()], store).await;
+    let mut times = Vec::new();
+    for id in 0..8 {
+        times.push(retry_after(&bench.ask(&get("/read/", &format!("r{id}"))).await));
+    }
+    assert!(times.iter().all(|after| (1.0..=1.5).contains(after)), "{times:?}");
+    assert!(times.iter().any(|after| *after != times[0]), "spread: {times:?}");
+    sleep(Duration::from_secs(3)).await;
+    let after = retry_after(&bench.ask(&get("/read/", "r9")).await);
+    assert!(after >= 3.0, "an outage is expected to last as long again: {after}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_vm_that_started_without_the_store_serves_soon_after_its_return() {
     // The moment of the return falls anywhere between two questions to the store.
@@ -287,7 +308,7 @@
     sleep(Duration::from_secs(3)).await;
     let answer = bench.ask(&get("/read/", "r2")).await;
     assert_eq!(status(&answer), "503");
-    assert!(answer.contains("retry-after"));
+    assert!(retry_after(&answer) < 0.1, "nothing says that other VMs are cut off too");
     assert_eq!(status(&bench.ask(&get("/open/", "r3")).await), "200", "a public route needs no key");
     assert_eq!(status(&bench.ask(&get("/nowhere/", "r4")).await), "503", "the route may have been added since");
     assert!(!bench.is_ready().await);
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -62,6 +62,8 @@
     tuning: ArcSwap<PublishedSettings>,
     /// Run of this process.
     pub incarnation: Incarnation,
+    /// When this process started.
+    started: SystemTime,
     /// The clock.
     pub clock: Clock,
     /// How requests and answers are written.
@@ -111,6 +113,7 @@
         Self {
             // The sign is given up so that ids pass through the schema's signed integers.
             incarnation: rng.next_u64() >> 1,
+            started: clock.now(),
             clock,
             dialect,
             routes: ArcSwap::default(),
@@ -175,6 +178,11 @@
         self.confirmed().map(|at| now.duration_since(at).unwrap_or_default())
     }
 
+    /// Time since this process started.
+    pub fn running_for(&self, now: SystemTime) -> Duration {
+        now.duration_since(self.started).unwrap_or_default()
+    }
+
     /// Notes that the endpoints have been listed once.
     pub fn set_endpoints_known(&self) {
         if !self.knows_endpoints.swap(true, Ordering::AcqRel) {
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -95,7 +95,7 @@
     answered.unwrap_or_else(|refusal| {
         let now = cx.shared.clock.now();
         log_refusal(cx, &id, refusal, arrived, now);
-        refusal.answer()
+        refusal.answer(cx, now)
     })
 }
 
--- a/havengrade_router/src/published/refuse.rs
+++ b/havengrade_router/src/published/refuse.rs
@@ -1,14 +1,17 @@
 //! Final answers of the router's own.
 
-use std::time::Duration;
+use std::time::SystemTime;
 
 use bytes::Bytes;
+use havengrade_core::published::come_back::{self, Obstacle};
 use http_body_util::{BodyExt as _, Full, combinators::UnsyncBoxBody};
 use hyper::{
     Response, StatusCode,
     header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
 
+use crate::published::context::PublishedContext;
+
 /// Body of an answer to a caller.
 pub type AnswerBody = UnsyncBoxBody<Bytes, BodyError>;
 /// Why a body that has begun can't be finished; the connection then ends visibly unfinished.
@@ -74,11 +77,12 @@
         }
     }
 
-    /// Time after which the request may be sent again, where it did not run.
-    fn retry_after(self) -> Option<Duration> {
+    /// What keeps a request that did not run from being served; none where it may have run or never can.
+    fn obstacle(self, cx: &PublishedContext, now: SystemTime) -> Option<Obstacle> {
         match self {
-            Self::Starting | Self::Stale | Self::Stopping => Some(SOON),
-            Self::NoEndpoint | Self::NoTimeLeft => Some(SHORTLY),
+            Self::Starting => Some(Obstacle::StoreAway { known_for: cx.shared.running_for(now) }),
+            Self::Stale | Self::Stopping => Some(Obstacle::ThisVm),
+            Self::NoEndpoint | Self::NoTimeLeft => Some(Obstacle::FullEndpoints),
             _ => None,
         }
     }
@@ -88,14 +92,15 @@
         matches!(self, Self::Malformed | Self::TooLarge | Self::Starting | Self::Stale | Self::Stopping)
     }
 
-    /// The answer.
-    pub fn answer(self) -> Response<AnswerBody> {
+    /// The answer, with the time to come back where the request did not run.
+    pub fn answer(self, cx: &PublishedContext, now: SystemTime) -> Response<AnswerBody> {
         let body = format!("{{\"error\":\"{}\"}}", self.name());
         let mut answer = Response::new(whole(Bytes::from(body)));
         *answer.status_mut() = self.status();
         let headers = answer.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if let Some(after) = self.retry_after() {
+        if let Some(obstacle) = self.obstacle(cx, now) {
+            let after = come_back::after(obstacle, &mut *cx.shared.rng());
             let seconds = format!("{:.2}", after.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 headers.insert(RETRY_AFTER, value);
@@ -108,11 +113,6 @@
     }
 }
 
-/// Time to come back to another VM.
-const SOON: Duration = Duration::from_millis(50);
-/// Time in which the queue of a full endpoint gets shorter.
-const SHORTLY: Duration = Duration::from_millis(200);
-
 /// A body that is there as a whole.
 pub fn whole(bytes: Bytes) -> AnswerBody {
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
--- a/havengrade_router/src/published/server.rs
+++ b/havengrade_router/src/published/server.rs
@@ -62,7 +62,7 @@
         async move {
             if framing.is_ambiguous() {
                 log::warn!("a request whose end can be read in two ways is refused");
-                return Ok(Refusal::Malformed.answer());
+                return Ok(Refusal::Malformed.answer(&cx, cx.shared.clock.now()));
             }
             let mut answer = forward(&cx, request).await;
             if cx.shared.is_draining() || framing.must_close() {
