Rank endpoints and VMs by a hash that is the same in every build

The standard library's default hasher may differ between builds, so that VMs of two builds could disagree on the place of a shared part and on who reads the store during an upgrade.

--- a/havengrade_core/src/lib.rs
+++ b/havengrade_core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ledger;
 pub mod membership;
 pub mod published;
+pub mod ranking;
 pub mod retry;
 pub mod rollout;
 pub mod secret;
--- a/havengrade_core/src/published/placement.rs
+++ b/havengrade_core/src/published/placement.rs
@@ -6,16 +6,14 @@
 //! the parts for it; the large one is asked where the part is cached. A plain request goes where the smallest
 //! part of the slots is taken.
 
-use std::{
-    hash::{DefaultHasher, Hash as _, Hasher as _},
-    time::SystemTime,
-};
+use std::time::SystemTime;
 
 use rand::{Rng, RngExt as _};
 
 use crate::{
     ids::EndpointId,
     published::{directory::ListedEndpoint, peers::Work, sent_parts::PrefixKey},
+    ranking::rank,
     selection::EndpointState,
 };
 
@@ -144,15 +142,7 @@
 
 /// The first endpoint in an order that depends on the part only, so that all VMs send the part there.
 fn first_ranked<'a, 'b>(among: &[&'b Candidate<'a>], part: &str) -> Option<&'b Candidate<'a>> {
-    among.iter().copied().max_by_key(|c| rank(part, &c.endpoint.id))
-}
-
-/// Where an endpoint stands in the order of a part; the same on every VM of one build.
-fn rank(part: &str, endpoint: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    part.hash(&mut hasher);
-    endpoint.hash(&mut hasher);
-    hasher.finish()
+    among.iter().copied().max_by_key(|c| rank(&[part, &c.endpoint.id]))
 }
 
 /// The candidate with the least cost; each of several with the same cost has the same chance.
--- a/havengrade_core/src/published/relay.rs
+++ b/havengrade_core/src/published/relay.rs
@@ -5,11 +5,10 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    hash::{DefaultHasher, Hash as _, Hasher as _},
     time::{Duration, SystemTime},
 };
 
-use crate::{ids::VmId, published::directory::DirectoryEvent};
+use crate::{ids::VmId, published::directory::DirectoryEvent, ranking::rank};
 
 /// VMs that read the store, at least: one may be cut off from it.
 const MIN_READERS: usize = 2;
@@ -44,13 +43,6 @@
     vms.div_ceil(VMS_A_READER).max(MIN_READERS).min(vms)
 }
 
-/// Where a VM stands in the order in which they become readers; the same wherever it is asked.
-fn rank(vm: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    vm.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Whether a VM must read the store itself: its view is old, and nobody told it that nothing is newer.
 ///
 /// `viewed` is when nothing newer than its view existed, `told` when it last got a good answer.
@@ -89,7 +81,7 @@
     ///
     /// Those that don't answer this VM are passed over, but itself never is.
     pub fn among<'a>(&self, vms: impl Iterator<Item = &'a VmId>, me: &VmId, now: SystemTime) -> Vec<&'a VmId> {
-        let mut ranked: Vec<(u64, &VmId)> = vms.map(|vm| (rank(vm), vm)).collect();
+        let mut ranked: Vec<(u64, &VmId)> = vms.map(|vm| (rank(&[vm]), vm)).collect();
         ranked.sort_unstable();
         let wanted = readers(ranked.len());
         let trusted = ranked.into_iter().map(|(_, vm)| vm).filter(|vm| *vm == me || !self.is_doubted(vm, now));
