Count a new version's failures apart from its slow answers

A version that failed 19 of some 55 answers in its trial was declared as good as the old one. Ruled out: lost evidence. Change: two counts and two bets, a half on each. Reports name up to 32 counters instead of 16. Test: failures_show_although_many_answers_of_both_versions_are_slow; before, 34 of 100 bad versions took more than 40 answers, now at most five, and at most five of 100 good ones are halted.

--- a/havengrade_core/src/published/odds.rs
+++ b/havengrade_core/src/published/odds.rs
@@ -24,3 +24,29 @@
     });
     (won.iter().sum::<f64>() / RISES.len() as f64).max(f64::MIN_POSITIVE).ln()
 }
+
+/// What bets on more failures and on more slow answers have won, as logarithms.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Bets {
+    failed: f64,
+    slow: f64,
+}
+
+impl Bets {
+    /// Adds a bet on slow answers, or on failures.
+    pub(super) fn add(&mut self, is_slow: bool, bet: f64) {
+        *if is_slow { &mut self.slow } else { &mut self.failed } += bet;
+    }
+
+    /// Both together.
+    pub(super) fn plus(self, other: Self) -> Self {
+        Self { failed: self.failed + other.failed, slow: self.slow + other.slow }
+    }
+
+    /// Logarithm of what is won where a half is bet on each: a version may be bad in one way only.
+    pub(super) fn odds(self) -> f64 {
+        let most = self.failed.max(self.slow);
+        let halves = (self.failed - most).exp() + (self.slow - most).exp();
+        most + (halves / 2.0).ln()
+    }
+}
--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -9,7 +9,11 @@
 use crate::{
     evidence::{Evidence, Subject, Tally},
     ids::{Incarnation, ServiceId, SessionId},
-    published::{directory::SoftwareVersion, odds::odds_of, route::RouteId},
+    published::{
+        directory::SoftwareVersion,
+        odds::{Bets, odds_of},
+        route::RouteId,
+    },
     secret::spread,
 };
 
@@ -88,6 +92,11 @@
 
 /// Stands in a sample's kind between the route and the model.
 pub const KIND_SEPARATOR: char = '/';
+/// Stands behind a kind where slow answers are counted instead of failed ones.
+///
+/// They are counted apart: a service whose answers are often slow, as with prompts that are not cached, would
+/// otherwise hide that a new version fails.
+const SLOWNESS: &str = "//slow";
 
 /// How an answer of a version turned out.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -403,15 +412,21 @@
         let usual = self.old_latency.get(sample.kind).copied();
         let is_slow = matches!((latency, usual), (Some(latency), Some(usual)) if latency > usual + SLOW_FACTOR.ln());
         let version = if is_new { sample.version } else { OLD };
-        let subject = Subject { class: sample.kind.to_owned(), version: version.to_owned() };
-        let failed = u64::from(sample.failed || is_slow);
-        self.evidence.record(&subject, own, Tally { ended: 1, failed, ..Tally::default() });
+        self.count(sample.kind.to_owned(), version, sample.failed, own);
+        if latency.is_some() && usual.is_some() {
+            self.count(format!("{}{SLOWNESS}", sample.kind), version, is_slow, own);
+        }
         if let (false, Some(latency)) = (is_new, latency) {
             let usual = usual.unwrap_or(latency);
             self.old_latency.insert(sample.kind.to_owned(), usual + LATENCY_WEIGHT * (latency - usual));
         }
     }
 
+    fn count(&mut self, class: String, version: &str, is_bad: bool, own: Incarnation) {
+        let subject = Subject { class, version: version.to_owned() };
+        self.evidence.record(&subject, own, Tally { ended: 1, failed: u64::from(is_bad), ..Tally::default() });
+    }
+
     fn own_evidence(&self, own: Incarnation) -> Vec<RouteEvidence> {
         let subjects = self.evidence.subjects();
         let counted = subjects.map(|subject| (subject, self.evidence.own(subject, own)));
@@ -429,18 +444,18 @@
     /// Logarithm of the odds that the new version is worse, on all routes together or on one of them.
     fn odds(&self) -> f64 {
         let totals = self.evidence.totals();
-        let mut by_route: HashMap<&str, f64> = HashMap::new();
+        let mut by_route: HashMap<&str, Bets> = HashMap::new();
         let kinds: BTreeSet<&str> = self.evidence.subjects().map(|subject| subject.class.as_str()).collect();
         for kind in kinds {
             let route = kind.split_once(KIND_SEPARATOR).map_or(kind, |(route, _)| route);
             let bet = odds_of(&totals.get(kind, &self.order.version), &totals.get(kind, OLD));
-            *by_route.entry(route).or_default() += bet;
+            by_route.entry(route).or_default().add(kind.ends_with(SLOWNESS), bet);
         }
-        let sum: f64 = by_route.values().sum();
-        let most = by_route.values().copied().fold(f64::MIN, f64::max);
+        let sum = by_route.values().fold(Bets::default(), |sum, bets| sum.plus(*bets));
+        let most = by_route.values().map(|bets| bets.odds()).fold(f64::MIN, f64::max);
         // Looking at the routes one by one as well is paid for by their number.
         let choices = (by_route.len() as f64).max(1.0).ln();
-        sum.max(most - choices)
+        sum.odds().max(most - choices)
     }
 
     fn verdict(&self, written: Option<&RolloutStatus>, now: SystemTime) -> Option<Verdict> {
--- a/havengrade_core/tests/published.rs
+++ b/havengrade_core/tests/published.rs
@@ -455,6 +455,34 @@
     }
 }
 
+/// Notes answers of an old version, of which many are slow since a part of the prompt was not cached, and of a
+/// new one that fails with a chance; tells how many the new one gave until it was halted.
+fn answers_until_halted(rollouts: &mut Rollouts, chance: f64, most: u32, seed: u64) -> Option<u32> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut new = 0;
+    while new < most {
+        let version = if rng.random_bool(0.08) { "v2" } else { "v1" };
+        let millis = if rng.random_bool(0.3) { rng.random_range(400..900) } else { rng.random_range(60..160) };
+        let failed = rng.random_bool(if version == "v2" { chance } else { 0.01 });
+        let kind = ["a/small", "a/large", "b/small", "b/large"][rng.random_range(0..4)];
+        rollouts.note("events", Sample { kind, ..sample(version, failed, millis) }, OWN);
+        new += u32::from(version == "v2");
+        if outcome(rollouts, 6_000) == RolloutOutcome::RolledBack {
+            return Some(new);
+        }
+    }
+    None
+}
+
+#[test]
+fn failures_show_although_many_answers_of_both_versions_are_slow() {
+    let halted = |seed| answers_until_halted(&mut running(), 0.35, 60, seed);
+    let late = (0..100).filter(|seed| halted(*seed).is_none_or(|answers| answers > 40)).count();
+    assert!(late <= 5, "{late} of 100 bad versions took more than 40 answers");
+    let mistaken = (0..100).filter(|seed| answers_until_halted(&mut running(), 0.01, 60, *seed).is_some()).count();
+    assert!(mistaken <= 5, "{mistaken} of 100 good versions were halted");
+}
+
 #[test]
 fn a_version_that_shows_nothing_bad_stays_under_its_bound_until_the_deadline() {
     for (share, is_session) in [(0.1, true), (0.15, false), (0.15, true), (0.3, false), (0.5, true)] {
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -54,8 +54,8 @@
 const MAX_DATAGRAM: usize = 32 << 10;
 /// Endpoints that a report names; those with the most work come first.
 const MAX_ENDPOINTS: usize = 36;
-/// Counters that a report names.
-const MAX_EVIDENCE: usize = 16;
+/// Counters that a report names: of failures and of slow answers, for two versions, some routes and models.
+const MAX_EVIDENCE: usize = 32;
 /// Sessions that a report names.
 const MAX_HELD: usize = 24;
 /// States of roll-outs that a report names.
