Tell a VM that starts during a roll-out when it began

Change: reports name the age of an order; the earliest beginning counts, a line tells where it moves by more than a message's time. The wait until sessions of the old version are known still runs from a VM's own start. Test: a_vm_that_starts_during_a_roll_out_takes_over_with_the_others.

--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -35,6 +35,8 @@
 /// Time after an order from which sessions try the new version: until then VMs tell each other which sessions
 /// keep to the old one.
 const SESSION_WAIT: Duration = Duration::from_secs(2);
+/// Time that a message between VMs may be under way.
+const MESSAGE_TIME: Duration = Duration::from_millis(500);
 /// Slots of a share; subjects fall evenly on them.
 const SLOTS: u64 = 10_000;
 
@@ -58,7 +60,10 @@
 #[derive(Clone, Debug)]
 struct Running {
     order: RolloutOrder,
+    /// When this VM learned of the order.
     since: SystemTime,
+    /// When the first VM learned of it, as far as is known; its time counts from then.
+    began: SystemTime,
     outcome: RolloutOutcome,
     /// What all VMs saw, by route and version; all versions but the new one count as `OLD`.
     evidence: Evidence,
@@ -170,8 +175,14 @@
         }
         let written = self.statuses.get(&order.service).filter(|status| status.version == order.version);
         let outcome = written.map_or(RolloutOutcome::Running, |status| status.outcome);
-        let running =
-            Running { since: now, outcome, evidence: Evidence::default(), old_latency: HashMap::new(), order };
+        let running = Running {
+            since: now,
+            began: now,
+            outcome,
+            evidence: Evidence::default(),
+            old_latency: HashMap::new(),
+            order,
+        };
         self.by_service.insert(running.order.service.clone(), running);
         true
     }
@@ -223,6 +234,23 @@
         ordered == Some(&status.version) && !is_settled && self.note_status(status)
     }
 
+    /// Takes from another VM when the first one learned of an order; a VM that started since learned of it later.
+    ///
+    /// Tells whether that differs from what was known by more than a message may be under way.
+    pub fn learn_beginning(&mut self, service: &str, version: &str, began: SystemTime) -> bool {
+        let running = self.by_service.get_mut(service).filter(|running| running.order.version == version);
+        let Some(running) = running else { return false };
+        let known = running.began;
+        running.began = known.min(began);
+        began + MESSAGE_TIME < known
+    }
+
+    /// Time since the first VM learned of a service's newest order, where it is for this version.
+    pub fn order_age(&self, service: &str, version: &str, now: SystemTime) -> Option<Duration> {
+        let running = self.by_service.get(service).filter(|running| running.order.version == version)?;
+        Some(now.duration_since(running.began).unwrap_or_default())
+    }
+
     /// The status that is known to be written for a service.
     pub fn written(&self, service: &str) -> Option<&RolloutStatus> {
         self.statuses.get(service)
@@ -371,7 +399,7 @@
 impl Running {
     /// Part of the order's time that has passed.
     fn progress(&self, now: SystemTime) -> f64 {
-        let passed = now.duration_since(self.since).unwrap_or_default();
+        let passed = now.duration_since(self.began).unwrap_or_default();
         passed.as_secs_f64() / self.order.duration.as_secs_f64().max(f64::MIN_POSITIVE)
     }
 
@@ -459,7 +487,7 @@
     }
 
     fn verdict(&self, written: Option<&RolloutStatus>, now: SystemTime) -> Option<Verdict> {
-        let is_due = now + WRITE_AHEAD >= self.since + self.order.duration;
+        let is_due = now + WRITE_AHEAD >= self.began + self.order.duration;
         let (outcome, reason) = if self.odds() > HALT_ODDS {
             (RolloutOutcome::RolledBack, "the new version fails or is slow more often than the old one")
         } else if is_due {
--- a/havengrade_core/tests/published.rs
+++ b/havengrade_core/tests/published.rs
@@ -384,6 +384,21 @@
     assert_eq!(outcome(&rollouts, 19_200), RolloutOutcome::Succeeded);
 }
 
+#[test]
+fn a_vm_that_starts_during_a_roll_out_takes_over_with_the_others() {
+    let mut rollouts = Rollouts::default();
+    rollouts.order(order("v2"), at(9_000));
+    assert!(!rollouts.learn_beginning("events", "v3", at(0)));
+    assert_eq!(outcome(&rollouts, 19_200), RolloutOutcome::Running, "another order says nothing");
+    assert!(rollouts.learn_beginning("events", "v2", at(0)));
+    assert!(!rollouts.learn_beginning("events", "v2", at(5_000)));
+    assert_eq!(rollouts.order_age("events", "v2", at(10_000)), Some(Duration::from_secs(10)));
+    assert!((0..500).all(|id| allowed(&rollouts, &format!("r{id}"), None, 18_800).includes("v2")));
+    assert_eq!(outcome(&rollouts, 19_200), RolloutOutcome::Succeeded);
+    let tried = (0..500).any(|id| allowed(&rollouts, "r", Some(&format!("s{id}")), 10_900).includes("v2"));
+    assert!(!tried, "sessions of the old version must be learned first");
+}
+
 #[test]
 fn other_vms_evidence_counts_once_however_often_it_is_told() {
     let mut rollouts = running();
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -9,7 +9,10 @@
 use async_trait::async_trait;
 use havengrade_core::{
     ids::EndpointId,
-    published::peers::{Peer, Work, WorkReport},
+    published::{
+        peers::{Peer, Work, WorkReport},
+        rollout::{RolloutStatus, Rollouts},
+    },
 };
 use havengrade_rpc::reports::{Datagram, StoreQuestion, VmReport};
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
@@ -23,7 +26,7 @@
         context::PublishedContext,
         ports::Roster,
         store_view::{Questions, answer, hint},
-        wire::{Report, decode_report, encode_report},
+        wire::{Report, ToldRollout, decode_report, encode_report},
     },
     services::tick,
     shared::lock,
@@ -241,16 +244,21 @@
     let rollouts = cx.shared.rollouts();
     let mut evidence = rollouts.own_evidence(cx.shared.incarnation);
     evidence.truncate(MAX_EVIDENCE);
-    let mut held_sessions = rollouts.held_sessions(cx.shared.rollout_bounds(), cx.shared.clock.now());
+    let now = cx.shared.clock.now();
+    let mut held_sessions = rollouts.held_sessions(cx.shared.rollout_bounds(), now);
     held_sessions.truncate(MAX_HELD);
     Report {
         work: WorkReport { peer, seq, work: work.to_vec() },
         evidence,
-        rollouts: rollouts.statuses().take(MAX_ROLLOUTS).cloned().collect(),
+        rollouts: rollouts.statuses().take(MAX_ROLLOUTS).map(|status| told_rollout(&rollouts, status, now)).collect(),
         held_sessions,
     }
 }
 
+fn told_rollout(rollouts: &Rollouts, status: &RolloutStatus, now: SystemTime) -> ToldRollout {
+    ToldRollout { status: status.clone(), age: rollouts.order_age(&status.service, &status.version, now) }
+}
+
 /// Takes the other VMs' datagrams.
 async fn receive(cx: PublishedContext, socket: Arc<dyn Datagrams>, questions: Arc<Mutex<Questions>>) {
     let mut buf = vec![0; MAX_DATAGRAM];
@@ -298,7 +306,12 @@
         for session in report.held_sessions {
             rollouts.hold(session, cx.shared.rollout_bounds(), now);
         }
-        for status in report.rollouts {
+        for ToldRollout { status, age } in report.rollouts {
+            let began = age.and_then(|age| now.checked_sub(age));
+            if began.is_some_and(|began| rollouts.learn_beginning(&status.service, &status.version, began)) {
+                let age_ms = age.unwrap_or_default().as_millis() as u64;
+                log::info!(service = status.service.as_str(), age_ms, from = peer.vm.as_str(); "a roll-out began earlier");
+            }
             let line = format!("{} to {}: {:?}", status.service, status.version, status.outcome);
             if rollouts.learn_status(status) {
                 log::info!(state = line.as_str(), from = peer.vm.as_str(); "state of a roll-out learned");
--- a/havengrade_router/src/published/wire.rs
+++ b/havengrade_router/src/published/wire.rs
@@ -1,6 +1,6 @@
 //! Datagrams between VMs, turned into the router's types and back.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use havengrade_core::{
     ids::EndpointId,
@@ -18,6 +18,15 @@
 const SUCCEEDED: &str = "succeeded";
 const ROLLED_BACK: &str = "rolled_back";
 
+/// How a roll-out stands, as another VM tells it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct ToldRollout {
+    /// The state that it knows to be written.
+    pub(super) status: RolloutStatus,
+    /// Time since the first VM that it knows of learned of the order.
+    pub(super) age: Option<Duration>,
+}
+
 /// What a VM says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Report {
@@ -25,8 +34,8 @@
     pub(super) work: WorkReport,
     /// What it saw of new versions.
     pub(super) evidence: Vec<RouteEvidence>,
-    /// States of roll-outs that it knows to be written.
-    pub(super) rollouts: Vec<RolloutStatus>,
+    /// Roll-outs whose states it knows to be written.
+    pub(super) rollouts: Vec<ToldRollout>,
     /// Sessions that keep to an old version while a new one is tried.
     pub(super) held_sessions: Vec<SessionMark>,
 }
@@ -40,10 +49,10 @@
         .evidence
         .into_iter()
         .map(|seen| WireEvidence::new(seen.service, seen.route, seen.version, to_i64(seen.ended), to_i64(seen.failed)));
-    let rollouts = report
-        .rollouts
-        .into_iter()
-        .map(|status| RolloutState::new(status.service, status.version, outcome_name(status.outcome).to_owned()));
+    let rollouts = report.rollouts.into_iter().map(|ToldRollout { status, age }| {
+        let age_ms = age.map(|age| to_i64(age.as_millis() as u64));
+        RolloutState::new(status.service, status.version, outcome_name(status.outcome).to_owned(), age_ms)
+    });
     // A mark is 64 bits without a meaning of their own, so it passes through the schema's signed integers.
     let held: Vec<i64> = report.held_sessions.into_iter().map(u64::cast_signed).collect();
     let (evidence, rollouts): (Vec<_>, Vec<_>) = (evidence.collect(), rollouts.collect());
@@ -76,7 +85,8 @@
     });
     let rollouts = report.rollouts.unwrap_or_default().into_iter().filter_map(|state| {
         let outcome = outcome_of(&state.outcome)?;
-        Some(RolloutStatus { service: state.service_name, version: state.version, outcome })
+        let status = RolloutStatus { service: state.service_name, version: state.version, outcome };
+        Some(ToldRollout { status, age: state.age_ms.map(|age| Duration::from_millis(from_i64(age))) })
     });
     let failure_domain = report.failure_domain.unwrap_or_default();
     let peer = Peer { vm: report.vm, incarnation: from_i64(report.incarnation), address, failure_domain };
--- a/schema/reports.thrift
+++ b/schema/reports.thrift
@@ -26,6 +26,8 @@
   2: required string version,
   /** `running`, `succeeded` or `rolled_back`. */
   3: required string outcome,
+  /** Time since the first VM that the sender knows of learned of the order. */
+  4: optional i64 age_ms,
 }
 
 /** What a VM says of itself. */
