Believe the age of an order only from VMs to which it is under way

Found on reading the change: where a version is ordered again, a VM that has not heard of it yet would tell the age of the first order, and one that knows the second would take over at once. Such a VM knows the first order's end, and is no longer believed. Test: a_vm_that_starts_during_a_roll_out_takes_over_with_the_others, with a told end of an earlier order.

--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -236,10 +236,12 @@
 
     /// Takes from another VM when the first one learned of an order; a VM that started since learned of it later.
     ///
-    /// Tells whether that differs from what was known by more than a message may be under way.
-    pub fn learn_beginning(&mut self, service: &str, version: &str, began: SystemTime) -> bool {
-        let running = self.by_service.get_mut(service).filter(|running| running.order.version == version);
-        let Some(running) = running else { return false };
+    /// A VM to which the order has ended may not have heard yet that the version was ordered again, and is not
+    /// believed. Tells whether the time differs from what was known by more than a message may be under way.
+    pub fn learn_beginning(&mut self, told: &RolloutStatus, began: SystemTime) -> bool {
+        let running = self.by_service.get_mut(&told.service);
+        let running = running.filter(|running| running.order.version == told.version);
+        let Some(running) = running.filter(|_| told.outcome == RolloutOutcome::Running) else { return false };
         let known = running.began;
         running.began = known.min(began);
         began + MESSAGE_TIME < known
--- a/havengrade_core/tests/published.rs
+++ b/havengrade_core/tests/published.rs
@@ -388,10 +388,13 @@
 fn a_vm_that_starts_during_a_roll_out_takes_over_with_the_others() {
     let mut rollouts = Rollouts::default();
     rollouts.order(order("v2"), at(9_000));
-    assert!(!rollouts.learn_beginning("events", "v3", at(0)));
+    let told = |version: &str, outcome| RolloutStatus { service: "events".into(), version: version.into(), outcome };
+    let running = told("v2", RolloutOutcome::Running);
+    assert!(!rollouts.learn_beginning(&told("v3", RolloutOutcome::Running), at(0)));
+    assert!(!rollouts.learn_beginning(&told("v2", RolloutOutcome::RolledBack), at(0)), "of an earlier order");
     assert_eq!(outcome(&rollouts, 19_200), RolloutOutcome::Running, "another order says nothing");
-    assert!(rollouts.learn_beginning("events", "v2", at(0)));
-    assert!(!rollouts.learn_beginning("events", "v2", at(5_000)));
+    assert!(rollouts.learn_beginning(&running, at(0)));
+    assert!(!rollouts.learn_beginning(&running, at(5_000)));
     assert_eq!(rollouts.order_age("events", "v2", at(10_000)), Some(Duration::from_secs(10)));
     assert!((0..500).all(|id| allowed(&rollouts, &format!("r{id}"), None, 18_800).includes("v2")));
     assert_eq!(outcome(&rollouts, 19_200), RolloutOutcome::Succeeded);
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -308,7 +308,7 @@
         }
         for ToldRollout { status, age } in report.rollouts {
             let began = age.and_then(|age| now.checked_sub(age));
-            if began.is_some_and(|began| rollouts.learn_beginning(&status.service, &status.version, began)) {
+            if began.is_some_and(|began| rollouts.learn_beginning(&status, began)) {
                 let age_ms = age.unwrap_or_default().as_millis() as u64;
                 log::info!(service = status.service.as_str(), age_ms, from = peer.vm.as_str(); "a roll-out began earlier");
             }
