--- /dev/null
+++ b/havengrade_core/tests/published_rollout.rs
@@ -0,0 +1,283 @@
+//! Decisions on roll-outs of a published service: which requests go to the new version, and when it is judged.
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, SystemTime};
+
+use havengrade_core::published::rollout::{
+    Allowed, RolloutBounds, RolloutOrder, RolloutOutcome, RolloutStatus, Rollouts, RouteEvidence, Sample,
+};
+use rand::RngExt as _;
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
+
+const START: SystemTime = SystemTime::UNIX_EPOCH;
+
+fn at(millis: u64) -> SystemTime {
+    START + Duration::from_millis(millis)
+}
+
+const BOUNDS: RolloutBounds = RolloutBounds { max_share: 0.15, session_time: Duration::from_secs(5) };
+const OWN: u64 = 7;
+
+fn order(version: &str) -> RolloutOrder {
+    RolloutOrder { service: "events".into(), version: version.into(), duration: Duration::from_secs(20) }
+}
+
+fn running() -> Rollouts {
+    let mut rollouts = Rollouts::default();
+    assert!(rollouts.order(order("v2"), at(0)));
+    rollouts
+}
+
+fn allowed(rollouts: &Rollouts, subject: &str, session: Option<&str>, millis: u64) -> Allowed {
+    rollouts.allowed("events", subject, session, BOUNDS, at(millis))
+}
+
+fn sample(version: &str, failed: bool, millis: u64) -> Sample<'_> {
+    Sample { kind: "tags", version, failed, latency: Some(Duration::from_millis(millis)), size: 1.0 }
+}
+
+fn outcome(rollouts: &Rollouts, millis: u64) -> RolloutOutcome {
+    rollouts.verdicts(at(millis)).first().unwrap().status.outcome
+}
+
+#[test]
+fn a_new_version_gets_less_than_its_bound_while_it_is_tried() {
+    let rollouts = running();
+    let new = (0..4000).filter(|id| allowed(&rollouts, &format!("r{id}"), None, 5_000).includes("v2")).count();
+    assert!((240..480).contains(&new), "{new} of 4000");
+}
+
+#[test]
+fn a_session_of_the_old_version_stays_there_in_the_first_half() {
+    let mut rollouts = running();
+    for id in 0..300 {
+        let session = format!("s{id}");
+        rollouts.pin(&session, "v1", at(4_000));
+        assert_eq!(allowed(&rollouts, "r", Some(&session), 6_000), Allowed::Not("v2".into()));
+    }
+}
+
+#[test]
+fn a_session_of_the_new_version_stays_there() {
+    let mut rollouts = running();
+    rollouts.pin("s", "v2", at(4_000));
+    assert_eq!(allowed(&rollouts, "r", Some("s"), 8_000), Allowed::Only("v2".into()));
+}
+
+#[test]
+fn a_version_that_fails_is_rolled_back_and_gets_nothing_more() {
+    let mut rollouts = running();
+    for _ in 0..40 {
+        rollouts.note("events", sample("v1", false, 50), OWN);
+    }
+    for id in 0..16 {
+        rollouts.note("events", sample("v2", id % 2 == 0, 50), OWN);
+    }
+    assert_eq!(outcome(&rollouts, 6_000), RolloutOutcome::RolledBack);
+    assert!((0..500).all(|id| !allowed(&rollouts, &format!("r{id}"), None, 6_000).includes("v2")));
+}
+
+#[test]
+fn a_version_that_is_several_times_slower_is_rolled_back() {
+    let mut rollouts = running();
+    for _ in 0..60 {
+        rollouts.note("events", sample("v1", false, 50), OWN);
+    }
+    for id in 0..16 {
+        rollouts.note("events", sample("v2", false, if id % 2 == 0 { 400 } else { 50 }), OWN);
+    }
+    assert_eq!(outcome(&rollouts, 6_000), RolloutOutcome::RolledBack);
+}
+
+#[test]
+fn a_good_version_takes_over_before_the_deadline() {
+    let mut rollouts = running();
+    for _ in 0..200 {
+        rollouts.note("events", sample("v1", false, 50), OWN);
+        rollouts.note("events", sample("v2", false, 60), OWN);
+    }
+    assert_eq!(outcome(&rollouts, 6_000), RolloutOutcome::Running);
+    assert!((0..500).all(|id| allowed(&rollouts, &format!("r{id}"), None, 18_800).includes("v2")));
+    assert_eq!(outcome(&rollouts, 19_100), RolloutOutcome::Running);
+    assert_eq!(outcome(&rollouts, 19_200), RolloutOutcome::Succeeded);
+}
+
+#[test]
+fn a_vm_that_starts_during_a_roll_out_takes_over_with_the_others() {
+    let mut rollouts = Rollouts::default();
+    rollouts.order(order("v2"), at(9_000));
+    let told = |version: &str, outcome| RolloutStatus { service: "events".into(), version: version.into(), outcome };
+    let running = told("v2", RolloutOutcome::Running);
+    assert!(!rollouts.learn_beginning(&told("v3", RolloutOutcome::Running), at(0)));
+    assert!(!rollouts.learn_beginning(&told("v2", RolloutOutcome::RolledBack), at(0)), "of an earlier order");
+    assert_eq!(outcome(&rollouts, 19_200), RolloutOutcome::Running, "another order says nothing");
+    assert!(rollouts.learn_beginning(&running, at(0)));
+    assert!(!rollouts.learn_beginning(&running, at(5_000)));
+    assert_eq!(rollouts.order_age("events", "v2", at(10_000)), Some(Duration::from_secs(10)));
+    assert!((0..500).all(|id| allowed(&rollouts, &format!("r{id}"), None, 18_800).includes("v2")));
+    assert_eq!(outcome(&rollouts, 19_200), RolloutOutcome::Succeeded);
+    let tried = (0..500).any(|id| allowed(&rollouts, "r", Some(&format!("s{id}")), 10_900).includes("v2"));
+    assert!(!tried, "sessions of the old version must be learned first");
+}
+
+#[test]
+fn other_vms_evidence_counts_once_however_often_it_is_told() {
+    let mut rollouts = running();
+    let seen = |version: &str, ended, failed| RouteEvidence {
+        service: "events".into(),
+        version: version.into(),
+        route: "tags".into(),
+        ended,
+        failed,
+    };
+    for _ in 0..50 {
+        rollouts.merge(8, &seen("", 100, 0));
+        rollouts.merge(8, &seen("v2", 10, 1));
+    }
+    assert_eq!(outcome(&rollouts, 6_000), RolloutOutcome::Running);
+    for writer in 10..18 {
+        rollouts.merge(writer, &seen("v2", 4, 2));
+    }
+    assert_eq!(outcome(&rollouts, 6_000), RolloutOutcome::RolledBack);
+}
+
+#[test]
+fn what_is_written_for_an_order_stands() {
+    let mut rollouts = running();
+    let status = |outcome| RolloutStatus { service: "events".into(), version: "v2".into(), outcome };
+    rollouts.note_status(status(RolloutOutcome::RolledBack));
+    rollouts.note_status(status(RolloutOutcome::Succeeded));
+    assert_eq!(allowed(&rollouts, "r", None, 1_000), Allowed::Not("v2".into()));
+    assert!(rollouts.is_settled(&status(RolloutOutcome::RolledBack)));
+    assert!(rollouts.verdicts(at(19_000)).is_empty());
+}
+
+#[test]
+fn a_version_that_fails_as_often_as_the_old_one_is_not_rolled_back() {
+    let mut mistaken = 0;
+    for seed in 0..200u64 {
+        let mut rollouts = running();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        for _ in 0..400 {
+            let version = if rng.random_bool(0.1) { "v2" } else { "v1" };
+            rollouts.note("events", sample(version, rng.random_bool(0.14), 50), OWN);
+        }
+        mistaken += u32::from(outcome(&rollouts, 6_000) != RolloutOutcome::Running);
+    }
+    assert!(mistaken <= 4, "{mistaken} of 200 at the end; one in twenty is accepted over all looks");
+}
+
+#[test]
+fn a_version_whose_answers_fail_by_a_third_more_is_found_within_fifty_bad_ones() {
+    for seed in 0..200u64 {
+        let mut rollouts = running();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut bad = 0;
+        while outcome(&rollouts, 6_000) == RolloutOutcome::Running {
+            let version = if rng.random_bool(0.1) { "v2" } else { "v1" };
+            let failed = rng.random_bool(if version == "v2" { 0.45 } else { 0.14 });
+            bad += u32::from(failed && version == "v2");
+            rollouts.note("events", sample(version, failed, 50), OWN);
+            assert!(bad < 50, "seed {seed}");
+        }
+    }
+}
+
+/// Notes answers of an old version, of which many are slow since a part of the prompt was not cached, and of a
+/// new one that fails with a chance; tells how many the new one gave until it was halted.
+fn answers_until_halted(rollouts: &mut Rollouts, chance: f64, most: u32, seed: u64) -> Option<u32> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut new = 0;
+    while new < most {
+        let version = if rng.random_bool(0.08) { "v2" } else { "v1" };
+        let millis = if rng.random_bool(0.3) { rng.random_range(400..900) } else { rng.random_range(60..160) };
+        let failed = rng.random_bool(if version == "v2" { chance } else { 0.01 });
+        let kind = ["a/small", "a/large", "b/small", "b/large"][rng.random_range(0..4)];
+        rollouts.note("events", Sample { kind, ..sample(version, failed, millis) }, OWN);
+        new += u32::from(version == "v2");
+        if outcome(rollouts, 6_000) == RolloutOutcome::RolledBack {
+            return Some(new);
+        }
+    }
+    None
+}
+
+#[test]
+fn failures_show_although_many_answers_of_both_versions_are_slow() {
+    let halted = |seed| answers_until_halted(&mut running(), 0.35, 60, seed);
+    let late = (0..100).filter(|seed| halted(*seed).is_none_or(|answers| answers > 40)).count();
+    assert!(late <= 5, "{late} of 100 bad versions took more than 40 answers");
+    let mistaken = (0..100).filter(|seed| answers_until_halted(&mut running(), 0.01, 60, *seed).is_some()).count();
+    assert!(mistaken <= 5, "{mistaken} of 100 good versions were halted");
+}
+
+#[test]
+fn a_version_that_shows_nothing_bad_stays_under_its_bound_until_the_deadline() {
+    for (share, is_session) in [(0.1, true), (0.15, false), (0.15, true), (0.3, false), (0.5, true)] {
+        let bounds = RolloutBounds { max_share: share, ..BOUNDS };
+        let rollouts = running();
+        let requests = 20_000;
+        let new = (0..requests).filter(|millis| {
+            let subject = format!("r{millis}");
+            let session = is_session.then_some(subject.as_str());
+            rollouts.allowed("events", &subject, session, bounds, at(*millis)).includes("v2")
+        });
+        let exposed = new.count() as f64 / requests as f64;
+        assert!(exposed < share, "{exposed} of {share}");
+        assert!(exposed > share * 0.7, "{exposed} of {share}");
+    }
+}
+
+#[test]
+fn a_session_that_another_vm_keeps_at_the_old_version_stays_there() {
+    let (mut here, mut there) = (running(), running());
+    let candidates: Vec<String> =
+        (0..4000).map(|id| format!("s{id}")).filter(|id| allowed(&here, "r", Some(id), 7_000).includes("v2")).collect();
+    assert!(candidates.len() > 100);
+    for session in &candidates {
+        here.pin(session, "v1", at(4_000));
+    }
+    let told = here.held_sessions(BOUNDS, at(6_000));
+    assert_eq!(told.len(), candidates.len());
+    for session in told {
+        there.hold(session, BOUNDS, at(6_100));
+    }
+    assert!(candidates.iter().all(|id| allowed(&there, "r", Some(id), 7_000) == Allowed::Not("v2".into())));
+}
+
+#[test]
+fn no_session_tries_a_new_version_before_those_of_the_old_one_are_known() {
+    let rollouts = running();
+    assert!((0..4000).all(|id| !allowed(&rollouts, "r", Some(&format!("s{id}")), 1_900).includes("v2")));
+}
+
+#[test]
+fn a_slow_version_is_found_among_works_of_many_sizes() {
+    for seed in 0..100u64 {
+        let mut rollouts = running();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut bad = 0;
+        while outcome(&rollouts, 6_000) == RolloutOutcome::Running {
+            let is_new = rng.random_bool(0.06);
+            let size = rng.random_range(500.0..20_000.0f64);
+            let is_slow = is_new && rng.random_bool(0.5);
+            let millis = size / 60.0 * rng.random_range(0.5..2.0) * if is_slow { 8.0 } else { 1.0 };
+            bad += u32::from(is_slow);
+            let latency = Some(Duration::from_secs_f64(millis / 1000.0));
+            let version = if is_new { "v2" } else { "v1" };
+            rollouts.note("events", Sample { kind: "tags", version, failed: false, latency, size }, OWN);
+            assert!(bad < 50, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn what_other_vms_say_does_not_undo_the_end_of_a_roll_out() {
+    let mut rollouts = running();
+    let status = |version: &str, outcome| RolloutStatus { service: "events".into(), version: version.into(), outcome };
+    assert!(rollouts.learn_status(status("v2", RolloutOutcome::Running)));
+    assert!(rollouts.learn_status(status("v2", RolloutOutcome::RolledBack)));
+    assert!(!rollouts.learn_status(status("v2", RolloutOutcome::Running)));
+    assert!(!rollouts.learn_status(status("v1", RolloutOutcome::Succeeded)));
+    assert_eq!(rollouts.written("events"), Some(&status("v2", RolloutOutcome::RolledBack)));
+}
--- a/havengrade_dev/tests/support/published.rs
+++ b/havengrade_dev/tests/support/published.rs
@@ -12,7 +12,7 @@
 };
 use havengrade_dev::{
     fabric::{Fabric as _, Host, Pipes},
-    stand_in::published::{MemoryStore, Replies, Reply, ScriptedEndpoint},
+    stand_in::published::{MemoryStore, Replies, Reply, STREAM_HEAD, ScriptedEndpoint, event},
 };
 use havengrade_router::{
     clock::Clock,
@@ -191,3 +191,14 @@
 pub(crate) const NOT_RUN: &str = "HTTP/1.1 503 Full\r\nhavengrade-not-run: 1\r\ncontent-length: 0\r\n\r\n";
 pub(crate) const FAILED: &str =
     "HTTP/1.1 500 Failed\r\nhavengrade-request: {id}\r\nhavengrade-signature: s\r\ncontent-length: 3\r\n\r\nbad";
+
+/// The ids of the events of an answer.
+pub(crate) fn event_ids(answer: &str) -> Vec<u32> {
+    answer.lines().filter_map(|line| line.strip_prefix("id: ")).map(|id| id.trim().parse().unwrap()).collect()
+}
+
+/// A stream with these events, and what stands behind them.
+pub(crate) fn stream(events: std::ops::RangeInclusive<u32>, end: &str) -> String {
+    let events: String = events.map(event).collect();
+    format!("{STREAM_HEAD}{events}{end}")
+}
