--- a/havengrade_core/src/published/directory.rs
+++ b/havengrade_core/src/published/directory.rs
@@ -6,13 +6,15 @@
     time::{Duration, SystemTime},
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{DomainId, EndpointId, ServiceId};
 
 /// Software version of an endpoint, as a roll-out names it.
 pub type SoftwareVersion = String;
 
 /// An endpoint as the list shows it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedEndpoint {
     /// Id of this start of the endpoint; a restarted one has another.
     pub id: EndpointId,
@@ -31,7 +33,7 @@
 }
 
 /// A change of the list.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DirectoryEvent {
     /// An entry was written.
     Seen(ListedEndpoint),
@@ -160,6 +162,11 @@
         self.entries.values().map(|entry| &entry.endpoint).filter(|endpoint| !endpoint.is_leaving)
     }
 
+    /// What the list holds, without entries that lapsed and are kept for a time.
+    pub fn listed(&self) -> Vec<ListedEndpoint> {
+        self.entries.values().filter(|entry| !entry.lapsed).map(|entry| entry.endpoint.clone()).collect()
+    }
+
     /// All endpoints, also those that leave.
     pub fn all(&self) -> impl Iterator<Item = &ListedEndpoint> {
         self.entries.values().map(|entry| &entry.endpoint)
--- /dev/null
+++ b/havengrade_core/src/published/handing.rs
@@ -0,0 +1,72 @@
+//! To whom a VM hands on what is in force, so that many who ask at once do not queue at it.
+//!
+//! The load that this answers: a change, or a start of all VMs, makes some sixty others ask one VM within a few
+//! milliseconds, and its link carries 20 Mbit/s. Those that were served serve the rest.
+
+use std::{collections::VecDeque, net::SocketAddr};
+
+/// Others that are served at the same time: a part of 20 KB to each takes 32 ms of a link of 20 Mbit/s.
+const AT_ONCE: usize = 4;
+/// Others that were served and are named to those that come later.
+const MAX_NAMED: usize = 32;
+
+/// What to do with a VM that asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Hand on to it.
+    Serve,
+    /// Name this VM, which was handed the same.
+    Instead(SocketAddr),
+}
+
+/// The VMs that are being served and those that were.
+#[derive(Clone, Debug, Default)]
+pub struct Handing {
+    busy: usize,
+    /// Who was served what stands at this revision.
+    revision: u64,
+    served: VecDeque<SocketAddr>,
+}
+
+impl Handing {
+    /// Decides on a VM that asks for what stands at a revision.
+    ///
+    /// Without anyone to name, it is served although others are.
+    ///
+    /// ```
+    /// use havengrade_core::published::handing::{Admission, Handing};
+    ///
+    /// let mut handing = Handing::default();
+    /// let taker = "10.0.0.2:80".parse().unwrap();
+    /// assert_eq!(handing.admit(7), Admission::Serve);
+    /// handing.end(7, Some(taker));
+    /// (0..4).for_each(|_| assert_eq!(handing.admit(7), Admission::Serve));
+    /// assert_eq!(handing.admit(7), Admission::Instead(taker));
+    /// assert_eq!(handing.admit(8), Admission::Serve, "nobody has the newer one yet");
+    /// ```
+    pub fn admit(&mut self, revision: u64) -> Admission {
+        if revision != self.revision {
+            self.revision = revision;
+            self.served.clear();
+        }
+        if self.busy >= AT_ONCE
+            && let Some(instead) = self.served.pop_front()
+        {
+            self.served.push_back(instead);
+            return Admission::Instead(instead);
+        }
+        self.busy += 1;
+        Admission::Serve
+    }
+
+    /// Notes that a VM was served, or left before it was.
+    pub fn end(&mut self, revision: u64, served: Option<SocketAddr>) {
+        self.busy = self.busy.saturating_sub(1);
+        if let Some(taker) = served.filter(|_| revision == self.revision) {
+            self.served.push_back(taker);
+            if self.served.len() > MAX_NAMED {
+                self.served.pop_front();
+            }
+        }
+    }
+}
--- a/havengrade_core/src/published/peers.rs
+++ b/havengrade_core/src/published/peers.rs
@@ -7,6 +7,7 @@
 };
 
 use rand::{Rng, seq::IteratorRandom as _};
+use serde::{Deserialize, Serialize};
 
 use crate::ids::{DomainId, EndpointId, Incarnation, VmId};
 
@@ -29,7 +30,7 @@
 const FAR_LISTENERS: usize = 3;
 
 /// Another VM.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peer {
     /// Name of the VM.
     pub vm: VmId,
@@ -76,6 +77,8 @@
     by_vm: HashMap<VmId, Known>,
     sums: HashMap<EndpointId, Work>,
     is_listed: bool,
+    /// Rises whenever a VM becomes known anew.
+    revision: u64,
 }
 
 impl Peers {
@@ -89,12 +92,30 @@
         self.is_listed
     }
 
-    /// Takes a VM from the kept list; it counts as heard from, so that it has time to report.
-    pub fn list(&mut self, peer: Peer, now: SystemTime) {
-        let is_known = self.by_vm.get(&peer.vm).is_some_and(|known| known.peer.incarnation == peer.incarnation);
+    /// Takes a VM from a list; it counts as heard from at `heard`, so that it has time to report.
+    ///
+    /// One that was heard from later itself is known better than by the list.
+    pub fn list(&mut self, peer: Peer, heard: SystemTime) {
+        let is_known = self.by_vm.get(&peer.vm).is_some_and(|known| {
+            known.peer.incarnation == peer.incarnation || (known.has_reported && known.heard >= heard)
+        });
         if !is_known {
-            let known = Known { peer, seq: 0, heard: now, has_reported: false, work: Vec::new() };
+            let known = Known { peer, seq: 0, heard, has_reported: false, work: Vec::new() };
             self.by_vm.insert(known.peer.vm.clone(), known);
+            self.revision += 1;
+        }
+    }
+
+    /// The VMs that are known, each with the time since it was heard from, for a VM that asks.
+    pub fn told(&self, now: SystemTime) -> Vec<(Peer, Duration)> {
+        let silence = |known: &Known| now.duration_since(known.heard).unwrap_or_default();
+        self.by_vm.values().map(|known| (known.peer.clone(), silence(known))).collect()
+    }
+
+    /// Takes VMs that another VM knows, with the time since it heard from them; nobody lives on by being told of.
+    pub fn learn(&mut self, told: Vec<(Peer, Duration)>, now: SystemTime) {
+        for (peer, silence) in told.into_iter().filter(|(_, silence)| *silence < SILENCE_LIMIT) {
+            self.list(peer, now - silence);
         }
     }
 
@@ -107,6 +128,7 @@
         if is_old {
             return;
         }
+        self.revision += u64::from(known.is_none_or(|known| known.peer != report.peer));
         let WorkReport { peer, seq, work } = report;
         self.by_vm.insert(peer.vm.clone(), Known { peer, seq, heard: now, has_reported: true, work });
         self.sum_up(now);
@@ -158,6 +180,11 @@
         self.by_vm.get(vm).map(|known| known.peer.address)
     }
 
+    /// A number that rises whenever a VM becomes known anew.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// How many VMs are known.
     pub fn len(&self) -> usize {
         self.by_vm.len()
--- a/havengrade_core/src/published/relay.rs
+++ b/havengrade_core/src/published/relay.rs
@@ -25,6 +25,14 @@
 const ALONE_AFTER: Duration = Duration::from_millis(1200);
 /// Age of a view at which a VM that is told by nobody reads the store.
 const ALONE_LIMIT: Duration = Duration::from_millis(1200);
+/// Age of a view from which VMs whose readers don't reach the store try it in turns.
+///
+/// It lies above the age that a view has at most while all is well, and leaves 0.7 s until a change must be in force.
+const TURNS_FROM: Duration = Duration::from_millis(1300);
+/// Time between the turns of two VMs of a failure domain: with six of them, 30 calls a second while the store is away.
+const TURN: Duration = Duration::from_millis(200);
+/// VMs that offered to read for others, of which one remembers.
+const MAX_VOLUNTEERS: usize = 2;
 /// Questions without a good answer after which a reader is passed over; datagrams are lost now and then.
 const MISSES: u32 = 2;
 /// Time for which it is passed over at first; each further miss doubles it.
@@ -43,23 +51,84 @@
     vms.div_ceil(VMS_A_READER).max(MIN_READERS).min(vms)
 }
 
-/// Whether a VM must read the store itself: its view is old, and nobody told it that nothing is newer.
-///
-/// `viewed` is when nothing newer than its view existed, `told` when it last got a good answer.
+/// How new a VM's view of the store is, and what others told of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Freshness {
+    /// When nothing newer than the view existed.
+    pub viewed: SystemTime,
+    /// When another VM last told what is new enough.
+    pub told: Option<SystemTime>,
+    /// When another VM last told anything, however old.
+    pub answered: Option<SystemTime>,
+}
+
+impl Default for Freshness {
+    fn default() -> Self {
+        Self { viewed: SystemTime::UNIX_EPOCH, told: None, answered: None }
+    }
+}
+
+impl Freshness {
+    /// Notes what another VM told: nothing newer existed at `at`.
+    pub fn hear(&mut self, at: SystemTime, now: SystemTime) {
+        self.answered = Some(now);
+        if now < at + TOLD_LIMIT {
+            self.told = Some(now);
+        }
+        self.viewed = self.viewed.max(at);
+    }
+
+    /// Whether others live but don't reach the store either, as far as is known.
+    pub fn is_store_away_for_others(&self, now: SystemTime) -> bool {
+        is_lately(self.answered, now) && now > self.viewed + TURNS_FROM
+    }
+
+    /// Whether a VM must read the store itself: its view is old, and nobody told it that nothing is newer.
+    ///
+    /// `place` counts the VMs of its failure domain that try before it where others don't reach the store either.
+    ///
+    /// ```
+    /// use std::time::{Duration, SystemTime};
+    /// use havengrade_core::published::relay::Freshness;
+    ///
+    /// let viewed = SystemTime::UNIX_EPOCH;
+    /// let now = viewed + Duration::from_millis(1500);
+    /// let alone = Freshness { viewed, told: None, answered: None };
+    /// assert!(alone.must_read(9, now));
+    /// let told = Freshness { told: Some(now), answered: Some(now), ..alone };
+    /// assert!(!told.must_read(0, now));
+    /// let away = Freshness { answered: Some(now), ..alone };
+    /// assert!(away.must_read(0, now) && !away.must_read(9, now));
+    /// ```
+    pub fn must_read(&self, place: usize, now: SystemTime) -> bool {
+        if !is_lately(self.answered, now) {
+            return now > self.viewed + ALONE_LIMIT;
+        }
+        let least = if is_lately(self.told, now) { TOLD_LIMIT } else { TURNS_FROM };
+        now > self.viewed + least.max(TURNS_FROM + turns(place))
+    }
+}
+
+fn is_lately(at: Option<SystemTime>, now: SystemTime) -> bool {
+    at.is_some_and(|at| now < at + ALONE_AFTER)
+}
+
+/// Time that so many VMs need for a turn each.
 ///
 /// ```
-/// use std::time::{Duration, SystemTime};
-/// use havengrade_core::published::relay::must_read;
+/// use std::time::Duration;
+/// use havengrade_core::published::relay::turns;
 ///
-/// let viewed = SystemTime::UNIX_EPOCH;
-/// let now = viewed + Duration::from_millis(1500);
-/// assert!(!must_read(viewed, Some(now), now));
-/// assert!(must_read(viewed, None, now));
+/// assert_eq!(turns(49), Duration::from_millis(9800));
 /// ```
-pub fn must_read(viewed: SystemTime, told: Option<SystemTime>, now: SystemTime) -> bool {
-    let is_told = told.is_some_and(|at| now < at + ALONE_AFTER);
-    let limit = if is_told { TOLD_LIMIT } else { ALONE_LIMIT };
-    now > viewed + limit
+pub fn turns(vms: usize) -> Duration {
+    TURN * u32::try_from(vms).unwrap_or(u32::MAX)
+}
+
+/// Where a VM stands among those of its failure domain that try the store in turns.
+pub fn place_among<'a>(others: impl Iterator<Item = &'a VmId>, me: &VmId) -> usize {
+    let own = rank(&[me]);
+    others.filter(|vm| rank(&[vm]) < own).count()
 }
 
 /// Which VMs read the store, as far as this VM finds them to answer.
@@ -67,6 +136,8 @@
 pub struct Readers {
     doubts: HashMap<VmId, Doubt>,
     turn: usize,
+    /// VMs that reach the store while those whose turn it is do not.
+    volunteers: VecDeque<VmId>,
 }
 
 /// Questions in a row that a VM did not answer well, and until when it is passed over for that.
@@ -92,14 +163,44 @@
         self.doubts.get(vm).is_some_and(|doubt| now < doubt.until)
     }
 
-    /// The reader to ask next; they take turns, so that what one of them misses another one tells.
-    pub fn next<'a>(&mut self, readers: &[&'a VmId]) -> Option<&'a VmId> {
+    /// The VM to ask next; they take turns, so that what one of them misses another one tells.
+    ///
+    /// While there are volunteers, every other question goes to one of them.
+    pub fn next(&mut self, readers: &[&VmId]) -> Option<VmId> {
         self.turn = self.turn.wrapping_add(1);
-        readers.get(self.turn % readers.len().max(1)).copied()
+        if self.turn.is_multiple_of(2)
+            && let Some(volunteer) = self.volunteers.pop_front()
+        {
+            self.volunteers.push_back(volunteer.clone());
+            return Some(volunteer);
+        }
+        readers.get(self.turn % readers.len().max(1)).map(|vm| (*vm).clone())
+    }
+
+    /// Notes a VM that offered to read for others.
+    pub fn volunteer(&mut self, vm: VmId) {
+        if self.volunteers.contains(&vm) {
+            return;
+        }
+        self.volunteers.push_front(vm);
+        self.volunteers.truncate(MAX_VOLUNTEERS);
     }
 
-    /// Notes that a VM gave no answer, or one that is too old to be of use.
+    fn is_volunteer(&self, vm: &str) -> bool {
+        self.volunteers.iter().any(|known| known == vm)
+    }
+
+    /// Notes an answer that is too old to be of use: the VM lives, but does not reach the store.
+    ///
+    /// It is not passed over: whoever comes after it may reach the store no better, and would ask it as well.
+    pub fn hear_old(&mut self, vm: &str) {
+        self.doubts.remove(vm);
+        self.volunteers.retain(|known| known != vm);
+    }
+
+    /// Notes that a VM gave no answer.
     pub fn miss(&mut self, vm: &VmId, now: SystemTime) {
+        self.volunteers.retain(|known| known != vm);
         let doubt = self.doubts.entry(vm.clone()).or_insert(Doubt { misses: 0, until: now });
         doubt.misses += 1;
         if let Some(more) = doubt.misses.checked_sub(MISSES) {
@@ -107,9 +208,16 @@
         }
     }
 
-    /// Notes a good answer of a VM.
-    pub fn hear(&mut self, vm: &str) {
+    /// Notes a good answer of a VM; with one of a reader, nobody needs to read in its place.
+    ///
+    /// Tells whether it came from a reader.
+    pub fn hear(&mut self, vm: &str) -> bool {
         self.doubts.remove(vm);
+        let is_reader = !self.is_volunteer(vm);
+        if is_reader {
+            self.volunteers.clear();
+        }
+        is_reader
     }
 }
 
@@ -134,6 +242,8 @@
     complete_from: u64,
     /// Position after the last read.
     position: u64,
+    /// Rises whenever the list changes.
+    revision: u64,
 }
 
 impl ChangeLog {
@@ -147,6 +257,7 @@
             self.changes.extend(events.iter().map(|event| (position, event.clone())));
         }
         self.position = position;
+        self.revision += u64::from(!events.is_empty());
         while self.changes.len() > MAX_CHANGES {
             if let Some((dropped, _)) = self.changes.pop_front() {
                 self.complete_from = dropped;
@@ -159,6 +270,11 @@
         self.position
     }
 
+    /// A number that rises whenever the list changes.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// The changes since a position; none where some of them are no longer kept, or the position is ahead.
     ///
     /// ```
--- a/havengrade_dev/src/stand_in/published.rs
+++ b/havengrade_dev/src/stand_in/published.rs
@@ -211,19 +211,19 @@
 
 #[async_trait]
 impl Roster for MemoryFeed {
-    async fn enter(&mut self, peer: &Peer) -> Result<(), StoreError> {
+    async fn enter(&self, peer: &Peer) -> Result<(), StoreError> {
         self.call().await?;
         lock(&self.store.kept).vms.insert(peer.vm.clone(), peer.clone());
         Ok(())
     }
 
-    async fn leave(&mut self, vm: &str) -> Result<(), StoreError> {
+    async fn leave(&self, vm: &str) -> Result<(), StoreError> {
         self.call().await?;
         lock(&self.store.kept).vms.remove(vm);
         Ok(())
     }
 
-    async fn read(&mut self) -> Result<Vec<Peer>, StoreError> {
+    async fn read(&self) -> Result<Vec<Peer>, StoreError> {
         self.call().await?;
         Ok(lock(&self.store.kept).vms.values().cloned().collect())
     }
--- a/havengrade_router/src/published/configured.rs
+++ b/havengrade_router/src/published/configured.rs
@@ -166,15 +166,15 @@
 
 #[async_trait]
 impl Roster for ListedVms {
-    async fn enter(&mut self, _peer: &Peer) -> Result<(), StoreError> {
+    async fn enter(&self, _peer: &Peer) -> Result<(), StoreError> {
         Ok(())
     }
 
-    async fn leave(&mut self, _vm: &str) -> Result<(), StoreError> {
+    async fn leave(&self, _vm: &str) -> Result<(), StoreError> {
         Ok(())
     }
 
-    async fn read(&mut self) -> Result<Vec<Peer>, StoreError> {
+    async fn read(&self) -> Result<Vec<Peer>, StoreError> {
         let listing = self.0.read().await.or_else(|error| NotDoneSnafu { reason: error.to_string() }.fail())?;
         // The list does not tell runs of a process; a VM's first report does.
         let peers = listing.entries.into_iter().filter(|vm| !vm.leaving);
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -14,6 +14,7 @@
     ids::{Incarnation, ServiceId},
     published::{
         directory::ListedEndpoint,
+        handing::Handing,
         peers::Peers,
         relay::ChangeLog,
         rollout::{RolloutBounds, Rollouts},
@@ -32,7 +33,7 @@
     endpoints::{EndpointTable, from_millis, to_millis},
     kernel::ServiceContext,
     net::Network,
-    published::{channels::Channels, ports::Dialect},
+    published::{channels::Channels, parts::WrittenParts, ports::Dialect},
     settings::{PublishedSettings, Settings},
     shared::lock,
 };
@@ -50,6 +51,8 @@
     pub operators: Option<u64>,
     /// The last changes of the list of endpoints.
     pub endpoints: ChangeLog,
+    /// The list of endpoints as it stands.
+    pub listed: Arc<[ListedEndpoint]>,
     /// When nothing newer than the list existed.
     pub endpoints_at: SystemTime,
 }
@@ -76,10 +79,18 @@
     pub states: EndpointTable,
     /// Connections to endpoints.
     pub channels: Channels,
-    /// Whether what operators wrote is being taken from another VM.
-    pub(super) is_fetching: AtomicBool,
-    /// What is handed on to other VMs, and the position in operators' records that it was written for.
-    pub(super) news: Mutex<Option<(u64, Vec<u8>)>>,
+    /// Whether what is in force is being taken from another VM.
+    pub(super) is_taking: AtomicBool,
+    /// What is handed on to other VMs.
+    pub(super) written: Mutex<WrittenParts>,
+    /// To whom it is handed on.
+    pub(super) handing: Mutex<Handing>,
+    /// Whether the store may be read: not until a VM that starts has asked others.
+    follows: AtomicBool,
+    /// Whether this VM reads the store for others while those whose turn it is don't reach it.
+    is_volunteer: AtomicBool,
+    /// Tells those who wait that another VM became known.
+    heard: Notify,
     /// Until when the store is left alone after it did not answer.
     store_pause: Mutex<Option<Instant>>,
     /// Requests in progress.
@@ -120,8 +131,12 @@
             usable: ArcSwap::default(),
             states: EndpointTable::default(),
             channels: Channels::new(network, connect_timeout),
-            is_fetching: AtomicBool::new(false),
-            news: Mutex::default(),
+            is_taking: AtomicBool::new(false),
+            written: Mutex::default(),
+            handing: Mutex::default(),
+            follows: AtomicBool::new(false),
+            is_volunteer: AtomicBool::new(false),
+            heard: Notify::new(),
             store_pause: Mutex::default(),
             in_progress: AtomicUsize::new(0),
             confirmed: AtomicU64::new(0),
@@ -133,10 +148,10 @@
             view: Mutex::new(StoreView {
                 operators: None,
                 endpoints: ChangeLog::default(),
+                listed: Arc::default(),
                 endpoints_at: SystemTime::UNIX_EPOCH,
             }),
-            // Until others are known, nobody reads for this VM.
-            is_reader: AtomicBool::new(true),
+            is_reader: AtomicBool::new(false),
             retries: Mutex::default(),
             sent_parts: Mutex::default(),
             rng: Mutex::new(rng),
@@ -203,7 +218,54 @@
 
     /// Whether this VM knows where requests go: a configuration and the endpoints.
     pub fn knows_routes(&self) -> bool {
-        self.routes.load().version() > 0 && self.knows_endpoints.load(Ordering::Acquire)
+        self.routes.load().version() > 0 && self.knows_endpoints()
+    }
+
+    /// Whether the endpoints have been listed once.
+    pub fn knows_endpoints(&self) -> bool {
+        self.knows_endpoints.load(Ordering::Acquire)
+    }
+
+    /// Whether this VM knows what operators wrote, if they wrote anything, and the endpoints.
+    pub fn knows_state(&self) -> bool {
+        self.knows_endpoints() && self.view().operators.is_some()
+    }
+
+    /// Waits until this VM knows what operators wrote and the endpoints.
+    pub async fn state_known(&self) {
+        loop {
+            let learned = self.learned.notified();
+            if self.knows_state() {
+                return;
+            }
+            learned.await;
+        }
+    }
+
+    /// Waits until another VM is known.
+    pub async fn other_heard(&self) {
+        loop {
+            let heard = self.heard.notified();
+            if !self.peers().is_empty() {
+                return;
+            }
+            heard.await;
+        }
+    }
+
+    /// Tells those who wait for it that another VM is known.
+    pub fn tell_heard(&self) {
+        self.heard.notify_waiters();
+    }
+
+    /// Lets the store be read; tells whether it could not be before.
+    pub fn begin_following(&self) -> bool {
+        !self.follows.swap(true, Ordering::AcqRel)
+    }
+
+    /// Whether the store may be read.
+    pub fn follows(&self) -> bool {
+        self.follows.load(Ordering::Acquire)
     }
 
     /// Waits until this VM knows where requests go, and how roll-outs of before its start stand.
@@ -258,7 +320,19 @@
 
     /// Whether this VM reads the store for others.
     pub fn is_reader(&self) -> bool {
-        self.is_reader.load(Ordering::Acquire)
+        self.is_reader.load(Ordering::Acquire) || self.is_volunteer()
+    }
+
+    /// Whether this VM reads the store for others in place of those whose turn it is.
+    pub fn is_volunteer(&self) -> bool {
+        self.is_volunteer.load(Ordering::Acquire)
+    }
+
+    /// Notes whether it does.
+    pub fn set_volunteer(&self, is_volunteer: bool) {
+        if self.is_volunteer.swap(is_volunteer, Ordering::AcqRel) != is_volunteer {
+            log::info!(reads = u64::from(is_volunteer); "this VM reads the store in place of readers that don't reach it");
+        }
     }
 
     /// Notes whether this VM reads the store for others.
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -11,17 +11,19 @@
 use async_trait::async_trait;
 use havengrade_core::published::{
     directory::DirectoryEvent,
-    relay::{TOLD_LIMIT, must_read},
+    relay::{Freshness, place_among, turns},
+    start::retry_after,
 };
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
+use rand::RngExt as _;
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    kernel::{Service, StartError, spawn},
+    kernel::{Service, ServiceContext as _, StartError, spawn},
     published::{
         context::PublishedContext,
         ports::{Feed, OperatorEvent, StoreError},
-        takers::{Endpoints, Operators},
+        takers::{Endpoints, Operators, Take},
     },
     shared::lock,
 };
@@ -35,12 +37,12 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// First pause after a store that did not answer; each further one is twice as long.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
-/// Pause of a VM that does not know yet where requests go: until it does, it refuses all callers.
-const START_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause of a VM that reads for others.
 const READER_PAUSE: Duration = Duration::from_millis(500);
-/// Longest pause of a VM that others read for.
+/// Longest pause of a VM that others read for, while they don't answer.
 const OTHER_PAUSE: Duration = Duration::from_millis(1500);
+/// Part of a pause by which VMs are spread that lost the store at the same time.
+const PAUSE_SPREAD: f64 = 0.25;
 
 /// What a service is told.
 pub(super) enum FollowMessage<T> {
@@ -48,6 +50,8 @@
     Look,
     /// The store has something new.
     Hurry,
+    /// The store may be read from now on.
+    Begin,
     /// What another VM read, up to a position; it was the newest at a time.
     Relayed(Relayed<T>),
 }
@@ -64,16 +68,29 @@
     pub(super) at: SystemTime,
 }
 
-/// Takes what a feed brings.
-pub(super) trait Take<T>: Send + Sync + 'static {
-    /// How long a call of a reader may wait for something new.
-    fn wait(&self, cx: &PublishedContext) -> Duration;
+/// Lets the services read the store, at once where nobody told what is in force.
+pub(super) fn begin(cx: &PublishedContext) {
+    if !cx.shared.begin_following() {
+        return;
+    }
+    if let Some(service) = find::<OperatorEvent>(cx, OPERATORS) {
+        send(&service, FollowMessage::Begin);
+    }
+    if let Some(service) = find::<DirectoryEvent>(cx, ENDPOINTS) {
+        send(&service, FollowMessage::Begin);
+    }
+}
 
-    /// Time between two calls of a reader.
-    fn pause(&self, cx: &PublishedContext) -> Duration;
+/// The service of a name that follows the store.
+pub(super) fn find<T: Send + 'static>(cx: &PublishedContext, name: &str) -> Option<ActorRef<FollowMessage<T>>> {
+    ractor::registry::where_is(cx.actor_name(name)).map(ActorRef::from)
+}
 
-    /// Takes events, up to a position; nothing newer existed at `at`.
-    fn take(&mut self, cx: &PublishedContext, events: Vec<T>, position: u64, at: SystemTime);
+/// Sends a message to a service that follows the store.
+pub(super) fn send<T: Send + 'static>(service: &ActorRef<FollowMessage<T>>, message: FollowMessage<T>) {
+    if let Err(error) = service.cast(message) {
+        log::debug!("a service that follows the store is gone: {error}");
+    }
 }
 
 /// A feed, and what takes its events.
@@ -114,8 +131,7 @@
             feed,
             taker,
             lost: None,
-            viewed: SystemTime::UNIX_EPOCH,
-            told: None,
+            freshness: Freshness::default(),
             is_hurried: false,
             not_before: Instant::now(),
         };
@@ -132,10 +148,7 @@
     taker: Box<dyn Take<T>>,
     /// The pause after the last failure, while the store does not answer.
     lost: Option<Duration>,
-    /// When nothing newer than this VM's view existed.
-    viewed: SystemTime,
-    /// When another VM last told what is new enough.
-    told: Option<SystemTime>,
+    freshness: Freshness,
     is_hurried: bool,
     not_before: Instant,
 }
@@ -162,6 +175,11 @@
     ) -> Result<(), ActorProcessingErr> {
         match message {
             FollowMessage::Hurry => state.is_hurried = true,
+            FollowMessage::Begin => {
+                if state.must_ask() {
+                    state.ask().await;
+                }
+            },
             FollowMessage::Relayed(relayed) => state.take_relayed(relayed),
             FollowMessage::Look => {
                 if state.must_ask() {
@@ -181,18 +199,22 @@
 
 impl<T: 'static> Follower<T> {
     fn must_ask(&self) -> bool {
-        let is_old = must_read(self.viewed, self.told, self.cx.shared.clock.now());
-        let is_wanted = self.cx.shared.is_reader() || self.is_hurried || is_old;
         let at = Instant::now();
-        is_wanted && at >= self.not_before && !self.cx.shared.leaves_store_alone(at)
+        if !self.cx.shared.follows() || at < self.not_before || self.cx.shared.leaves_store_alone(at) {
+            return false;
+        }
+        self.cx.shared.is_reader() || self.is_hurried || self.is_old(self.cx.shared.clock.now())
+    }
+
+    fn is_old(&self, now: SystemTime) -> bool {
+        // Where a VM stands is worked out only where it matters.
+        self.freshness.must_read(0, now) && self.freshness.must_read(place(&self.cx), now)
     }
 
     /// Time until the next look.
     fn pause(&self) -> Duration {
-        match (self.lost, self.cx.shared.is_reader()) {
-            (None, true) => self.taker.pause(&self.cx),
-            _ => LOOK_EVERY,
-        }
+        let reads_on = self.cx.shared.follows() && self.cx.shared.is_reader() && self.lost.is_none();
+        if reads_on { self.taker.pause(&self.cx) } else { LOOK_EVERY }
     }
 
     async fn ask(&mut self) {
@@ -208,7 +230,10 @@
                 self.cx.shared.pause_store(None);
                 self.is_hurried = false;
                 let at = self.feed.known_at(asked);
-                self.viewed = at;
+                if self.freshness.is_store_away_for_others(self.cx.shared.clock.now()) && !self.cx.shared.is_reader() {
+                    self.cx.shared.set_volunteer(true);
+                }
+                self.freshness.viewed = at;
                 let position = self.feed.position().unwrap_or_default();
                 self.taker.take(&self.cx, events, position, at);
             },
@@ -231,10 +256,15 @@
     /// Time for which the store is left alone after it did not answer; `last` is the time before that.
     fn pause_after(&self, last: Option<Duration>) -> Duration {
         if !self.cx.shared.knows_routes() {
-            return START_PAUSE;
+            let waited = self.cx.shared.running_for(self.cx.shared.clock.now());
+            return retry_after(waited, &mut *self.cx.shared.rng());
+        }
+        if self.freshness.is_store_away_for_others(self.cx.shared.clock.now()) && !self.cx.shared.is_reader() {
+            return turns(near(&self.cx) + 1).max(OTHER_PAUSE);
         }
         let longest = if self.cx.shared.is_reader() { READER_PAUSE } else { OTHER_PAUSE };
-        last.map_or(FIRST_PAUSE, |pause| (pause * 2).min(longest))
+        let spread = 1.0 + PAUSE_SPREAD * self.cx.shared.rng().random::<f64>();
+        last.map_or(FIRST_PAUSE, |pause| (pause * 2).min(longest)).mul_f64(spread)
     }
 
     /// Takes what another VM read, if it begins where this VM's view ends.
@@ -246,11 +276,21 @@
         }
         self.is_hurried &= relayed.from.is_some();
         self.feed.advance(relayed.position);
-        let now = self.cx.shared.clock.now();
-        if now < relayed.at + TOLD_LIMIT {
-            self.told = Some(now);
-        }
-        self.viewed = self.viewed.max(relayed.at);
+        self.freshness.hear(relayed.at, self.cx.shared.clock.now());
         self.taker.take(&self.cx, relayed.events, relayed.position, relayed.at);
     }
 }
+
+/// VMs of the own failure domain that try the store before this one, where others don't reach it.
+fn place(cx: &PublishedContext) -> usize {
+    let vm = &cx.shared.settings.vm;
+    let peers = cx.shared.peers();
+    let near = peers.all().filter(|peer| peer.failure_domain == vm.failure_domain);
+    place_among(near.map(|peer| &peer.vm), &vm.id)
+}
+
+/// How many other VMs stand in the own failure domain.
+fn near(cx: &PublishedContext) -> usize {
+    let domain = &cx.shared.settings.vm.failure_domain;
+    cx.shared.peers().all().filter(|peer| peer.failure_domain == *domain).count()
+}
--- /dev/null
+++ b/havengrade_router/src/published/hand_on.rs
@@ -0,0 +1,190 @@
+//! Handing what is in force on to VMs that ask for it.
+
+use std::{
+    io,
+    net::SocketAddr,
+    time::{Duration, SystemTime},
+};
+
+use bytes::Bytes;
+use futures::{SinkExt as _, StreamExt as _};
+use havengrade_core::published::handing::Admission;
+use havengrade_rpc::{
+    Frames, RpcError, frames,
+    reports::{StateHead, StatePart, StateQuestion},
+};
+use snafu::{OptionExt as _, ResultExt as _, Snafu};
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    net::{BoxConnection, Listener},
+    published::{
+        context::PublishedContext,
+        parts::{deflate, endpoints_text, operators_text, vms_text},
+        rollouts::told_rollouts,
+        wire::{encode_rollout, from_i64, to_i64},
+    },
+    services::ACCEPT_PAUSE,
+    shared::lock,
+};
+
+/// Largest frame, in bytes.
+pub(super) const MAX_FRAME: usize = 16 << 10;
+/// Time for which one frame is waited for: at least 330 kbit/s, a sixtieth of the smallest link that was seen.
+pub(super) const FRAME_LIMIT: Duration = Duration::from_millis(400);
+
+/// Why a VM was not handed what it asked for.
+#[derive(Debug, Snafu)]
+enum HandError {
+    #[snafu(display("it left"))]
+    Left,
+    #[snafu(display("it took too long"))]
+    Late,
+    #[snafu(display("the connection broke: {source}"))]
+    Broken { source: io::Error },
+    #[snafu(display("a message can't be read or written: {source}"))]
+    Message { source: RpcError },
+    #[snafu(display("a part can't be written: {source}"))]
+    Part { source: io::Error },
+}
+
+/// Hands what is in force on to each VM that connects.
+pub(super) async fn serve_state(cx: PublishedContext, mut listener: Box<dyn Listener>) {
+    loop {
+        match listener.accept().await {
+            Ok(connection) => {
+                let served = cx.end.clone().run_until_cancelled_owned(serve(cx.clone(), connection));
+                tokio::spawn(served);
+            },
+            Err(error) => {
+                log::warn!("connection of another VM not accepted: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            },
+        }
+    }
+}
+
+async fn serve(cx: PublishedContext, connection: BoxConnection) {
+    if let Err(error) = answer(&cx, connection).await {
+        log::info!("another VM was not handed what is in force: {error}");
+    }
+}
+
+async fn answer(cx: &PublishedContext, connection: BoxConnection) -> Result<(), HandError> {
+    let mut frames = frames(connection, MAX_FRAME);
+    let frame = timeout(FRAME_LIMIT, frames.next()).await.ok().context(LateSnafu)?;
+    let frame = frame.context(LeftSnafu)?.context(BrokenSnafu)?;
+    let question: StateQuestion = havengrade_rpc::decode(&frame).context(MessageSnafu)?;
+    if question.wants_vms && question.operators_position.is_some() {
+        // It wants to know whom this very VM knows, some time after its start; few ask at the same time.
+        return hand(cx, &question, &mut frames).await.map(drop);
+    }
+    let revision = revision(cx);
+    let admission = lock(&cx.shared.handing).admit(revision);
+    if let Admission::Instead(other) = admission {
+        let head = StateHead { ask_instead: Some(other.to_string()), ..empty_head() };
+        return send_head(&mut frames, &head).await;
+    }
+    let served = hand(cx, &question, &mut frames).await;
+    let taker: Option<SocketAddr> = question.address.parse().ok();
+    let is_whole = matches!(served, Ok(true));
+    lock(&cx.shared.handing).end(revision, taker.filter(|_| is_whole));
+    served.map(drop)
+}
+
+/// A number that rises whenever what is in force changes.
+fn revision(cx: &PublishedContext) -> u64 {
+    let view = cx.shared.view();
+    view.operators.unwrap_or_default().saturating_add(view.endpoints.revision())
+}
+
+/// Hands on what this VM knows; tells whether it was all that is in force.
+async fn hand(
+    cx: &PublishedContext,
+    question: &StateQuestion,
+    frames: &mut Frames<BoxConnection>,
+) -> Result<bool, HandError> {
+    let answer = Answer::new(cx, question, cx.shared.clock.now()).context(PartSnafu)?;
+    let is_whole = answer.head.operators.is_some() && answer.head.endpoints.is_some();
+    send_head(frames, &answer.head).await?;
+    for text in answer.texts {
+        send_text(frames, text).await?;
+    }
+    Ok(is_whole)
+}
+
+async fn send_head(frames: &mut Frames<BoxConnection>, head: &StateHead) -> Result<(), HandError> {
+    let bytes = havengrade_rpc::encode(head).context(MessageSnafu)?;
+    send(frames, Bytes::from(bytes)).await
+}
+
+async fn send_text(frames: &mut Frames<BoxConnection>, mut text: Bytes) -> Result<(), HandError> {
+    while !text.is_empty() {
+        let piece = text.split_to(text.len().min(MAX_FRAME));
+        send(frames, piece).await?;
+    }
+    Ok(())
+}
+
+async fn send(frames: &mut Frames<BoxConnection>, frame: Bytes) -> Result<(), HandError> {
+    timeout(FRAME_LIMIT, frames.send(frame)).await.ok().context(LateSnafu)?.context(BrokenSnafu)
+}
+
+/// A head after which nothing follows; the generated default names empty things instead of none.
+fn empty_head() -> StateHead {
+    StateHead { ask_instead: None, operators: None, endpoints: None, vms: None, rollouts: None }
+}
+
+/// An answer: its head, and the texts that follow.
+struct Answer {
+    head: StateHead,
+    texts: Vec<Bytes>,
+}
+
+impl Answer {
+    fn new(cx: &PublishedContext, question: &StateQuestion, now: SystemTime) -> io::Result<Self> {
+        let mut answer = Self { head: empty_head(), texts: Vec::new() };
+        // Without its own first reads this VM has nothing to tell but whom it knows.
+        if cx.shared.knows_state() {
+            answer.add_operators(cx, question, now)?;
+            answer.add_endpoints(cx, question, now)?;
+            answer.head.rollouts = told_rollouts(cx, now).map(|told| told.into_iter().map(encode_rollout).collect());
+        }
+        if question.wants_vms {
+            answer.head.vms = Some(answer.part(0, Duration::ZERO, vms_text(cx)?));
+        }
+        Ok(answer)
+    }
+
+    fn add_operators(&mut self, cx: &PublishedContext, question: &StateQuestion, now: SystemTime) -> io::Result<()> {
+        let position = cx.shared.view().operators.unwrap_or_default();
+        let is_news = question.operators_position.is_none_or(|known| from_i64(known) < position);
+        let text = if is_news { operators_text(cx, position)? } else { Bytes::new() };
+        self.head.operators = Some(self.part(position, cx.shared.config_age(now).unwrap_or_default(), text));
+        Ok(())
+    }
+
+    fn add_endpoints(&mut self, cx: &PublishedContext, question: &StateQuestion, now: SystemTime) -> io::Result<()> {
+        let (log, at) = {
+            let view = cx.shared.view();
+            (view.endpoints.clone(), view.endpoints_at)
+        };
+        let changes = question.endpoints_position.and_then(|known| log.since(from_i64(known)));
+        let is_ahead = question.endpoints_position.is_some_and(|known| from_i64(known) > log.position());
+        let text = match changes {
+            Some(changes) if changes.is_empty() => Bytes::new(),
+            Some(changes) => deflate(&changes)?,
+            None if is_ahead => Bytes::new(),
+            None => endpoints_text(cx, log.revision())?,
+        };
+        let age = now.duration_since(at).unwrap_or_default();
+        self.head.endpoints = Some(self.part(log.position(), age, text));
+        Ok(())
+    }
+
+    fn part(&mut self, position: u64, age: Duration, text: Bytes) -> StatePart {
+        let bytes = to_i64(text.len() as u64);
+        self.texts.push(text);
+        StatePart::new(to_i64(position), to_i64(age.as_millis() as u64 + 1), bytes)
+    }
+}
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -9,10 +9,7 @@
 use async_trait::async_trait;
 use havengrade_core::{
     ids::EndpointId,
-    published::{
-        peers::{Peer, Work, WorkReport},
-        rollout::{RolloutStatus, Rollouts},
-    },
+    published::peers::{Work, WorkReport},
 };
 use havengrade_rpc::reports::{Datagram, StoreQuestion, VmReport};
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
@@ -20,11 +17,13 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
-    kernel::{BindSnafu, Service, StartError, spawn},
+    kernel::{BindSnafu, Service, ServiceContext as _, StartError, spawn},
     net::Datagrams,
     published::{
         context::PublishedContext,
         ports::Roster,
+        rollouts::told_rollout,
+        roster::{keep_roster, me},
         store_view::{Questions, answer, hint},
         wire::{Report, ToldRollout, decode_report, encode_report},
     },
@@ -44,14 +43,6 @@
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
 /// Least time between two reports where there are more VMs than a report goes to, since the bytes grow with the fleet.
 const LARGE_FLEET_PAUSE: Duration = Duration::from_millis(400);
-/// Time between this VM's entry on the kept list and its first read of it, in which those enter that start with it.
-const ROSTER_SETTLE: Duration = Duration::from_millis(300);
-/// Time between two reads of the kept list while no other VM is known.
-const ROSTER_LONELY: Duration = Duration::from_secs(2);
-/// Time between two reads of the kept list; in between, VMs that start tell all others of themselves.
-const ROSTER_EVERY: Duration = Duration::from_secs(60);
-/// Time after which the kept list is tried again that could not be read or written.
-const ROSTER_RETRY: Duration = Duration::from_millis(500);
 /// Largest datagram that is read, in bytes; reports fit a packet of a common network by the limits below, and an
 /// answer with many changes of the list of endpoints may be this large.
 const MAX_DATAGRAM: usize = 32 << 10;
@@ -91,8 +82,21 @@
 
 struct PeersActor;
 
-/// Time to look.
-struct Look;
+/// What the service is told.
+enum PeersMessage {
+    /// Time to look.
+    Look,
+    /// VMs are to be told that this one has started.
+    Greet(Vec<SocketAddr>),
+}
+
+/// Tells VMs that may not know this one that it has started; usual reports go to a few others only.
+pub(super) fn greet(cx: &PublishedContext, others: Vec<SocketAddr>) {
+    let service = ractor::registry::where_is(cx.actor_name(NAME)).map(ActorRef::<PeersMessage>::from);
+    if let Some(Err(error)) = service.map(|service| service.cast(PeersMessage::Greet(others))) {
+        log::debug!("the service of other VMs is gone: {error}");
+    }
+}
 
 struct Arguments {
     cx: PublishedContext,
@@ -107,35 +111,42 @@
     seq: u64,
     /// Position in operators' records of which the others were told.
     hinted: Option<u64>,
+    /// Whether the others were told that this VM reads in place of others.
+    has_offered: bool,
     sent: Option<(SystemTime, Vec<(EndpointId, Work)>)>,
-    /// Whether all others were told that this VM has started.
-    is_introduced: bool,
     _tasks: [AbortOnDropHandle<()>; 2],
 }
 
 impl Actor for PeersActor {
-    type Msg = Look;
+    type Msg = PeersMessage;
     type State = PeersState;
     type Arguments = Arguments;
 
-    async fn pre_start(&self, myself: ActorRef<Look>, arguments: Arguments) -> Result<PeersState, ActorProcessingErr> {
+    async fn pre_start(
+        &self,
+        myself: ActorRef<PeersMessage>,
+        arguments: Arguments,
+    ) -> Result<PeersState, ActorProcessingErr> {
         let Arguments { cx, roster, socket } = arguments;
         cx.connections.spawn(cx.end.clone().run_until_cancelled_owned(keep_roster(cx.clone(), roster)));
         let questions = Arc::new(Mutex::new(Questions::default()));
         let tasks = [
-            tick(myself, LOOK_EVERY, || Look),
+            tick(myself, LOOK_EVERY, || PeersMessage::Look),
             AbortOnDropHandle::new(tokio::spawn(receive(cx.clone(), socket.clone(), questions.clone()))),
         ];
-        Ok(PeersState { cx, socket, questions, seq: 0, hinted: None, sent: None, is_introduced: false, _tasks: tasks })
+        Ok(PeersState { cx, socket, questions, seq: 0, hinted: None, has_offered: false, sent: None, _tasks: tasks })
     }
 
     async fn handle(
         &self,
-        _myself: ActorRef<Look>,
-        _look: Look,
+        _myself: ActorRef<PeersMessage>,
+        message: PeersMessage,
         state: &mut PeersState,
     ) -> Result<(), ActorProcessingErr> {
-        state.look().await;
+        match message {
+            PeersMessage::Look => state.look().await,
+            PeersMessage::Greet(others) => state.greet(&others).await,
+        }
         Ok(())
     }
 }
@@ -146,14 +157,22 @@
         let work = own_work(&self.cx);
         self.ask(now).await;
         self.hint(now).await;
-        let is_first = !self.is_introduced && self.cx.shared.peers().is_listed();
-        if !is_first && !self.is_report_due(&work, now) {
-            return;
+        if self.is_report_due(&work, now) {
+            let to = self.listeners(now);
+            self.report(work, &to, now).await;
         }
-        self.cx.shared.peers().expire(now);
-        self.report(&work, is_first).await;
-        self.is_introduced |= is_first;
-        self.sent = Some((now, work));
+    }
+
+    async fn greet(&mut self, others: &[SocketAddr]) {
+        let now = self.cx.shared.clock.now();
+        self.report(own_work(&self.cx), others, now).await;
+    }
+
+    /// The few others that hear a usual report.
+    fn listeners(&self, now: SystemTime) -> Vec<SocketAddr> {
+        let mut peers = self.cx.shared.peers();
+        peers.expire(now);
+        peers.listeners(&self.cx.shared.settings.vm.failure_domain, &mut *self.cx.shared.rng())
     }
 
     /// Whether it is time for a report: soon where the work has changed, now and then where it is the same.
@@ -163,27 +182,19 @@
         now >= *at + if sent == work { REPORT_EVERY } else { pause }
     }
 
-    /// Reports to a few others; the first time to all, since they read the kept list only now and then.
-    async fn report(&mut self, work: &[(EndpointId, Work)], is_first: bool) {
+    async fn report(&mut self, work: Vec<(EndpointId, Work)>, to: &[SocketAddr], now: SystemTime) {
         self.seq += 1;
-        let report = own_report(&self.cx, self.seq, work);
-        let datagram = Datagram::Report(encode_report(report));
-        let to: Vec<SocketAddr> = {
-            let peers = self.cx.shared.peers();
-            let domain = &self.cx.shared.settings.vm.failure_domain;
-            if is_first {
-                peers.all().map(|peer| peer.address).collect()
-            } else {
-                peers.listeners(domain, &mut *self.cx.shared.rng())
-            }
-        };
-        send(&*self.socket, &datagram, &to).await;
+        let report = own_report(&self.cx, self.seq, &work);
+        send(&*self.socket, &Datagram::Report(encode_report(report)), to).await;
+        self.sent = Some((now, work));
     }
 
-    /// Tells all others that operators wrote something, where this VM reads the store for them.
+    /// Tells all others that operators wrote something, where this VM reads the store for them, or that it does so now.
     async fn hint(&mut self, now: SystemTime) {
         let position = self.cx.shared.view().operators;
-        if position <= self.hinted || !self.cx.shared.is_reader() {
+        let is_offer = self.cx.shared.is_volunteer() && !self.has_offered;
+        self.has_offered = self.cx.shared.is_volunteer();
+        if !is_offer && (position <= self.hinted || !self.cx.shared.is_reader()) {
             return;
         }
         self.hinted = position;
@@ -228,17 +239,6 @@
     work
 }
 
-/// This VM, as others know it.
-fn me(cx: &PublishedContext) -> Peer {
-    let settings = &cx.shared.settings;
-    Peer {
-        vm: settings.vm.id.clone(),
-        incarnation: cx.shared.incarnation,
-        address: settings.listen.peers,
-        failure_domain: settings.vm.failure_domain.clone(),
-    }
-}
-
 fn own_report(cx: &PublishedContext, seq: u64, work: &[(EndpointId, Work)]) -> Report {
     let peer = me(cx);
     let rollouts = cx.shared.rollouts();
@@ -255,10 +255,6 @@
     }
 }
 
-fn told_rollout(rollouts: &Rollouts, status: &RolloutStatus, now: SystemTime) -> ToldRollout {
-    ToldRollout { status: status.clone(), age: rollouts.order_age(&status.service, &status.version, now) }
-}
-
 /// Takes the other VMs' datagrams.
 async fn receive(cx: PublishedContext, socket: Arc<dyn Datagrams>, questions: Arc<Mutex<Questions>>) {
     let mut buf = vec![0; MAX_DATAGRAM];
@@ -319,42 +315,5 @@
         }
     }
     cx.shared.peers().report(report.work, now);
-}
-
-/// Enters this VM on the kept list, reads the others from it, and takes this one out when it stops.
-async fn keep_roster(cx: PublishedContext, mut roster: Box<dyn Roster>) {
-    let me = me(&cx);
-    while let Err(error) = roster.enter(&me).await {
-        log::warn!("this VM is not on the list of VMs yet: {error}");
-        tokio::time::sleep(ROSTER_RETRY).await;
-    }
-    tokio::time::sleep(ROSTER_SETTLE).await;
-    loop {
-        let pause = match roster.read().await {
-            Ok(peers) => {
-                list(&cx, peers);
-                if cx.shared.peers().is_empty() { ROSTER_LONELY } else { ROSTER_EVERY }
-            },
-            Err(error) => {
-                log::warn!("the list of VMs could not be read: {error}");
-                ROSTER_RETRY
-            },
-        };
-        if cx.closing.run_until_cancelled(tokio::time::sleep(pause)).await.is_none() {
-            break;
-        }
-    }
-    if let Err(error) = roster.leave(&me.vm).await {
-        log::warn!("this VM stays on the list of VMs after its stop: {error}");
-    }
-}
-
-fn list(cx: &PublishedContext, peers: Vec<Peer>) {
-    let now = cx.shared.clock.now();
-    let mut known = cx.shared.peers();
-    known.set_listed();
-    for peer in peers.into_iter().filter(|peer| peer.vm != cx.shared.settings.vm.id) {
-        known.list(peer, now);
-    }
-    log::info!(vms = known.len(); "list of VMs read");
+    cx.shared.tell_heard();
 }
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -168,7 +168,7 @@
         asked
     }
 
-    /// Goes on from a later position, since what lies before it was learned from another VM.
+    /// Goes on from a position, if that is later, since what lies before it was learned from another VM.
     fn advance(&mut self, position: u64);
 }
 
@@ -207,21 +207,21 @@
     /// # Errors
     ///
     /// [`StoreError`] where it was not entered, or may not have been.
-    async fn enter(&mut self, peer: &Peer) -> Result<(), StoreError>;
+    async fn enter(&self, peer: &Peer) -> Result<(), StoreError>;
 
     /// Takes a VM out that stops.
     ///
     /// # Errors
     ///
     /// [`StoreError`] where it was not taken out, or may not have been.
-    async fn leave(&mut self, vm: &str) -> Result<(), StoreError>;
+    async fn leave(&self, vm: &str) -> Result<(), StoreError>;
 
     /// All VMs on the list; some may be gone.
     ///
     /// # Errors
     ///
     /// [`StoreError`] where the list could not be read.
-    async fn read(&mut self) -> Result<Vec<Peer>, StoreError>;
+    async fn read(&self) -> Result<Vec<Peer>, StoreError>;
 }
 
 /// All that an adapter provides.
--- a/havengrade_router/src/published/program.rs
+++ b/havengrade_router/src/published/program.rs
@@ -26,7 +26,7 @@
     published::{
         context::{Published, PublishedContext},
         follow::FollowService,
-        news::serve_news,
+        hand_on::serve_state,
         peers::PeersService,
         ports::Ports,
         rollouts::RolloutService,
@@ -87,8 +87,8 @@
         let kernel = Kernel::start(services, &cx).await?;
         let mut servers = Vec::new();
         if hands_news_on {
-            let news = bind(&cx, "listen.peers", cx.shared.settings.listen.peers).await?;
-            servers.push(AbortOnDropHandle::new(tokio::spawn(serve_news(cx.clone(), news))));
+            let state = bind(&cx, "listen.peers", cx.shared.settings.listen.peers).await?;
+            servers.push(AbortOnDropHandle::new(tokio::spawn(serve_state(cx.clone(), state))));
         }
         servers.extend([
             AbortOnDropHandle::new(traffic.spawn(serve_callers(cx.clone(), callers))),
--- a/havengrade_router/src/published/rollouts.rs
+++ b/havengrade_router/src/published/rollouts.rs
@@ -9,7 +9,7 @@
 use async_trait::async_trait;
 use havengrade_core::{
     ids::ServiceId,
-    published::rollout::{RolloutOutcome, Verdict},
+    published::rollout::{RolloutOutcome, RolloutStatus, Rollouts, Verdict},
 };
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
 use rand::RngExt as _;
@@ -20,6 +20,7 @@
     published::{
         context::PublishedContext,
         ports::{StatusBook, WriteOutcome},
+        wire::ToldRollout,
     },
     services::tick,
     shared::lock,
@@ -73,6 +74,30 @@
     }
 }
 
+/// How a roll-out stands, as other VMs are told.
+pub(super) fn told_rollout(rollouts: &Rollouts, status: &RolloutStatus, now: SystemTime) -> ToldRollout {
+    ToldRollout { status: status.clone(), age: rollouts.order_age(&status.service, &status.version, now) }
+}
+
+/// How all roll-outs stand, for a VM that starts; none where this VM does not know it itself.
+pub(super) fn told_rollouts(cx: &PublishedContext, now: SystemTime) -> Option<Vec<ToldRollout>> {
+    let rollouts = cx.shared.rollouts();
+    let told = rollouts.statuses().map(|status| told_rollout(&rollouts, status, now));
+    (!rollouts.needs_statuses()).then(|| told.collect())
+}
+
+/// Takes how all roll-outs stand from another VM.
+pub(super) fn take_told(cx: &PublishedContext, told: impl Iterator<Item = ToldRollout>) {
+    let mut rollouts = cx.shared.rollouts();
+    for ToldRollout { status, .. } in told {
+        let line = format!("{} to {}: {:?}", status.service, status.version, status.outcome);
+        if !rollouts.is_settled(&status) && rollouts.note_status(status) {
+            log::info!(state = line.as_str(); "state of a roll-out taken from another VM");
+        }
+    }
+    rollouts.set_statuses_read();
+}
+
 struct RolloutState {
     cx: PublishedContext,
     book: Box<dyn StatusBook>,
--- /dev/null
+++ b/havengrade_router/src/published/roster.rs
@@ -0,0 +1,136 @@
+//! This VM on the kept list of VMs, and the others that it knows.
+
+use std::{collections::HashSet, net::SocketAddr, time::Duration};
+
+use havengrade_core::published::{
+    peers::Peer,
+    relay::Readers,
+    start::{entry_spread, retry_after},
+};
+use rand::{RngExt as _, seq::IteratorRandom as _};
+use tokio::time::sleep;
+
+use crate::published::{
+    context::PublishedContext,
+    peers::greet,
+    ports::{Roster, StoreError},
+    starting::{find_others, learn_state},
+    take::{Wanted, take},
+};
+
+/// Times of the first looks after a start: some enter after the list was read first, and while they do, VMs don't agree yet on
+/// who reads the store.
+const SETTLE: [Duration; 2] = [Duration::from_millis(1000), Duration::from_millis(4000)];
+/// Time between two reads of the kept list while no other VM is known.
+const LONELY: Duration = Duration::from_secs(2);
+/// Time between two looks at the list; in between, VMs that start tell all others of themselves.
+const LOOK_EVERY: Duration = Duration::from_secs(60);
+/// Part of that time by which the VMs of a fleet are spread.
+const LOOK_SPREAD: f64 = 0.5;
+
+/// This VM, as others know it.
+pub(super) fn me(cx: &PublishedContext) -> Peer {
+    let settings = &cx.shared.settings;
+    Peer {
+        vm: settings.vm.id.clone(),
+        incarnation: cx.shared.incarnation,
+        address: settings.listen.peers,
+        failure_domain: settings.vm.failure_domain.clone(),
+    }
+}
+
+/// Enters this VM on the kept list, learns of the others and of what is in force, and leaves the list at a planned stop.
+pub(super) async fn keep_roster(cx: PublishedContext, roster: Box<dyn Roster>) {
+    let me = me(&cx);
+    let known = async {
+        find_others(&cx, &*roster).await;
+        // Alone, a VM must be on the list before others look. Otherwise callers come first: the list takes one entry a
+        // millisecond, and whoever reads it waits for those before.
+        let is_alone = cx.shared.peers().is_empty();
+        if is_alone {
+            enter(&cx, &*roster, &me).await;
+        }
+        learn_state(&cx).await;
+        if !is_alone {
+            sleep(until_entry(&cx)).await;
+            enter(&cx, &*roster, &me).await;
+        }
+        look_on(&cx, &*roster).await;
+    };
+    cx.closing.run_until_cancelled(known).await;
+    if let Err(error) = roster.leave(&me.vm).await {
+        log::warn!("this VM stays on the list of VMs after its stop: {error}");
+    }
+}
+
+/// Time that this VM leaves to others for their entries.
+fn until_entry(cx: &PublishedContext) -> Duration {
+    entry_spread(cx.shared.peers().len()).mul_f64(cx.shared.rng().random::<f64>())
+}
+
+async fn enter(cx: &PublishedContext, roster: &dyn Roster, me: &Peer) {
+    while let Err(error) = roster.enter(me).await {
+        let waited = cx.shared.running_for(cx.shared.clock.now());
+        let pause = retry_after(waited, &mut *cx.shared.rng());
+        log::warn!("this VM is not on the list of VMs yet, {} ms until the next try: {error}", pause.as_millis());
+        sleep(pause).await;
+    }
+}
+
+/// Learns of others now and then: of a VM that is known, or else from the kept list.
+async fn look_on(cx: &PublishedContext, roster: &dyn Roster) {
+    let mut settle = SETTLE.into_iter();
+    loop {
+        let usual = if cx.shared.peers().is_empty() { LONELY } else { LOOK_EVERY };
+        sleep(spread(cx, settle.next().unwrap_or(usual))).await;
+        let known: HashSet<SocketAddr> = addresses(cx).into_iter().collect();
+        // Those that read the store look at the kept list itself; what they learn the others ask for.
+        let is_told = cx.hands_news_on && !cx.shared.is_reader() && ask_one(cx).await;
+        if !is_told && let Err(error) = read_list(cx, roster).await {
+            log::warn!("the list of VMs could not be read: {error}");
+        }
+        // Whoever was not known may not know this VM either.
+        greet(cx, addresses(cx).into_iter().filter(|address| !known.contains(address)).collect());
+    }
+}
+
+/// Where the VMs that are known hear reports.
+pub(super) fn addresses(cx: &PublishedContext) -> Vec<SocketAddr> {
+    cx.shared.peers().all().map(|peer| peer.address).collect()
+}
+
+fn spread(cx: &PublishedContext, pause: Duration) -> Duration {
+    pause.mul_f64(1.0 + LOOK_SPREAD * cx.shared.rng().random::<f64>())
+}
+
+/// Asks one of the VMs that read the store whom it knows.
+async fn ask_one(cx: &PublishedContext) -> bool {
+    let Some(other) = any_reader(cx) else { return false };
+    let taken = take(cx, other, Wanted::Everything).await;
+    if let Err(error) = &taken {
+        log::info!("{other} did not tell whom it knows: {error}");
+    }
+    taken.is_ok()
+}
+
+fn any_reader(cx: &PublishedContext) -> Option<SocketAddr> {
+    let me = &cx.shared.settings.vm.id;
+    let peers = cx.shared.peers();
+    let vms = peers.all().map(|peer| &peer.vm).chain([me]);
+    let readers = Readers::default().among(vms, me, cx.shared.clock.now());
+    let others = readers.into_iter().filter(|vm| *vm != me);
+    others.filter_map(|vm| peers.address(vm)).choose(&mut *cx.shared.rng())
+}
+
+/// Reads the kept list.
+pub(super) async fn read_list(cx: &PublishedContext, roster: &dyn Roster) -> Result<(), StoreError> {
+    let listed = roster.read().await?;
+    let now = cx.shared.clock.now();
+    let mut known = cx.shared.peers();
+    known.set_listed();
+    for peer in listed.into_iter().filter(|peer| peer.vm != cx.shared.settings.vm.id) {
+        known.list(peer, now);
+    }
+    log::info!(vms = known.len(); "list of VMs read");
+    Ok(())
+}
--- /dev/null
+++ b/havengrade_router/src/published/starting.rs
@@ -0,0 +1,98 @@
+//! The start of a VM: it learns what is in force from others, or else from the store.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime},
+};
+
+use futures::{StreamExt as _, stream::FuturesUnordered};
+use havengrade_core::published::{
+    peers::Peer,
+    start::{ROUND, Starting, listen_for, retry_after},
+};
+use tokio::time::timeout;
+
+use crate::published::{
+    context::PublishedContext,
+    follow, peers,
+    ports::Roster,
+    roster::{addresses, read_list},
+    take::{Wanted, take},
+};
+
+/// Longest time between two rounds of questions, for a VM that nobody tells and that reads the store itself.
+const MAX_ROUND: Duration = Duration::from_millis(800);
+
+/// Learns what is in force, and then lets the services follow the store.
+pub(super) async fn learn_state(cx: &PublishedContext) {
+    learn(cx).await;
+    follow::begin(cx);
+    log::info!(vms = cx.shared.peers().len(); "what is in force is known");
+}
+
+/// Waits until another VM is heard, or the list of VMs is read; whoever reads it greets the others.
+pub(super) async fn find_others(cx: &PublishedContext, roster: &dyn Roster) {
+    if !cx.hands_news_on {
+        // What is followed costs nothing, and nobody hands it on.
+        follow::begin(cx);
+    }
+    let mut pause = listen_for(&mut *cx.shared.rng());
+    while timeout(pause, cx.shared.other_heard()).await.is_err() {
+        match read_list(cx, roster).await {
+            Ok(()) => return peers::greet(cx, addresses(cx)),
+            Err(error) => {
+                let waited = cx.shared.running_for(cx.shared.clock.now());
+                pause = retry_after(waited, &mut *cx.shared.rng());
+                log::warn!("the list of VMs could not be read, {} ms until the next try: {error}", pause.as_millis());
+            },
+        }
+    }
+}
+
+/// Asks others, round by round, until this VM knows what is in force.
+async fn learn(cx: &PublishedContext) {
+    let asked = cx.shared.clock.now();
+    let mut pause = ROUND;
+    for round in 0.. {
+        if ask_round(cx, round).await {
+            return;
+        }
+        if reads_store(cx, asked) {
+            follow::begin(cx);
+            pause = (pause * 2).min(MAX_ROUND);
+        }
+        if timeout(pause, cx.shared.state_known()).await.is_ok() {
+            return;
+        }
+    }
+}
+
+fn reads_store(cx: &PublishedContext, asked: SystemTime) -> bool {
+    let peers = cx.shared.peers();
+    starting(cx, peers.all().collect()).reads_store(asked, cx.shared.clock.now())
+}
+
+fn starting<'a>(cx: &'a PublishedContext, others: Vec<&'a Peer>) -> Starting<'a> {
+    let vm = &cx.shared.settings.vm;
+    Starting { me: &vm.id, domain: &vm.failure_domain, others }
+}
+
+/// Asks some others at the same time; tells whether one of them told everything.
+async fn ask_round(cx: &PublishedContext, round: usize) -> bool {
+    if !cx.hands_news_on {
+        return false;
+    }
+    let asked: Vec<SocketAddr> = {
+        let peers = cx.shared.peers();
+        starting(cx, peers.all().collect()).ask(round, &mut *cx.shared.rng())
+    };
+    let mut answers: FuturesUnordered<_> =
+        asked.into_iter().map(|from| async move { (from, take(cx, from, Wanted::Everything).await) }).collect();
+    while let Some((from, taken)) = answers.next().await {
+        match taken {
+            Ok(()) => return true,
+            Err(error) => log::debug!("{from} did not tell what is in force: {error}"),
+        }
+    }
+    false
+}
--- a/havengrade_router/src/published/store_view.rs
+++ b/havengrade_router/src/published/store_view.rs
@@ -13,24 +13,22 @@
     },
 };
 use havengrade_rpc::reports::{StoreAnswer, StoreQuestion};
-use ractor::ActorRef;
 
-use crate::{
-    kernel::ServiceContext as _,
-    published::{
-        context::PublishedContext,
-        follow::{ENDPOINTS, FollowMessage, OPERATORS, Relayed},
-        news::fetch,
-        ports::OperatorEvent,
-        wire::{decode_change, encode_change, from_i64, to_i64},
-    },
+use crate::published::{
+    context::PublishedContext,
+    follow::{ENDPOINTS, FollowMessage, OPERATORS, Relayed, find, send},
+    ports::OperatorEvent,
+    take::{Wanted, take_news},
+    wire::{decode_change, encode_change, from_i64, to_i64},
 };
 
 /// Time between two questions.
 const ASK_EVERY: Duration = Duration::from_millis(400);
-/// Most changes in one answer, so that it fits a datagram; a roll-out of some dozen endpoints does. Who misses
-/// more reads the store.
-const MAX_CHANGES: usize = 128;
+/// Most changes in one answer, so that it fits a packet; who misses more takes them over a connection.
+const MAX_CHANGES: usize = 8;
+
+/// Age of the configuration from which a VM that offers to read for others is asked.
+const VOLUNTEER_AGE: Duration = Duration::from_millis(1200);
 
 /// Number of an answer that nobody asked for: it only says that operators wrote something.
 const HINT: u64 = 0;
@@ -72,7 +70,7 @@
         Some((StoreQuestion::new(to_i64(self.number), address, to_i64(operators), to_i64(endpoints)), to))
     }
 
-    /// The reader to ask; none where this VM is one of them, or the others are not known yet.
+    /// The VM to ask; none where this VM is a reader, or the others are not known yet.
     fn choose(&mut self, cx: &PublishedContext, now: SystemTime) -> Option<(VmId, SocketAddr)> {
         let me = &cx.shared.settings.vm.id;
         let peers = cx.shared.peers();
@@ -83,26 +81,56 @@
         let readers = self.readers.among(vms, me, now);
         let is_reader = readers.contains(&me);
         cx.shared.set_reader(is_reader);
-        let vm = self.readers.next(&readers).filter(|_| !is_reader)?;
-        Some((vm.clone(), peers.address(vm)?))
+        if is_reader {
+            cx.shared.set_volunteer(false);
+            return None;
+        }
+        let vm = self.readers.next(&readers)?;
+        let address = peers.address(&vm)?;
+        Some((vm, address))
     }
 
     /// Takes an answer and hands it to the services that follow the store.
     pub(super) fn take(&mut self, cx: &PublishedContext, answer: StoreAnswer) {
         if from_i64(answer.number) == HINT {
-            take_hint(cx, &answer);
+            self.take_hint(cx, &answer);
             return;
         }
         let Some(asked) = self.last.as_mut().filter(|asked| asked.number == from_i64(answer.number)) else { return };
-        let age = Duration::from_millis(from_i64(answer.operators_age_ms.max(answer.endpoints_age_ms)));
-        // One that does not reach the store itself is of no more use than one that does not answer.
-        asked.is_answered = age < TOLD_LIMIT;
-        if asked.is_answered {
-            self.readers.hear(&asked.vm);
+        let age = age_of(&answer);
+        asked.is_answered = true;
+        if age >= TOLD_LIMIT {
+            self.readers.hear_old(&asked.vm);
+        } else if self.readers.hear(&asked.vm) {
+            cx.shared.set_volunteer(false);
         }
         take_operators(cx, asked, &answer);
         take_endpoints(cx, asked, answer);
     }
+
+    /// A hint is believed no further than that its sender is worth a question.
+    fn take_hint(&mut self, cx: &PublishedContext, hint: &StoreAnswer) {
+        let known = cx.shared.view().operators;
+        let position = from_i64(hint.operators_position);
+        if known.is_some_and(|known| position > known) {
+            look(cx, hint, position);
+        }
+        let now = cx.shared.clock.now();
+        let is_old = cx.shared.config_age(now).is_none_or(|age| age >= VOLUNTEER_AGE);
+        if is_old && age_of(hint) < TOLD_LIMIT {
+            self.take_volunteer(cx, hint);
+        }
+    }
+
+    /// Asks the sender of a hint at once, since the readers don't reach the store.
+    fn take_volunteer(&mut self, cx: &PublishedContext, hint: &StoreAnswer) {
+        let Some(address) = address_of(hint) else { return };
+        let vm = cx.shared.peers().all().find(|peer| peer.address == address).map(|peer| peer.vm.clone());
+        if let Some(vm) = vm {
+            self.readers.volunteer(vm);
+            self.last = None;
+        }
+    }
 }
 
 /// What a VM that reads the store tells all others when operators wrote something.
@@ -111,20 +139,10 @@
     answer(cx, &question, now)
 }
 
-/// A hint is believed no further than that the store is worth a look.
-fn take_hint(cx: &PublishedContext, hint: &StoreAnswer) {
-    let known = cx.shared.view().operators;
-    let position = from_i64(hint.operators_position);
-    if known.is_some_and(|known| position > known) {
-        look(cx, hint, position);
-    }
-}
-
 /// Takes news from the VM that told of them where it hands them on, or else from the store.
 fn look(cx: &PublishedContext, answer: &StoreAnswer, position: u64) {
-    let from = answer.address.as_ref().and_then(|address| address.parse().ok());
-    match from {
-        Some(from) => fetch(cx, from, position),
+    match address_of(answer) {
+        Some(from) => take_news(cx, from, Wanted::Operators(position)),
         None => {
             if let Some(service) = find::<OperatorEvent>(cx, OPERATORS) {
                 send(&service, FollowMessage::Hurry);
@@ -133,6 +151,15 @@
     }
 }
 
+/// Where the answering VM hands on what it knows, if it does.
+fn address_of(answer: &StoreAnswer) -> Option<SocketAddr> {
+    answer.address.as_ref()?.parse().ok()
+}
+
+fn age_of(answer: &StoreAnswer) -> Duration {
+    Duration::from_millis(from_i64(answer.operators_age_ms.max(answer.endpoints_age_ms)))
+}
+
 /// How far this VM has read the store; none before its first reads.
 fn positions(cx: &PublishedContext) -> Option<(u64, u64)> {
     let view = cx.shared.view();
@@ -157,24 +184,16 @@
     if position < asked.endpoints {
         return;
     }
+    let from = address_of(&answer);
     let events = answer.changes.map(|changes| changes.into_iter().map(decode_change).collect::<Option<Vec<_>>>());
-    let message = match events.flatten() {
-        Some(events) => {
+    match (events.flatten(), from) {
+        (Some(events), _) => {
             let at = confirmed_at(asked.at, Duration::from_millis(from_i64(answer.endpoints_age_ms)));
-            FollowMessage::Relayed(Relayed { events, from: Some(asked.endpoints), position, at })
+            let relayed = Relayed { events, from: Some(asked.endpoints), position, at };
+            send(&service, FollowMessage::Relayed(relayed));
         },
-        None => FollowMessage::Hurry,
-    };
-    send(&service, message);
-}
-
-pub(super) fn find<T: Send + 'static>(cx: &PublishedContext, name: &str) -> Option<ActorRef<FollowMessage<T>>> {
-    ractor::registry::where_is(cx.actor_name(name)).map(ActorRef::from)
-}
-
-pub(super) fn send<T: Send + 'static>(service: &ActorRef<FollowMessage<T>>, message: FollowMessage<T>) {
-    if let Err(error) = service.cast(message) {
-        log::debug!("a service that follows the store is gone: {error}");
+        (None, Some(from)) => take_news(cx, from, Wanted::Endpoints(position)),
+        (None, None) => send(&service, FollowMessage::Hurry),
     }
 }
 
--- /dev/null
+++ b/havengrade_router/src/published/take.rs
@@ -0,0 +1,241 @@
+//! Taking what is in force from another VM.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::atomic::Ordering,
+    time::{Duration, SystemTime},
+};
+
+use bytes::{Bytes, BytesMut};
+use futures::{SinkExt as _, StreamExt as _};
+use havengrade_core::published::{directory::DirectoryEvent, relay::confirmed_at};
+use havengrade_rpc::{
+    Frames, RpcError, frames,
+    reports::{StateHead, StatePart, StateQuestion},
+};
+use rand::seq::IteratorRandom as _;
+use serde::de::DeserializeOwned;
+use snafu::{OptionExt as _, ResultExt as _, Snafu, ensure};
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    net::BoxConnection,
+    published::{
+        context::PublishedContext,
+        follow::{ENDPOINTS, FollowMessage, OPERATORS, Relayed, find, send},
+        hand_on::{FRAME_LIMIT, MAX_FRAME},
+        parts::{EndpointsPart, OperatorsPart, VmsPart, inflate},
+        ports::OperatorEvent,
+        rollouts::take_told,
+        wire::{decode_rollout, from_i64, to_i64},
+    },
+};
+
+/// Largest deflated text of a part, in bytes: what 12,000 endpoints need, eight times over.
+const MAX_TEXT: u64 = 4 << 20;
+/// Time in which a connection to another VM is up; a VM without power never answers.
+const CONNECT_LIMIT: Duration = Duration::from_millis(150);
+/// VMs that name another one in turn, at most.
+const MAX_HOPS: usize = 6;
+/// Time between two of a VM's takings, so that a storm of changes is taken in few of them.
+const TAKE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Why another VM did not hand on what is in force.
+#[derive(Debug, Snafu)]
+pub(super) enum TakeError {
+    #[snafu(display("no connection: {source}"))]
+    Connect { source: io::Error },
+    #[snafu(display("it ended the connection"))]
+    Ended,
+    #[snafu(display("the connection broke: {source}"))]
+    Broken { source: io::Error },
+    #[snafu(display("its message can't be read: {source}"))]
+    Message { source: RpcError },
+    #[snafu(display("it names an address that can't be read: {address}"))]
+    Address { address: String },
+    #[snafu(display("its text of {bytes} bytes is too long"))]
+    TooLong { bytes: u64 },
+    #[snafu(display("its text can't be read: {source}"))]
+    Text { source: serde_json::Error },
+    #[snafu(display("it knows nothing yet"))]
+    Nothing,
+    #[snafu(display("it knows less than was told"))]
+    Old,
+    #[snafu(display("it took too long"))]
+    Late,
+    #[snafu(display("too many VMs named another one"))]
+    Hops,
+}
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Wanted {
+    /// What operators wrote, up to a position at least, and whatever else is newer.
+    Operators(u64),
+    /// The list of endpoints, up to a position at least, and whatever else is newer.
+    Endpoints(u64),
+    /// Everything, and the list of VMs.
+    Everything,
+}
+
+/// Takes what a VM told of from it or another one that knows it, or else from the store.
+pub(super) fn take_news(cx: &PublishedContext, from: SocketAddr, wanted: Wanted) {
+    if cx.shared.is_taking.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    let cx = cx.clone();
+    tokio::spawn(async move {
+        let other = cx.shared.peers().all().map(|peer| peer.address).choose(&mut *cx.shared.rng());
+        if take(&cx, from, wanted).await.is_err() && !take_or_log(&cx, other, wanted).await {
+            hurry(&cx, wanted);
+        }
+        // What is told meanwhile, the next answer of a reader tells again.
+        sleep(TAKE_PAUSE).await;
+        cx.shared.is_taking.store(false, Ordering::Release);
+    });
+}
+
+async fn take_or_log(cx: &PublishedContext, from: Option<SocketAddr>, wanted: Wanted) -> bool {
+    let Some(from) = from else { return false };
+    let taken = take(cx, from, wanted).await;
+    if let Err(error) = &taken {
+        log::info!(from = from.to_string().as_str(); "the store is read, another VM did not tell: {error}");
+    }
+    taken.is_ok()
+}
+
+/// Makes the service read the store.
+fn hurry(cx: &PublishedContext, wanted: Wanted) {
+    match wanted {
+        Wanted::Endpoints(_) => send_to::<DirectoryEvent>(cx, ENDPOINTS, FollowMessage::Hurry),
+        Wanted::Operators(_) | Wanted::Everything => send_to::<OperatorEvent>(cx, OPERATORS, FollowMessage::Hurry),
+    }
+}
+
+/// Takes what is wanted from a VM, or from those that it names, and hands it to the services that follow the store.
+pub(super) async fn take(cx: &PublishedContext, from: SocketAddr, wanted: Wanted) -> Result<(), TakeError> {
+    let mut from = from;
+    for _ in 0..MAX_HOPS {
+        match ask(cx, from, wanted).await? {
+            Answered::Instead(other) => from = other,
+            Answered::Taken(taken) => return deliver(cx, taken, wanted),
+        }
+    }
+    HopsSnafu.fail()
+}
+
+/// What a VM answered.
+enum Answered {
+    Instead(SocketAddr),
+    Taken(Box<Taken>),
+}
+
+/// What was taken, and when it was asked for.
+struct Taken {
+    asked: SystemTime,
+    question: StateQuestion,
+    head: StateHead,
+    operators: Option<OperatorsPart>,
+    endpoints: Option<EndpointsPart>,
+    vms: Option<VmsPart>,
+}
+
+async fn ask(cx: &PublishedContext, from: SocketAddr, wanted: Wanted) -> Result<Answered, TakeError> {
+    let asked = cx.shared.clock.now();
+    let question = question(cx, wanted);
+    let connected = timeout(CONNECT_LIMIT, cx.network.connect(from)).await;
+    let mut frames = frames(connected.ok().context(LateSnafu)?.context(ConnectSnafu)?, MAX_FRAME);
+    let bytes = havengrade_rpc::encode(&question).context(MessageSnafu)?;
+    frames.send(Bytes::from(bytes)).await.context(BrokenSnafu)?;
+    let head: StateHead = havengrade_rpc::decode(&next(&mut frames).await?).context(MessageSnafu)?;
+    if let Some(address) = &head.ask_instead {
+        let other = address.parse().ok().context(AddressSnafu { address })?;
+        return Ok(Answered::Instead(other));
+    }
+    let operators = text(&mut frames, head.operators.as_ref()).await?;
+    let endpoints = text(&mut frames, head.endpoints.as_ref()).await?;
+    let vms = text(&mut frames, head.vms.as_ref()).await?;
+    Ok(Answered::Taken(Box::new(Taken { asked, question, head, operators, endpoints, vms })))
+}
+
+fn question(cx: &PublishedContext, wanted: Wanted) -> StateQuestion {
+    let (operators, endpoints) = {
+        let view = cx.shared.view();
+        (view.operators, cx.shared.knows_endpoints().then(|| view.endpoints.position()))
+    };
+    let address = cx.shared.settings.listen.peers.to_string();
+    StateQuestion::new(address, operators.map(to_i64), endpoints.map(to_i64), wanted == Wanted::Everything)
+}
+
+async fn next(frames: &mut Frames<BoxConnection>) -> Result<BytesMut, TakeError> {
+    let frame = timeout(FRAME_LIMIT, frames.next()).await.ok().context(LateSnafu)?;
+    frame.context(EndedSnafu)?.context(BrokenSnafu)
+}
+
+/// Reads the text of a part; none where the part has nothing newer.
+async fn text<T: DeserializeOwned>(
+    frames: &mut Frames<BoxConnection>,
+    part: Option<&StatePart>,
+) -> Result<Option<T>, TakeError> {
+    let bytes = part.map_or(0, |part| from_i64(part.bytes));
+    if bytes == 0 {
+        return Ok(None);
+    }
+    ensure!(bytes <= MAX_TEXT, TooLongSnafu { bytes });
+    let mut text = BytesMut::new();
+    while (text.len() as u64) < bytes {
+        text.unsplit(next(frames).await?);
+    }
+    inflate(&text).map(Some).context(TextSnafu)
+}
+
+/// Hands what was taken to the services that follow the store.
+fn deliver(cx: &PublishedContext, taken: Box<Taken>, wanted: Wanted) -> Result<(), TakeError> {
+    let Taken { asked, question, head, operators, endpoints, vms } = *taken;
+    if let Some(vms) = vms {
+        let mut peers = cx.shared.peers();
+        peers.set_listed();
+        let others = vms.into_iter().filter(|(peer, _)| peer.vm != cx.shared.settings.vm.id);
+        peers.learn(others.collect(), cx.shared.clock.now());
+    }
+    let (Some(operators_part), Some(endpoints_part)) = (head.operators, head.endpoints) else {
+        return NothingSnafu.fail();
+    };
+    let is_old = match wanted {
+        Wanted::Operators(least) => from_i64(operators_part.position) < least,
+        Wanted::Endpoints(least) => from_i64(endpoints_part.position) < least,
+        Wanted::Everything => false,
+    };
+    ensure!(!is_old, OldSnafu);
+    // Before the orders, so that one that has ended is not taken up again.
+    if let Some(rollouts) = head.rollouts {
+        take_told(cx, rollouts.into_iter().filter_map(decode_rollout));
+    }
+    let endpoints_known = question.endpoints_position.map(from_i64);
+    let is_list = endpoints.iter().flatten().any(|event| matches!(event, DirectoryEvent::All(_)));
+    let events = endpoints.unwrap_or_default();
+    let from = endpoints_known.filter(|_| !is_list);
+    send_to(cx, ENDPOINTS, FollowMessage::Relayed(relayed(&endpoints_part, events, from, asked)));
+    let is_news = operators.is_some();
+    let events = operators.map(operator_events).unwrap_or_default();
+    let from = question.operators_position.map(from_i64).filter(|_| !is_news);
+    send_to(cx, OPERATORS, FollowMessage::Relayed(relayed(&operators_part, events, from, asked)));
+    Ok(())
+}
+
+fn operator_events(part: OperatorsPart) -> Vec<OperatorEvent> {
+    let orders = part.orders.into_iter().map(OperatorEvent::Rollout);
+    orders.chain([OperatorEvent::Publication(part.publication)]).collect()
+}
+
+fn relayed<T>(part: &StatePart, events: Vec<T>, from: Option<u64>, asked: SystemTime) -> Relayed<T> {
+    let at = confirmed_at(asked, Duration::from_millis(from_i64(part.age_ms)));
+    Relayed { events, from, position: from_i64(part.position), at }
+}
+
+fn send_to<T: Send + 'static>(cx: &PublishedContext, name: &str, message: FollowMessage<T>) {
+    if let Some(service) = find::<T>(cx, name) {
+        send(&service, message);
+    }
+}
--- a/havengrade_router/src/published/takers.rs
+++ b/havengrade_router/src/published/takers.rs
@@ -14,11 +14,22 @@
 
 use crate::published::{
     context::{EndpointsByService, PublishedContext},
-    follow::Take,
     ports::OperatorEvent,
     rollouts,
 };
 
+/// Takes what a feed brings.
+pub(super) trait Take<T>: Send + Sync + 'static {
+    /// How long a call of a reader may wait for something new.
+    fn wait(&self, cx: &PublishedContext) -> Duration;
+
+    /// Time between two calls of a reader.
+    fn pause(&self, cx: &PublishedContext) -> Duration;
+
+    /// Takes events, up to a position; nothing newer existed at `at`.
+    fn take(&mut self, cx: &PublishedContext, events: Vec<T>, position: u64, at: SystemTime);
+}
+
 /// Takes operators' configurations and orders.
 pub(super) struct Operators;
 
@@ -46,6 +57,9 @@
         }
         cx.shared.view().operators = Some(position);
         cx.shared.confirm(at);
+        if is_first_read {
+            cx.shared.tell_learned();
+        }
     }
 }
 
@@ -95,6 +109,9 @@
         {
             let mut view = cx.shared.view();
             view.endpoints.note(&changes, position);
+            if !changes.is_empty() || has_changed {
+                view.listed = self.directory.listed().into();
+            }
             view.endpoints_at = view.endpoints_at.max(at);
         }
         if has_changed {
--- a/havengrade_router/src/published/wire.rs
+++ b/havengrade_router/src/published/wire.rs
@@ -49,10 +49,7 @@
         .evidence
         .into_iter()
         .map(|seen| WireEvidence::new(seen.service, seen.route, seen.version, to_i64(seen.ended), to_i64(seen.failed)));
-    let rollouts = report.rollouts.into_iter().map(|ToldRollout { status, age }| {
-        let age_ms = age.map(|age| to_i64(age.as_millis() as u64));
-        RolloutState::new(status.service, status.version, outcome_name(status.outcome).to_owned(), age_ms)
-    });
+    let rollouts = report.rollouts.into_iter().map(encode_rollout);
     // A mark is 64 bits without a meaning of their own, so it passes through the schema's signed integers.
     let held: Vec<i64> = report.held_sessions.into_iter().map(u64::cast_signed).collect();
     let (evidence, rollouts): (Vec<_>, Vec<_>) = (evidence.collect(), rollouts.collect());
@@ -83,11 +80,7 @@
         ended: from_i64(seen.ended),
         failed: from_i64(seen.failed),
     });
-    let rollouts = report.rollouts.unwrap_or_default().into_iter().filter_map(|state| {
-        let outcome = outcome_of(&state.outcome)?;
-        let status = RolloutStatus { service: state.service_name, version: state.version, outcome };
-        Some(ToldRollout { status, age: state.age_ms.map(|age| Duration::from_millis(from_i64(age))) })
-    });
+    let rollouts = report.rollouts.unwrap_or_default().into_iter().filter_map(decode_rollout);
     let failure_domain = report.failure_domain.unwrap_or_default();
     let peer = Peer { vm: report.vm, incarnation: from_i64(report.incarnation), address, failure_domain };
     Some(Report {
@@ -98,6 +91,20 @@
     })
 }
 
+/// Writes how a roll-out stands.
+pub(super) fn encode_rollout(told: ToldRollout) -> RolloutState {
+    let ToldRollout { status, age } = told;
+    let age_ms = age.map(|age| to_i64(age.as_millis() as u64));
+    RolloutState::new(status.service, status.version, outcome_name(status.outcome).to_owned(), age_ms)
+}
+
+/// Reads how a roll-out stands; none where its state is not known here.
+pub(super) fn decode_rollout(state: RolloutState) -> Option<ToldRollout> {
+    let outcome = outcome_of(&state.outcome)?;
+    let status = RolloutStatus { service: state.service_name, version: state.version, outcome };
+    Some(ToldRollout { status, age: state.age_ms.map(|age| Duration::from_millis(from_i64(age))) })
+}
+
 fn outcome_name(outcome: RolloutOutcome) -> &'static str {
     match outcome {
         RolloutOutcome::Running => RUNNING,
--- a/schema/reports.thrift
+++ b/schema/reports.thrift
@@ -88,13 +88,35 @@
   7: optional string address,
 }
 
-/** What operators wrote, as a VM knows it: the configuration in force and the orders to roll out. */
-struct OperatorsState {
+/** Asks a VM for what is in force, as far as it is newer than what the sender has. */
+struct StateQuestion {
+  /** IP number and port at which the sender hands on what it has taken. */
+  1: required string address,
+  /** Absent where the sender knows nothing. */
+  2: optional i64 operators_position,
+  3: optional i64 endpoints_position,
+  /** Whether the list of VMs is wanted as well. */
+  4: required bool wants_vms,
+}
+
+/** A part of what is in force; its text follows in frames. */
+struct StatePart {
   1: required i64 position,
   /** Time since nothing newer than this position existed for sure. */
   2: required i64 age_ms,
-  /** Deflated JSON of the router's own types, which the sender and the receiver share. */
-  3: required binary document,
+  /** Bytes of the text that follows: deflated JSON of the router's own types, which both sides share. */
+  3: required i64 bytes,
+}
+
+/** Says what follows; the texts come in the order of the fields. */
+struct StateHead {
+  /** IP number and port of a VM to ask instead; nothing follows then. */
+  1: optional string ask_instead,
+  2: optional StatePart operators,
+  3: optional StatePart endpoints,
+  4: optional StatePart vms,
+  /** Roll-outs whose states are written; absent where the answering VM does not know them all. */
+  5: optional list<RolloutState> rollouts,
 }
 
 /** One datagram. */
