Read in place of readers only where those tell old views, and ask another VM sooner than a silent one

Cause: VMs counted readers as away from the store once their own view was 1.3 s old, which is less than a view's usual age behind a waiting call (1.4 s and the way). Change: what counts is the age of what a reader tells (1.6 s); a VM that does not answer within 0.15 s is passed on instead of after 0.4 s.

--- a/havengrade_core/src/published/relay.rs
+++ b/havengrade_core/src/published/relay.rs
@@ -27,10 +27,14 @@
 const ALONE_LIMIT: Duration = Duration::from_millis(1200);
 /// Age of a view from which VMs whose readers don't reach the store try it in turns.
 ///
-/// It lies above the age that a view has at most while all is well, and leaves 0.7 s until a change must be in force.
-const TURNS_FROM: Duration = Duration::from_millis(1300);
+/// It leaves 0.4 s until a change must be in force.
+const TURNS_FROM: Duration = Duration::from_millis(1600);
 /// Time between the turns of two VMs of a failure domain: with six of them, 30 calls a second while the store is away.
 const TURN: Duration = Duration::from_millis(200);
+/// Age of what a reader tells from which it is taken not to reach the store.
+///
+/// The view of one that does is two of its waiting calls old at most, 1.4 s.
+const READER_AGE: Duration = Duration::from_millis(1600);
 /// VMs that offered to read for others, of which one remembers.
 const MAX_VOLUNTEERS: usize = 2;
 /// Questions without a good answer after which a reader is passed over; datagrams are lost now and then.
@@ -56,15 +60,15 @@
 pub struct Freshness {
     /// When nothing newer than the view existed.
     pub viewed: SystemTime,
-    /// When another VM last told what is new enough.
-    pub told: Option<SystemTime>,
     /// When another VM last told anything, however old.
     pub answered: Option<SystemTime>,
+    /// How old that was.
+    pub told_age: Duration,
 }
 
 impl Default for Freshness {
     fn default() -> Self {
-        Self { viewed: SystemTime::UNIX_EPOCH, told: None, answered: None }
+        Self { viewed: SystemTime::UNIX_EPOCH, answered: None, told_age: Duration::ZERO }
     }
 }
 
@@ -72,15 +76,13 @@
     /// Notes what another VM told: nothing newer existed at `at`.
     pub fn hear(&mut self, at: SystemTime, now: SystemTime) {
         self.answered = Some(now);
-        if now < at + TOLD_LIMIT {
-            self.told = Some(now);
-        }
+        self.told_age = now.duration_since(at).unwrap_or_default();
         self.viewed = self.viewed.max(at);
     }
 
     /// Whether others live but don't reach the store either, as far as is known.
     pub fn is_store_away_for_others(&self, now: SystemTime) -> bool {
-        is_lately(self.answered, now) && now > self.viewed + TURNS_FROM
+        is_lately(self.answered, now) && self.told_age >= READER_AGE
     }
 
     /// Whether a VM must read the store itself: its view is old, and nobody told it that nothing is newer.
@@ -92,20 +94,20 @@
     /// use havengrade_core::published::relay::Freshness;
     ///
     /// let viewed = SystemTime::UNIX_EPOCH;
-    /// let now = viewed + Duration::from_millis(1500);
-    /// let alone = Freshness { viewed, told: None, answered: None };
+    /// let now = viewed + Duration::from_millis(1700);
+    /// let alone = Freshness { viewed, ..Freshness::default() };
     /// assert!(alone.must_read(9, now));
-    /// let told = Freshness { told: Some(now), answered: Some(now), ..alone };
+    /// let told = Freshness { answered: Some(now), ..alone };
     /// assert!(!told.must_read(0, now));
-    /// let away = Freshness { answered: Some(now), ..alone };
+    /// let away = Freshness { told_age: Duration::from_secs(2), ..told };
     /// assert!(away.must_read(0, now) && !away.must_read(9, now));
     /// ```
     pub fn must_read(&self, place: usize, now: SystemTime) -> bool {
         if !is_lately(self.answered, now) {
             return now > self.viewed + ALONE_LIMIT;
         }
-        let least = if is_lately(self.told, now) { TOLD_LIMIT } else { TURNS_FROM };
-        now > self.viewed + least.max(TURNS_FROM + turns(place))
+        let limit = if self.is_store_away_for_others(now) { TURNS_FROM + turns(place) } else { TOLD_LIMIT };
+        now > self.viewed + limit
     }
 }
 
--- a/havengrade_router/src/published/store_view.rs
+++ b/havengrade_router/src/published/store_view.rs
@@ -24,6 +24,8 @@
 
 /// Time between two questions.
 const ASK_EVERY: Duration = Duration::from_millis(400);
+/// Time after which another VM is asked where one does not answer; the farthest answers in some 10 ms.
+const ANSWER_LIMIT: Duration = Duration::from_millis(150);
 /// Most changes in one answer, so that it fits a packet; who misses more takes them over a connection.
 const MAX_CHANGES: usize = 8;
 
@@ -56,7 +58,8 @@
 impl Questions {
     /// Finds out who reads the store; gives a question and whom to ask, if it is time for one.
     pub(super) fn next(&mut self, cx: &PublishedContext, now: SystemTime) -> Option<(StoreQuestion, SocketAddr)> {
-        if self.last.as_ref().is_some_and(|asked| now < asked.at + ASK_EVERY) {
+        let pause = |asked: &Asked| if asked.is_answered { ASK_EVERY } else { ANSWER_LIMIT };
+        if self.last.as_ref().is_some_and(|asked| now < asked.at + pause(asked)) {
             return None;
         }
         if let Some(asked) = self.last.take_if(|asked| !asked.is_answered) {
