--- /dev/null
+++ b/havengrade_core/tests/published_two_rollouts.rs
@@ -0,0 +1,61 @@
+//! Two roll-outs of a service, the second ordered right after the first one's end: sessions keep their version.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, SystemTime},
+};
+
+use havengrade_core::published::rollout::{Allowed, RolloutBounds, RolloutOrder, RolloutOutcome, Rollouts};
+
+const BOUNDS: RolloutBounds = RolloutBounds { max_share: 0.15, session_time: Duration::from_secs(5) };
+const DURATION: Duration = Duration::from_secs(14);
+/// When the orders are given, in milliseconds: the second one 0.5 s after the first one's deadline.
+const ORDERS: [(u64, &str, &str); 2] = [(2_000, "v1", "v2"), (16_500, "v2", "v3")];
+const SESSIONS: u64 = 400;
+/// Time between two requests of a session, well below the pause after which it ends.
+const PERIOD: u64 = 3_000;
+/// Requests that may run on another version than the one before in their session.
+const MOST_MOVED: usize = 3;
+
+fn at(millis: u64) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_millis(millis)
+}
+
+/// The version that serves a request, and whether its session had to keep another one.
+fn serve(rollouts: &Rollouts, session: &str, before: Option<&String>, now: u64) -> (String, bool) {
+    let running = ORDERS.iter().rev().find(|(ordered, _, _)| *ordered <= now);
+    let Some((ordered, old, new)) = running else { return ("v1".into(), false) };
+    let version = match rollouts.allowed("models", session, Some(session), BOUNDS, at(now)) {
+        Allowed::Only(version) => version,
+        Allowed::Any | Allowed::Not(_) => (*old).to_owned(),
+    };
+    let is_first_half = now < ordered + DURATION.as_millis() as u64 / 2;
+    let may_move = version == *new && !is_first_half;
+    let is_moved = before.is_some_and(|before| *before != version) && !may_move;
+    (version, is_moved)
+}
+
+#[test]
+fn sessions_keep_their_version_through_two_roll_outs_back_to_back() {
+    let mut rollouts = Rollouts::default();
+    let mut last: HashMap<String, String> = HashMap::new();
+    let mut moved = 0;
+    for now in (0..32_000).step_by(10) {
+        for (ordered, _, new) in ORDERS.iter().filter(|(ordered, _, _)| *ordered == now) {
+            let order = RolloutOrder { service: "models".into(), version: (*new).to_owned(), duration: DURATION };
+            assert!(rollouts.order(order, at(*ordered)));
+        }
+        for verdict in rollouts.verdicts(at(now)) {
+            assert_ne!(verdict.status.outcome, RolloutOutcome::RolledBack);
+            rollouts.note_status(verdict.status);
+        }
+        for id in (0..SESSIONS).filter(|id| (now + id * 10) % PERIOD == 0) {
+            let session = format!("s{id}");
+            let (version, is_moved) = serve(&rollouts, &session, last.get(&session), now);
+            moved += usize::from(is_moved);
+            rollouts.pin(&session, &version, at(now));
+            last.insert(session, version);
+        }
+    }
+    assert!(moved <= MOST_MOVED, "{moved} requests ran on another version than the one before in their session");
+}
