Let published requests go one way: admit, choose, try, answer

Three circles stood between the files of published routes. What is noted of answers, the times of a planned stop, the list of other VMs and the texts that are handed on have files of their own; the service of reports no longer starts the keeping of the list. No decision changes.

--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -15,7 +15,7 @@
     published::{
         directory::ListedEndpoint,
         handing::Handing,
-        peers::Peers,
+        peers::{Peer, Peers},
         relay::ChangeLog,
         rollout::{RolloutBounds, Rollouts},
         route::RouteTable,
@@ -33,7 +33,7 @@
     endpoints::{EndpointTable, from_millis, to_millis},
     kernel::ServiceContext,
     net::Network,
-    published::{channels::Channels, parts::WrittenParts, ports::Dialect},
+    published::{channels::Channels, ports::Dialect, written::WrittenParts},
     settings::{PublishedSettings, Settings},
     shared::lock,
 };
@@ -429,6 +429,19 @@
     pub number: u64,
 }
 
+impl PublishedContext {
+    /// This VM, as others know it.
+    pub fn me(&self) -> Peer {
+        let settings = &self.shared.settings;
+        Peer {
+            vm: settings.vm.id.clone(),
+            incarnation: self.shared.incarnation,
+            address: settings.listen.peers,
+            failure_domain: settings.vm.failure_domain.clone(),
+        }
+    }
+}
+
 impl ServiceContext for PublishedContext {
     fn actor_name(&self, service: &str) -> String {
         format!("{}/{}/{service}", self.shared.settings.vm.id, self.number)
--- a/havengrade_router/src/published/events.rs
+++ b/havengrade_router/src/published/events.rs
@@ -18,10 +18,10 @@
 use crate::{
     endpoints::InFlight,
     published::{
+        answers::{InProgress, count_answer, note_answer},
         channels::Channel,
         choose::choose,
         context::PublishedContext,
-        forward::{InProgress, count_answer, note_answer},
         job::Job,
         refuse::{AnswerBody, BodyError},
         rewrite::answer_head,
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -1,32 +1,24 @@
 //! One request: from its head to the answer of an endpoint, or to the router's own.
 
-use std::{
-    sync::atomic::Ordering,
-    time::{Duration, SystemTime},
-};
+use std::time::{Duration, SystemTime};
 
 use havengrade_core::{
     ids::ModelId,
-    published::{
-        attempt::RunState,
-        directory::ListedEndpoint,
-        rollout::{KIND_SEPARATOR, Sample},
-        route::AnswerShape,
-        size,
-    },
+    published::{attempt::RunState, route::AnswerShape, size},
 };
 use http_body_util::{BodyExt as _, Limited};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, body::Incoming};
 use tokio::time::timeout;
 
 use crate::published::{
+    answers::{InProgress, log_answer, note_answer},
     choose::choose,
     context::PublishedContext,
     events,
     job::{Job, admit},
     refuse::{AnswerBody, Refusal, whole},
     rewrite::answer_head,
-    tries::{LIMIT_SLACK, Opened, fail, log_try, open},
+    tries::{LIMIT_SLACK, Opened, log_try, open},
 };
 
 /// Largest answer that is passed on as a whole, in bytes.
@@ -44,22 +36,6 @@
     Doubted { stronger: ModelId },
 }
 
-/// Counts a request as in progress at this VM.
-pub(super) struct InProgress(PublishedContext);
-
-impl InProgress {
-    pub(super) fn new(cx: &PublishedContext) -> Self {
-        cx.shared.in_progress.fetch_add(1, Ordering::AcqRel);
-        Self(cx.clone())
-    }
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0.shared.in_progress.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// Tells of a request whose caller left before there was an answer; the library then drops its work.
 struct Unanswered<'a> {
     cx: &'a PublishedContext,
@@ -180,23 +156,6 @@
     Ok(opened)
 }
 
-/// Prompt tokens that take as long to read as everything else takes until a first token.
-const FIRST_TOKEN_WORK: f64 = 500.0;
-
-/// Notes how an answer turned out.
-pub(super) fn note_answer(cx: &PublishedContext, job: &Job, opened: &ListedEndpoint, failed: bool, took: Duration) {
-    let kind = format!("{}{KIND_SEPARATOR}{}", job.route.name, job.model.as_deref().unwrap_or_default());
-    let size = job.facts.tokens.map_or(1.0, |tokens| f64::from(tokens.prompt) + FIRST_TOKEN_WORK);
-    let latency = (!failed).then_some(took);
-    let sample = Sample { kind: &kind, version: &opened.version, failed, latency, size };
-    cx.shared.rollouts().note(&job.service, sample, cx.shared.incarnation);
-    if failed {
-        fail(cx, opened);
-    } else if let Some(slot) = cx.shared.states.slot(&opened.id) {
-        slot.succeed(cx.shared.clock.now());
-    }
-}
-
 /// Turns an opened answer into one for the caller.
 async fn answer(cx: &PublishedContext, job: &mut Job, opened: Opened, guard: &mut Option<InProgress>) -> Tried {
     let is_stream = matches!(job.route.shape, AnswerShape::Events { .. }) && opened.head.status.is_success();
@@ -251,27 +210,3 @@
     let head = answer_head(cx, head);
     Tried::Answered { answer: Response::from_parts(head, whole(collected.to_bytes())), is_failure }
 }
-
-/// Counts an answered request by its route and status.
-pub(super) fn count_answer(job: &Job, status: StatusCode, now: SystemTime) {
-    let took = now.duration_since(job.arrived).unwrap_or_default();
-    metrics::histogram!("request_seconds", "route" => job.route.name.clone()).record(took.as_secs_f64());
-    metrics::counter!("requests_answered", "route" => job.route.name.clone(), "status" => status.as_str().to_owned())
-        .increment(1);
-}
-
-/// Writes the line of a request that got a whole answer.
-fn log_answer(job: &Job, endpoint: &ListedEndpoint, status: StatusCode, now: SystemTime) {
-    count_answer(job, status, now);
-    let took = now.duration_since(job.arrived).unwrap_or_default();
-    log::info!(
-        request = job.id.as_str(),
-        route = job.route.name.as_str(),
-        endpoint = endpoint.id.as_str(),
-        version = endpoint.version.as_str(),
-        status = status.as_u16(),
-        tries = job.tried.len(),
-        took_ms = took.as_millis() as u64;
-        "request answered"
-    );
-}
--- a/havengrade_router/src/published/job.rs
+++ b/havengrade_router/src/published/job.rs
@@ -15,7 +15,7 @@
 use hyper::{Version, body::Incoming, header, http::request};
 use tokio::time::timeout;
 
-use crate::published::{context::PublishedContext, ports::CallerFacts, program::is_too_late, refuse::Refusal};
+use crate::published::{context::PublishedContext, ports::CallerFacts, refuse::Refusal, stopping::is_too_late};
 
 /// Time after which a first event is looked for elsewhere, as a multiple of the route's target.
 const FIRST_EVENT_FACTOR: f64 = 1.5;
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -3,6 +3,7 @@
 //! What differs between deployments (names of headers, formats of records, where configuration is kept)
 //! is behind the traits in [`ports`].
 
+mod answers;
 pub mod channels;
 mod choose;
 pub mod configured;
@@ -24,8 +25,11 @@
 mod roster;
 pub mod server;
 mod starting;
+mod stopping;
 mod store_view;
 mod take;
 mod takers;
 mod tries;
+mod vms;
 mod wire;
+mod written;
--- a/havengrade_router/src/published/parts.rs
+++ b/havengrade_router/src/published/parts.rs
@@ -10,7 +10,10 @@
 use havengrade_core::published::{directory::DirectoryEvent, peers::Peer, rollout::RolloutOrder, route::Publication};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{published::context::PublishedContext, shared::lock};
+use crate::{
+    published::{context::PublishedContext, written::once},
+    shared::lock,
+};
 
 /// Largest text of a part once it is inflated, in bytes: thirty times the store's largest record, or 40,000 endpoints.
 const MAX_INFLATED: u64 = 8 << 20;
@@ -28,17 +31,6 @@
 /// The VMs that are known, each with the time since it was heard from.
 pub(super) type VmsPart = Vec<(Peer, Duration)>;
 
-/// A text and the revision of what it says.
-type Text = Option<(u64, Bytes)>;
-
-/// The texts that were written last; each is written once, since many VMs ask at the same time.
-#[derive(Debug, Default)]
-pub(super) struct WrittenParts {
-    operators: Text,
-    endpoints: Text,
-    vms: Text,
-}
-
 /// The text of what operators wrote up to a position.
 pub(super) fn operators_text(cx: &PublishedContext, position: u64) -> io::Result<Bytes> {
     let mut written = lock(&cx.shared.written);
@@ -66,15 +58,6 @@
     once(&mut written.vms, revision, || deflate(&told))
 }
 
-fn once(text: &mut Text, revision: u64, write: impl FnOnce() -> io::Result<Bytes>) -> io::Result<Bytes> {
-    if let Some((_, written)) = text.as_ref().filter(|(at, _)| *at == revision) {
-        return Ok(written.clone());
-    }
-    let written = write()?;
-    *text = Some((revision, written.clone()));
-    Ok(written)
-}
-
 /// Writes a part.
 pub(super) fn deflate<T: Serialize>(part: &T) -> io::Result<Bytes> {
     let mut deflated = DeflateEncoder::new(Vec::new(), Compression::fast());
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -21,9 +21,7 @@
     net::Datagrams,
     published::{
         context::PublishedContext,
-        ports::Roster,
         rollouts::told_rollout,
-        roster::{keep_roster, me},
         store_view::{Questions, answer, hint},
         wire::{Report, ToldRollout, decode_report, encode_report},
     },
@@ -55,16 +53,8 @@
 /// States of roll-outs that a report names.
 const MAX_ROLLOUTS: usize = 4;
 
-/// The service, until it is started.
-pub(super) struct PeersService {
-    roster: Mutex<Option<Box<dyn Roster>>>,
-}
-
-impl PeersService {
-    pub(super) fn new(roster: Box<dyn Roster>) -> Self {
-        Self { roster: Mutex::new(Some(roster)) }
-    }
-}
+/// The service.
+pub(super) struct PeersService;
 
 #[async_trait]
 impl Service<PublishedContext> for PeersService {
@@ -73,10 +63,9 @@
     }
 
     async fn start(&self, cx: &PublishedContext) -> Result<ActorCell, StartError> {
-        let Some(roster) = lock(&self.roster).take() else { return Err(StartError::Missing { name: NAME }) };
         let address = cx.shared.settings.listen.peers;
         let socket = cx.network.datagrams(address).await.context(BindSnafu { key: "listen.peers", address })?;
-        spawn(NAME, cx, PeersActor, Arguments { cx: cx.clone(), roster, socket }).await
+        spawn(NAME, cx, PeersActor, Arguments { cx: cx.clone(), socket }).await
     }
 }
 
@@ -100,7 +89,6 @@
 
 struct Arguments {
     cx: PublishedContext,
-    roster: Box<dyn Roster>,
     socket: Arc<dyn Datagrams>,
 }
 
@@ -127,8 +115,7 @@
         myself: ActorRef<PeersMessage>,
         arguments: Arguments,
     ) -> Result<PeersState, ActorProcessingErr> {
-        let Arguments { cx, roster, socket } = arguments;
-        cx.connections.spawn(cx.end.clone().run_until_cancelled_owned(keep_roster(cx.clone(), roster)));
+        let Arguments { cx, socket } = arguments;
         let questions = Arc::new(Mutex::new(Questions::default()));
         let tasks = [
             tick(myself, LOOK_EVERY, || PeersMessage::Look),
@@ -240,7 +227,7 @@
 }
 
 fn own_report(cx: &PublishedContext, seq: u64, work: &[(EndpointId, Work)]) -> Report {
-    let peer = me(cx);
+    let peer = cx.me();
     let rollouts = cx.shared.rollouts();
     let mut evidence = rollouts.own_evidence(cx.shared.incarnation);
     evidence.truncate(MAX_EVIDENCE);
--- a/havengrade_router/src/published/program.rs
+++ b/havengrade_router/src/published/program.rs
@@ -30,7 +30,9 @@
         peers::PeersService,
         ports::Ports,
         rollouts::RolloutService,
+        roster::keep_roster,
         server::{metrics_page, readiness, serve_callers, serve_page},
+        stopping::{BALANCER_NOTICE, stop_limit},
     },
     router::Parts,
     settings::Settings,
@@ -38,10 +40,6 @@
 
 /// Time between two looks at whether a planned stop is over.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
-/// Time that a balancer takes to notice that this VM is no longer ready: two questions, a second apart.
-const BALANCER_NOTICE: Duration = Duration::from_millis(2500);
-/// Time before the end of the grace at which the last connections are cut.
-const CUT_MARGIN: Duration = Duration::from_millis(700);
 /// Time that the last answers have to be written.
 const CLOSE_LIMIT: Duration = Duration::from_millis(300);
 
@@ -82,9 +80,10 @@
             Box::new(RolloutService::new(statuses)),
             Box::new(FollowService::operators(operators)),
             Box::new(FollowService::endpoints(endpoints)),
-            Box::new(PeersService::new(roster)),
+            Box::new(PeersService),
         ];
         let kernel = Kernel::start(services, &cx).await?;
+        cx.connections.spawn(cx.end.clone().run_until_cancelled_owned(keep_roster(cx.clone(), roster)));
         let mut servers = Vec::new();
         if hands_news_on {
             let state = bind(&cx, "listen.peers", cx.shared.settings.listen.peers).await?;
@@ -159,19 +158,6 @@
     }
 }
 
-/// Time from the beginning of a planned stop until what is still open is cut.
-fn stop_limit(cx: &PublishedContext) -> Duration {
-    Duration::from_secs_f64(cx.shared.tuning().grace_s).saturating_sub(CUT_MARGIN)
-}
-
-/// Whether a request that arrives now, and may take `longest`, could be cut by a planned stop.
-///
-/// Until the balancer has noticed the stop, requests are taken all the same: they have nowhere else to go.
-pub(super) fn is_too_late(cx: &PublishedContext, longest: Duration, now: SystemTime) -> bool {
-    let since = cx.shared.drain_since();
-    since.is_some_and(|since| now >= since + BALANCER_NOTICE && now + longest > since + stop_limit(cx))
-}
-
 async fn bind(cx: &PublishedContext, key: &'static str, address: SocketAddr) -> Result<Box<dyn Listener>, StartError> {
     cx.network.bind(address).await.context(BindSnafu { key, address })
 }
--- a/havengrade_router/src/published/roster.rs
+++ b/havengrade_router/src/published/roster.rs
@@ -4,18 +4,17 @@
 
 use havengrade_core::published::{
     peers::Peer,
-    relay::Readers,
     start::{entry_spread, retry_after},
 };
-use rand::{RngExt as _, seq::IteratorRandom as _};
+use rand::RngExt as _;
 use tokio::time::sleep;
 
 use crate::published::{
     context::PublishedContext,
     peers::greet,
-    ports::{Roster, StoreError},
+    ports::Roster,
     starting::{find_others, learn_state},
-    take::{Wanted, take},
+    vms::{addresses, ask_one, read_list},
 };
 
 /// Times of the first looks after a start: some enter after the list was read first, and while they do, VMs don't agree yet on
@@ -28,20 +27,9 @@
 /// Part of that time by which the VMs of a fleet are spread.
 const LOOK_SPREAD: f64 = 0.5;
 
-/// This VM, as others know it.
-pub(super) fn me(cx: &PublishedContext) -> Peer {
-    let settings = &cx.shared.settings;
-    Peer {
-        vm: settings.vm.id.clone(),
-        incarnation: cx.shared.incarnation,
-        address: settings.listen.peers,
-        failure_domain: settings.vm.failure_domain.clone(),
-    }
-}
-
 /// Enters this VM on the kept list, learns of the others and of what is in force, and leaves the list at a planned stop.
 pub(super) async fn keep_roster(cx: PublishedContext, roster: Box<dyn Roster>) {
-    let me = me(&cx);
+    let me = cx.me();
     let known = async {
         find_others(&cx, &*roster).await;
         // Alone, a VM must be on the list before others look. Otherwise callers come first: the list takes one entry a
@@ -94,43 +82,6 @@
     }
 }
 
-/// Where the VMs that are known hear reports.
-pub(super) fn addresses(cx: &PublishedContext) -> Vec<SocketAddr> {
-    cx.shared.peers().all().map(|peer| peer.address).collect()
-}
-
 fn spread(cx: &PublishedContext, pause: Duration) -> Duration {
     pause.mul_f64(1.0 + LOOK_SPREAD * cx.shared.rng().random::<f64>())
 }
-
-/// Asks one of the VMs that read the store whom it knows.
-async fn ask_one(cx: &PublishedContext) -> bool {
-    let Some(other) = any_reader(cx) else { return false };
-    let taken = take(cx, other, Wanted::Everything).await;
-    if let Err(error) = &taken {
-        log::info!("{other} did not tell whom it knows: {error}");
-    }
-    taken.is_ok()
-}
-
-fn any_reader(cx: &PublishedContext) -> Option<SocketAddr> {
-    let me = &cx.shared.settings.vm.id;
-    let peers = cx.shared.peers();
-    let vms = peers.all().map(|peer| &peer.vm).chain([me]);
-    let readers = Readers::default().among(vms, me, cx.shared.clock.now());
-    let others = readers.into_iter().filter(|vm| *vm != me);
-    others.filter_map(|vm| peers.address(vm)).choose(&mut *cx.shared.rng())
-}
-
-/// Reads the kept list.
-pub(super) async fn read_list(cx: &PublishedContext, roster: &dyn Roster) -> Result<(), StoreError> {
-    let listed = roster.read().await?;
-    let now = cx.shared.clock.now();
-    let mut known = cx.shared.peers();
-    known.set_listed();
-    for peer in listed.into_iter().filter(|peer| peer.vm != cx.shared.settings.vm.id) {
-        known.list(peer, now);
-    }
-    log::info!(vms = known.len(); "list of VMs read");
-    Ok(())
-}
--- a/havengrade_router/src/published/starting.rs
+++ b/havengrade_router/src/published/starting.rs
@@ -16,8 +16,8 @@
     context::PublishedContext,
     follow, peers,
     ports::Roster,
-    roster::{addresses, read_list},
     take::{Wanted, take},
+    vms::{addresses, read_list},
 };
 
 /// Longest time between two rounds of questions, for a VM that nobody tells and that reads the store itself.
--- /dev/null
+++ b/havengrade_router/src/published/vms.rs
@@ -0,0 +1,49 @@
+//! The other VMs that are known: read from the kept list, or told by a VM that reads it.
+
+use std::net::SocketAddr;
+
+use havengrade_core::published::relay::Readers;
+use rand::seq::IteratorRandom as _;
+
+use crate::published::{
+    context::PublishedContext,
+    ports::{Roster, StoreError},
+    take::{Wanted, take},
+};
+
+/// Where the VMs that are known hear reports.
+pub(super) fn addresses(cx: &PublishedContext) -> Vec<SocketAddr> {
+    cx.shared.peers().all().map(|peer| peer.address).collect()
+}
+
+/// Reads the kept list.
+pub(super) async fn read_list(cx: &PublishedContext, roster: &dyn Roster) -> Result<(), StoreError> {
+    let listed = roster.read().await?;
+    let now = cx.shared.clock.now();
+    let mut known = cx.shared.peers();
+    known.set_listed();
+    for peer in listed.into_iter().filter(|peer| peer.vm != cx.shared.settings.vm.id) {
+        known.list(peer, now);
+    }
+    log::info!(vms = known.len(); "list of VMs read");
+    Ok(())
+}
+
+/// Asks one of the VMs that read the store whom it knows.
+pub(super) async fn ask_one(cx: &PublishedContext) -> bool {
+    let Some(other) = any_reader(cx) else { return false };
+    let taken = take(cx, other, Wanted::Everything).await;
+    if let Err(error) = &taken {
+        log::info!("{other} did not tell whom it knows: {error}");
+    }
+    taken.is_ok()
+}
+
+fn any_reader(cx: &PublishedContext) -> Option<SocketAddr> {
+    let me = &cx.shared.settings.vm.id;
+    let peers = cx.shared.peers();
+    let vms = peers.all().map(|peer| &peer.vm).chain([me]);
+    let readers = Readers::default().among(vms, me, cx.shared.clock.now());
+    let others = readers.into_iter().filter(|vm| *vm != me);
+    others.filter_map(|vm| peers.address(vm)).choose(&mut *cx.shared.rng())
+}
