Let VMs that ask at the same moment wait for those that are served first

Cause: what is in force was handed to all that asked before anyone was served, each VM asked two others every 20 ms, and each answer held the list of VMs. Change: a VM serves four, lets others wait for at most 0.3 s and then names those that were served; rounds every 50 ms; the list of VMs goes only to VMs without one; VMs that nobody tells read the store 20 ms apart; every other question still goes to any VM, since those that would read first may be gone.

--- a/havengrade_core/src/published/handing.rs
+++ b/havengrade_core/src/published/handing.rs
@@ -17,6 +17,8 @@
     Serve,
     /// Name this VM, which was handed the same.
     Instead(SocketAddr),
+    /// Let it wait: the link is busy, and nobody was served yet whom it could ask.
+    Later,
 }
 
 /// The VMs that are being served and those that were.
@@ -31,27 +33,28 @@
 impl Handing {
     /// Decides on a VM that asks for what stands at a revision.
     ///
-    /// Without anyone to name, it is served although others are.
+    /// Those that come at once before anyone was served wait: served together, with a list of 3,000 endpoints to each of
+    /// a hundred, none of them would be served within the time limits.
     ///
     /// ```
     /// use havengrade_core::published::handing::{Admission, Handing};
     ///
     /// let mut handing = Handing::default();
     /// let taker = "10.0.0.2:80".parse().unwrap();
-    /// assert_eq!(handing.admit(7), Admission::Serve);
-    /// handing.end(7, Some(taker));
     /// (0..4).for_each(|_| assert_eq!(handing.admit(7), Admission::Serve));
+    /// assert_eq!(handing.admit(7), Admission::Later);
+    /// handing.end(7, Some(taker));
+    /// assert_eq!(handing.admit(7), Admission::Serve);
     /// assert_eq!(handing.admit(7), Admission::Instead(taker));
-    /// assert_eq!(handing.admit(8), Admission::Serve, "nobody has the newer one yet");
+    /// assert_eq!(handing.admit(8), Admission::Later, "nobody has the newer one yet");
     /// ```
     pub fn admit(&mut self, revision: u64) -> Admission {
         if revision != self.revision {
             self.revision = revision;
             self.served.clear();
         }
-        if self.busy >= AT_ONCE
-            && let Some(instead) = self.served.pop_front()
-        {
+        if self.busy >= AT_ONCE {
+            let Some(instead) = self.served.pop_front() else { return Admission::Later };
             self.served.push_back(instead);
             return Admission::Instead(instead);
         }
--- a/havengrade_core/src/published/start.rs
+++ b/havengrade_core/src/published/start.rs
@@ -29,9 +29,9 @@
 /// The first ones need some 20 ms for their reads and hand on in a tree of two or three levels.
 pub const UNTOLD_LIMIT: Duration = Duration::from_millis(200);
 /// Time between two VMs of a failure domain that read the store since nobody told them.
-const UNTOLD_STEP: Duration = Duration::from_millis(10);
+const UNTOLD_STEP: Duration = Duration::from_millis(20);
 /// Time between two rounds.
-pub const ROUND: Duration = Duration::from_millis(20);
+pub const ROUND: Duration = Duration::from_millis(50);
 /// Least time after which the store is tried again that did not answer a VM that starts.
 const LEAST_RETRY: Duration = Duration::from_millis(100);
 /// Part of the time that the store has been away after which it is tried again.
@@ -97,14 +97,20 @@
 
     /// Whom to ask in a round; rounds count from 0.
     ///
-    /// At first any VM, since in a fleet that lives all of them know. Later by turns those that read the store first
-    /// and any.
+    /// At first any VM, since in a fleet that lives all of them know. Later, in every other round, one of those that read the
+    /// store first and any other.
     pub fn ask(&self, round: usize, rng: &mut dyn Rng) -> Vec<SocketAddr> {
+        let mut asked = self.any(rng);
         if round % 2 == 1 {
             let order = self.order();
             let first = order.iter().take(order.len().div_ceil(VMS_A_FIRST));
-            return first.filter_map(|(_, _, address)| *address).sample(rng, ASKED_AT_ONCE);
+            asked.truncate(1);
+            asked.extend(first.filter_map(|(_, _, address)| *address).choose(rng));
         }
+        asked
+    }
+
+    fn any(&self, rng: &mut dyn Rng) -> Vec<SocketAddr> {
         let near = self.others.iter().filter(|peer| peer.failure_domain == self.domain);
         let mut asked: Vec<SocketAddr> = near.map(|peer| peer.address).sample(rng, ASKED_AT_ONCE);
         if asked.len() < ASKED_AT_ONCE {
--- a/havengrade_router/src/published/hand_on.rs
+++ b/havengrade_router/src/published/hand_on.rs
@@ -14,7 +14,7 @@
     reports::{StateHead, StatePart, StateQuestion},
 };
 use snafu::{OptionExt as _, ResultExt as _, Snafu};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
     net::{BoxConnection, Listener},
@@ -33,11 +33,18 @@
 /// Time for which one frame is waited for: at least 330 kbit/s, a sixtieth of the smallest link that was seen.
 pub(super) const FRAME_LIMIT: Duration = Duration::from_millis(400);
 
+/// Time for which a VM waits for others to be served; less than it waits for the first frame.
+const WAIT_LIMIT: Duration = Duration::from_millis(300);
+/// Time between two looks whether others were served: a fraction of the time in which one is.
+const WAIT_STEP: Duration = Duration::from_millis(10);
+
 /// Why a VM was not handed what it asked for.
 #[derive(Debug, Snafu)]
 enum HandError {
     #[snafu(display("it left"))]
     Left,
+    #[snafu(display("others were served all the time"))]
+    Busy,
     #[snafu(display("it took too long"))]
     Late,
     #[snafu(display("the connection broke: {source}"))]
@@ -75,15 +82,19 @@
     let frame = timeout(FRAME_LIMIT, frames.next()).await.ok().context(LateSnafu)?;
     let frame = frame.context(LeftSnafu)?.context(BrokenSnafu)?;
     let question: StateQuestion = havengrade_rpc::decode(&frame).context(MessageSnafu)?;
-    if question.wants_vms && question.operators_position.is_some() {
-        // It wants to know whom this very VM knows, some time after its start; few ask at the same time.
+    let is_small = question.wants_vms && question.operators_position.is_some();
+    if is_small || !cx.shared.knows_state() {
+        // It only wants to know whom this very VM knows, or learns no more here.
         return hand(cx, &question, &mut frames).await.map(drop);
     }
-    let revision = revision(cx);
-    let admission = lock(&cx.shared.handing).admit(revision);
-    if let Admission::Instead(other) = admission {
-        let head = StateHead { ask_instead: Some(other.to_string()), ..empty_head() };
-        return send_head(&mut frames, &head).await;
+    let (admission, revision) = admit(cx).await;
+    match admission {
+        Admission::Serve => {},
+        Admission::Later => return BusySnafu.fail(),
+        Admission::Instead(other) => {
+            let head = StateHead { ask_instead: Some(other.to_string()), ..empty_head() };
+            return send_head(&mut frames, &head).await;
+        },
     }
     let served = hand(cx, &question, &mut frames).await;
     let taker: Option<SocketAddr> = question.address.parse().ok();
@@ -92,6 +103,19 @@
     served.map(drop)
 }
 
+/// Decides on a VM that asks, once it may be served or another one can be named; at what revision.
+async fn admit(cx: &PublishedContext) -> (Admission, u64) {
+    let until = Instant::now() + WAIT_LIMIT;
+    loop {
+        let revision = revision(cx);
+        let admission = lock(&cx.shared.handing).admit(revision);
+        if admission != Admission::Later || Instant::now() >= until {
+            return (admission, revision);
+        }
+        sleep(WAIT_STEP).await;
+    }
+}
+
 /// A number that rises whenever what is in force changes.
 fn revision(cx: &PublishedContext) -> u64 {
     let view = cx.shared.view();
--- a/havengrade_router/src/published/take.rs
+++ b/havengrade_router/src/published/take.rs
@@ -165,7 +165,8 @@
         (view.operators, cx.shared.knows_endpoints().then(|| view.endpoints.position()))
     };
     let address = cx.shared.settings.listen.peers.to_string();
-    StateQuestion::new(address, operators.map(to_i64), endpoints.map(to_i64), wanted == Wanted::Everything)
+    let wants_vms = wanted == Wanted::Everything && (operators.is_some() || !cx.shared.peers().is_listed());
+    StateQuestion::new(address, operators.map(to_i64), endpoints.map(to_i64), wants_vms)
 }
 
 async fn next(frames: &mut Frames<BoxConnection>) -> Result<BytesMut, TakeError> {
