--- a/havengrade_core/src/published/start.rs
+++ b/havengrade_core/src/published/start.rs
@@ -14,8 +14,8 @@
 
 /// Longest time for which a VM listens for others before it reads the list of VMs.
 ///
-/// With 200 ms the standard day on
-/// which all start again was worth 0.013 less on one small site and as much on two others (six seeds each).
+/// With 200 ms here, and with 350 ms of `UNTOLD_LIMIT` and longer rounds, a day on which all start again was worth 0.013 less on
+/// one small site and as much on two others (six seeds each).
 pub const LISTEN: Duration = Duration::from_millis(60);
 /// VMs for each of which one reads the store itself where nobody knows anything yet.
 ///
