Tell repeats of a request by a mark, and look whether an endpoint has ended where a try broke

Cause: lines and metrics could not tell that two attempts are the same request, nor a crash of an endpoint from a lost connection, so that the hypotheses on the crashing request could not be told apart. No decision rests on either. Ruled out: the endpoint's entry in the list: it lapses 2 to 4 s after a crash, at times while the endpoint lives.

--- a/havengrade_core/src/lib.rs
+++ b/havengrade_core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod evidence;
 pub mod ids;
 pub mod ledger;
+pub mod mark;
 pub mod membership;
 pub mod published;
 pub mod ranking;
--- a/havengrade_router/src/endpoints.rs
+++ b/havengrade_router/src/endpoints.rs
@@ -44,6 +44,8 @@
     ejected_until: AtomicU64,
     /// When there was last a sign of it, in milliseconds since the Unix epoch; 0 for never.
     heard: AtomicU64,
+    /// When a look at it was last begun, in milliseconds since the Unix epoch; 0 for never.
+    looked: AtomicU64,
 }
 
 impl Default for EndpointSlot {
@@ -58,6 +60,7 @@
             failures: AtomicU32::default(),
             ejected_until: AtomicU64::default(),
             heard: AtomicU64::default(),
+            looked: AtomicU64::default(),
         }
     }
 }
@@ -101,6 +104,12 @@
         from_millis(self.heard.load(Ordering::Relaxed))
     }
 
+    /// Begins a look at the endpoint, unless one was begun less than `pause` ago; tells whether it is to be made.
+    pub fn begin_look(&self, pause: Duration, now: SystemTime) -> bool {
+        let is_due = |at: u64| from_millis(at).is_none_or(|at| now >= at + pause);
+        self.looked.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |at| is_due(at).then(|| to_millis(now))).is_ok()
+    }
+
     /// Notes that the endpoint no longer reports.
     pub fn fall_silent(&self) {
         self.is_silent.store(true, Ordering::Relaxed);
--- a/havengrade_router/src/published/channels.rs
+++ b/havengrade_router/src/published/channels.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, SystemTime},
@@ -20,7 +21,10 @@
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::{net::Network, shared::lock};
+use crate::{
+    net::{BoxConnection, Network},
+    shared::lock,
+};
 
 /// Time for which an idle connection is kept where its endpoint names none.
 const DEFAULT_KEEP: Duration = Duration::from_secs(3);
@@ -31,6 +35,28 @@
 /// Time in which a kept connection must be ready for the next request.
 const READY_LIMIT: Duration = Duration::from_millis(30);
 
+/// What a look at an endpoint found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It takes connections.
+    Answers,
+    /// Nobody listens at its address: it has ended.
+    Refuses,
+    /// Nothing came back.
+    Silent,
+}
+
+impl Presence {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answers => "answers",
+            Self::Refuses => "refuses",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// Why a request got no answer's head.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(super)))]
@@ -85,6 +111,21 @@
     }
 }
 
+/// Makes a connection that came about ready for requests.
+async fn greet(connection: BoxConnection, address: SocketAddr) -> Result<Channel, ChannelError> {
+    metrics::counter!("endpoint_connections_opened").increment(1);
+    let (sender, driver) = match http1::handshake(TokioIo::new(connection)).await {
+        Ok(parts) => parts,
+        Err(error) => return NotSentSnafu { reason: error.to_string() }.fail(),
+    };
+    let driver = AbortOnDropHandle::new(tokio::spawn(async move {
+        if let Err(error) = driver.await {
+            log::debug!("connection to {address} ended: {error}");
+        }
+    }));
+    Ok(Channel { sender, _driver: driver, keep: DEFAULT_KEEP })
+}
+
 struct Idle {
     channel: Channel,
     since: SystemTime,
@@ -135,23 +176,27 @@
         None
     }
 
+    /// Looks whether an endpoint is there; a connection that comes about is kept for the next request.
+    pub async fn look(&self, endpoint: &str, address: SocketAddr, now: SystemTime) -> Presence {
+        match timeout(self.connect_timeout, self.network.connect(address)).await {
+            Ok(Ok(connection)) => {
+                if let Ok(channel) = greet(connection, address).await {
+                    self.keep(endpoint, channel, now);
+                }
+                Presence::Answers
+            },
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Presence::Refuses,
+            Ok(Err(_)) | Err(_) => Presence::Silent,
+        }
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Channel, ChannelError> {
         let connection = match timeout(self.connect_timeout, self.network.connect(address)).await {
             Ok(Ok(connection)) => connection,
             Ok(Err(error)) => return NotSentSnafu { reason: format!("no connection to {address}: {error}") }.fail(),
             Err(_) => return NotSentSnafu { reason: format!("no connection to {address} in time") }.fail(),
         };
-        metrics::counter!("endpoint_connections_opened").increment(1);
-        let (sender, driver) = match http1::handshake(TokioIo::new(connection)).await {
-            Ok(parts) => parts,
-            Err(error) => return NotSentSnafu { reason: error.to_string() }.fail(),
-        };
-        let driver = AbortOnDropHandle::new(tokio::spawn(async move {
-            if let Err(error) = driver.await {
-                log::debug!("connection to {address} ended: {error}");
-            }
-        }));
-        Ok(Channel { sender, _driver: driver, keep: DEFAULT_KEEP })
+        greet(connection, address).await
     }
 
     /// Keeps a connection whose answer was read to its end.
--- a/havengrade_router/src/published/events.rs
+++ b/havengrade_router/src/published/events.rs
@@ -26,6 +26,7 @@
         choose::choose,
         context::PublishedContext,
         job::Job,
+        looks::note_break,
         pace::Pace,
         refuse::{AnswerBody, BodyError},
         rewrite::answer_head,
@@ -170,6 +171,7 @@
                 awaited.end();
                 note_broken(cx, job, &source.made.endpoint);
             }
+            note_break(cx, job, &source.made.endpoint);
             fail(cx, &source.made.endpoint);
             return Err(RunState::MayHaveRun);
         },
@@ -235,6 +237,7 @@
             if broken == Broken::CutOff {
                 note_broken(&self.cx, &job, &source.made.endpoint);
             }
+            note_break(&self.cx, &job, &source.made.endpoint);
             fail(&self.cx, &source.made.endpoint);
             // The run that broke off is ended before another one goes on.
             drop(source);
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -16,6 +16,7 @@
     context::PublishedContext,
     events,
     job::{Job, admit},
+    looks::note_break,
     refuse::{AnswerBody, Refusal, whole},
     rewrite::answer_head,
     tries::{LIMIT_SLACK, Opened, fail, log_try, open},
@@ -204,6 +205,7 @@
     let Ok(Ok(collected)) = collected else {
         log_try(job, endpoint, "the answer broke off");
         note_broken(cx, job, endpoint);
+        note_break(cx, job, endpoint);
         fail(cx, endpoint);
         return Tried::Failed(RunState::MayHaveRun);
     };
--- a/havengrade_router/src/published/job.rs
+++ b/havengrade_router/src/published/job.rs
@@ -1,10 +1,14 @@
 //! A request on its way: what is known of it, and how it is let in.
 
-use std::time::{Duration, SystemTime};
+use std::{
+    sync::OnceLock,
+    time::{Duration, SystemTime},
+};
 
 use bytes::Bytes;
 use havengrade_core::{
     ids::{AccountId, EndpointId, ServiceId},
+    mark::{RequestMark, mark},
     published::{
         attempt::{Attempts, Promise, RunState},
         route::{AnswerShape, PublishedRoute, Repeat, RouteTable},
@@ -51,6 +55,8 @@
     pub(super) limit: SystemTime,
     /// Whether the next try was taken out of the retry budget already.
     pub(super) has_paid: bool,
+    /// What it is known by, once that was asked for.
+    mark: OnceLock<RequestMark>,
     /// Tries so far.
     pub(super) attempts: Attempts,
     /// Endpoints that were tried.
@@ -63,6 +69,21 @@
         self.account.is_some()
     }
 
+    /// What it is known by over all its repeats: host, path, client account and body; worked out when it is first asked for.
+    pub(super) fn mark(&self) -> RequestMark {
+        *self.mark.get_or_init(|| {
+            let host = self.head.headers.get(header::HOST).map(|host| host.as_bytes().to_ascii_lowercase());
+            let path = self.head.uri.path_and_query().map_or("", |path| path.as_str());
+            mark(&[
+                self.head.method.as_str().as_bytes(),
+                &host.unwrap_or_default(),
+                path.as_bytes(),
+                self.account.as_deref().unwrap_or_default().as_bytes(),
+                &self.body,
+            ])
+        })
+    }
+
     /// Time until its answer must have ended.
     pub(super) fn time_left(&self, now: SystemTime) -> Duration {
         self.limit.duration_since(now).unwrap_or_default()
@@ -143,6 +164,7 @@
         model,
         arrived,
         has_paid: false,
+        mark: OnceLock::new(),
         tried: Vec::new(),
     })
 }
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -15,6 +15,7 @@
 mod framing;
 mod hand_on;
 mod job;
+mod looks;
 mod pace;
 mod parts;
 pub mod peers;
--- a/havengrade_router/src/published/tries.rs
+++ b/havengrade_router/src/published/tries.rs
@@ -14,6 +14,7 @@
         choose::Chosen,
         context::PublishedContext,
         job::Job,
+        looks::note_break,
         ports::EndpointHead,
         rewrite::encode,
     },
@@ -148,6 +149,9 @@
     if matches!(error, ChannelError::Lost { .. }) {
         note_broken(cx, job, endpoint);
     }
+    if state == RunState::MayHaveRun {
+        note_break(cx, job, endpoint);
+    }
     // One refused connection says more than a failed answer does.
     fail_after(cx, endpoint, if state == RunState::NotSent { 1 } else { EJECT_AFTER });
     state
@@ -176,6 +180,7 @@
         request = job.id.as_str(),
         endpoint = endpoint.id.as_str(),
         version = endpoint.version.as_str(),
+        mark = format!("{:016x}", job.mark()).as_str(),
         tries = job.tried.len();
         "try failed: {outcome}"
     );
