--- /dev/null
+++ b/havengrade_core/src/blame.rs
@@ -0,0 +1,133 @@
+//! Which requests are to blame where endpoints end while several are in progress there.
+
+use std::{
+    cmp::Reverse,
+    collections::HashMap,
+    time::{Duration, SystemTime},
+};
+
+use crate::{
+    answered::Run,
+    ids::EndpointId,
+    mark::{RequestMark, VersionMark},
+};
+
+/// Crashes that nothing else explains for which a request is held back. The users allow three crashes and three sends after the third one;
+/// with two, an innocent request that was in progress at two endpoints that ended would be held.
+const ENOUGH: usize = 3;
+/// Crashes that nothing else explains from which on a request may explain those of others that were there with it.
+const LIKELY: usize = 2;
+/// Crashes by which a request that ran for as short may exceed another one that explains some of them.
+const LEAD: usize = 1;
+/// Crashes that are enough whatever else was there. An innocent request is sent a few times by its caller and by the router, so that it is not
+/// at as many.
+const CERTAIN: usize = 6;
+/// The same for a request that is likely to be innocent: an endpoint of the same version answered it lately, or it ran for longer when
+/// endpoints ended than others did. One that comes often is in progress at many endpoints, and several causes at once end many of them.
+const DESPITE_DOUBT: usize = 12;
+/// How many times longer that must be.
+const LONGER: u32 = 2;
+/// Time within which what VMs saw at an endpoint is one crash: an endpoint takes longer to come back, and what VMs tell each other of a
+/// moment differs by the time that a report takes.
+const SAME_CRASH: Duration = Duration::from_millis(1000);
+
+/// An endpoint ended while a request was in progress there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Sight {
+    /// The endpoint.
+    pub(crate) endpoint: EndpointId,
+    /// Version of the endpoint.
+    pub(crate) version: VersionMark,
+    /// Time from when the request was sent there until it broke.
+    pub(crate) ran_for: Duration,
+    /// When the request broke.
+    pub(crate) at: SystemTime,
+}
+
+impl Sight {
+    /// Whether both are of the same crash.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        self.endpoint == other.endpoint && is_same_moment(self.at, other.at)
+    }
+}
+
+/// Whether two moments at an endpoint belong to one crash.
+pub(crate) fn is_same_moment(one: SystemTime, other: SystemTime) -> bool {
+    let apart = one.duration_since(other).or_else(|_| other.duration_since(one));
+    apart.is_ok_and(|apart| apart < SAME_CRASH)
+}
+
+/// The crashes that each request saw.
+pub(crate) type Sights = HashMap<RequestMark, Vec<Sight>>;
+
+/// A request to hold back, with the crashes that nothing else explains.
+pub(crate) struct Blamed {
+    pub(crate) mark: RequestMark,
+    pub(crate) crashes: Vec<Sight>,
+}
+
+/// The requests to hold back that are not held yet.
+///
+/// A crash is explained by a request that is held already, or by one that is more likely the cause and was at others as well. An endpoint
+/// ends soon after the cause was sent there, so those are more likely that ran for the shortest times, and of those that ran for about as
+/// long, those that were at the most crashes. One that was there for long, or
+/// that comes so often that it is everywhere, ran for any time when an endpoint ended.
+pub(crate) fn to_blame(
+    sights: &Sights,
+    is_held: impl Fn(RequestMark) -> bool,
+    is_answered: impl Fn(&Run) -> bool,
+) -> Vec<Blamed> {
+    // Each with the crashes that the request was at which explains it.
+    let held = sights.iter().filter(|(mark, _)| is_held(**mark)).flat_map(|(_, seen)| seen);
+    let mut explained: Vec<(&Sight, usize)> = held.map(|sight| (sight, usize::MAX)).collect();
+    let mut blamed = Vec::new();
+    let suspects = suspects(sights, is_held);
+    let likely = suspects.iter().filter(|suspect| suspect.seen.len() >= ENOUGH).map(Suspect::ran_for).min();
+    for suspect in suspects {
+        let is_late = likely.is_some_and(|likely| suspect.ran_for() > likely * LONGER);
+        let Suspect { mark, seen } = suspect;
+        // One that is as quick, and was at many more crashes, is not explained by the other.
+        let may_explain = |crashes: usize| is_late || seen.len() <= crashes.saturating_add(LEAD);
+        let is_open =
+            |sight: &&&Sight| !explained.iter().any(|(known, crashes)| may_explain(*crashes) && known.is_same(sight));
+        let open: Vec<&Sight> = seen.iter().filter(is_open).copied().collect();
+        let is_answered = seen.iter().any(|sight| is_answered(&(mark, sight.version)));
+        let is_certain = seen.len() >= if is_answered || is_late { DESPITE_DOUBT } else { CERTAIN };
+        let is_enough = is_certain || (!is_answered && open.len() >= ENOUGH);
+        if is_enough {
+            blamed.push(Blamed { mark, crashes: seen.iter().copied().cloned().collect() });
+        }
+        if is_enough || (!is_answered && open.len() >= LIKELY) {
+            explained.extend(open.into_iter().map(|sight| (sight, seen.len())));
+        }
+    }
+    blamed
+}
+
+/// A request that is not held back and was at several crashes.
+struct Suspect<'a> {
+    mark: RequestMark,
+    seen: Vec<&'a Sight>,
+}
+
+impl Suspect<'_> {
+    /// Times to the power of two, in milliseconds: those within one are alike, and more crashes tell more.
+    fn quickness(&self) -> u32 {
+        u128::BITS - self.ran_for().as_millis().leading_zeros()
+    }
+
+    /// Mean time that it ran for when endpoints ended.
+    fn ran_for(&self) -> Duration {
+        let sum: Duration = self.seen.iter().map(|sight| sight.ran_for).sum();
+        sum / u32::try_from(self.seen.len()).unwrap_or(u32::MAX).max(1)
+    }
+}
+
+/// The requests that may be the cause of crashes, the likely ones first.
+fn suspects(sights: &Sights, is_held: impl Fn(RequestMark) -> bool) -> Vec<Suspect<'_>> {
+    let several = sights.iter().filter(|(mark, seen)| seen.len() >= LIKELY && !is_held(**mark));
+    let mut suspects: Vec<Suspect<'_>> =
+        several.map(|(mark, seen)| Suspect { mark: *mark, seen: seen.iter().collect() }).collect();
+    suspects.sort_by_cached_key(|suspect| (suspect.quickness(), Reverse(suspect.seen.len()), suspect.mark));
+    suspects
+}
--- a/havengrade_core/src/lib.rs
+++ b/havengrade_core/src/lib.rs
@@ -7,8 +7,10 @@
 #![cfg_attr(test, allow(clippy::unwrap_used))]
 
 pub mod admission;
+mod answered;
 pub mod append;
 pub mod billing;
+mod blame;
 pub mod cascade;
 pub mod claim;
 pub mod config;
@@ -21,6 +23,7 @@
 pub mod mark;
 pub mod membership;
 pub mod published;
+pub mod quarantine;
 pub mod ranking;
 pub mod retry;
 pub mod rollout;
--- a/havengrade_core/src/mark.rs
+++ b/havengrade_core/src/mark.rs
@@ -7,6 +7,9 @@
 /// What a request is known by: the same for each repeat, whichever id its caller gives it.
 pub type RequestMark = u64;
 
+/// What a version of endpoints is known by.
+pub type VersionMark = u64;
+
 /// The mark of a request with these parts (path, client account, body and the like), the same in every build.
 ///
 /// It is quick and not secret: who can choose a part can choose the mark. A part that others can't choose, such as the name of
--- a/havengrade_core/src/published/come_back.rs
+++ b/havengrade_core/src/published/come_back.rs
@@ -21,6 +21,11 @@
         /// Time until the session ends.
         left: Duration,
     },
+    /// Endpoints end under the request.
+    Quarantine {
+        /// Time after which it may be free again.
+        back_after: Duration,
+    },
     /// No VM can serve it until the store is back.
     StoreAway {
         /// Time for which the store has not been reached, as far as is known.
@@ -61,6 +66,7 @@
         Obstacle::FullEndpoints => UNTIL_ROOM,
         Obstacle::BadVersion => spread(UNTIL_VERSION),
         Obstacle::Session { left } => left,
+        Obstacle::Quarantine { back_after } => back_after,
         Obstacle::StoreAway { known_for } => spread(known_for.clamp(LEAST_OUTAGE, MOST_OUTAGE)),
     }
 }
--- a/havengrade_ctl/src/explain.rs
+++ b/havengrade_ctl/src/explain.rs
@@ -136,6 +136,7 @@
         "starting" => "the VM did not know the configuration yet".into(),
         "stopping" => "the VM was about to stop and could have cut its answer off".into(),
         "bad_version" => "the only version that was there was found to be bad; it did not run".to_owned(),
+        "quarantined" => "held back, since endpoints end under it; it did not run".to_owned(),
         "session_version_gone" => "the version of its session was replaced; it did not run".to_owned(),
         "no_endpoint" => format!("no endpoint took it within {held} ms; it did not run"),
         "no_time_left" => format!("its time was over after {held} ms before an endpoint took it; it did not run"),
--- a/havengrade_dev/src/stand_in/published.rs
+++ b/havengrade_dev/src/stand_in/published.rs
@@ -5,16 +5,22 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 
 use async_trait::async_trait;
-use havengrade_core::published::{directory::DirectoryEvent, peers::Peer, rollout::RolloutStatus};
+use havengrade_core::{
+    mark::RequestMark,
+    published::{directory::DirectoryEvent, peers::Peer, rollout::RolloutStatus},
+    quarantine::{KeptHold, next_trial},
+};
 use havengrade_router::{
     net::{BoxConnection, Network},
     published::{
         dialect::OwnDialect,
-        ports::{Feed, KnownVersion, OperatorEvent, Ports, Roster, StatusBook, StoreError, WriteOutcome},
+        ports::{
+            Feed, KnownVersion, OperatorEvent, Ports, QuarantineBook, Roster, StatusBook, StoreError, WriteOutcome,
+        },
     },
     shared::lock,
 };
@@ -34,6 +40,7 @@
     endpoints: Vec<DirectoryEvent>,
     statuses: Vec<RolloutStatus>,
     versions: BTreeMap<String, KnownVersion>,
+    held: BTreeMap<RequestMark, KeptHold>,
     vms: BTreeMap<String, Peer>,
     calls: u64,
     /// Time that each answer to a read takes.
@@ -115,6 +122,7 @@
             operators: Box::new(feed()),
             endpoints: Box::new(feed()),
             statuses: Box::new(feed()),
+            quarantine: Arc::new(feed()),
             roster: Box::new(feed()),
             hands_news_on: true,
         }
@@ -226,6 +234,29 @@
     }
 }
 
+#[async_trait]
+impl QuarantineBook for MemoryFeed {
+    async fn read(&self) -> Result<Vec<KeptHold>, StoreError> {
+        self.call().await?;
+        Ok(lock(&self.store.kept).held.values().copied().collect())
+    }
+
+    async fn keep(&self, hold: &KeptHold) -> Result<(), StoreError> {
+        self.call().await?;
+        lock(&self.store.kept).held.entry(hold.mark).or_insert(*hold);
+        Ok(())
+    }
+
+    async fn claim_trial(&self, hold: &KeptHold, now: SystemTime) -> Result<Option<KeptHold>, StoreError> {
+        self.call().await?;
+        let mut kept = lock(&self.store.kept);
+        let known: Vec<KeptHold> = kept.held.values().copied().collect();
+        let next = next_trial(&known, hold, now);
+        kept.held.extend(next.map(|next| (next.mark, next)));
+        Ok(next)
+    }
+}
+
 #[async_trait]
 impl Roster for MemoryFeed {
     async fn enter(&self, peer: &Peer) -> Result<(), StoreError> {
--- a/havengrade_router/src/published/configured.rs
+++ b/havengrade_router/src/published/configured.rs
@@ -18,6 +18,7 @@
         rollout::RolloutStatus,
         route::CallerLimits,
     },
+    quarantine::KeptHold,
     secret,
 };
 use hyper::{HeaderMap, StatusCode};
@@ -29,8 +30,8 @@
     published::{
         dialect::OwnDialect,
         ports::{
-            CallerFacts, Dialect, EndpointHead, Feed, KnownVersion, NotDoneSnafu, OperatorEvent, Ports, Roster,
-            SendOrder, StatusBook, StoreError, WriteOutcome,
+            CallerFacts, Dialect, EndpointHead, Feed, KnownVersion, NotDoneSnafu, OperatorEvent, Ports, QuarantineBook,
+            Roster, SendOrder, StatusBook, StoreError, WriteOutcome,
         },
     },
     shared::Shared,
@@ -46,6 +47,7 @@
         operators: Box::new(ConfigFeed::new(cx.shared.clone(), published)),
         endpoints: Box::new(ConfigFeed::new(cx.shared.clone(), listed)),
         statuses: Box::new(NoRollouts),
+        quarantine: Arc::new(ToldOnly),
         roster: Box::new(ListedVms(cx.vm_list.clone())),
         hands_news_on: false,
     }
@@ -169,6 +171,24 @@
     }
 }
 
+/// Requests that are held back are known to VMs that live, which tell each other; here no list outlasts them all.
+struct ToldOnly;
+
+#[async_trait]
+impl QuarantineBook for ToldOnly {
+    async fn read(&self) -> Result<Vec<KeptHold>, StoreError> {
+        Ok(Vec::new())
+    }
+
+    async fn keep(&self, _hold: &KeptHold) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn claim_trial(&self, _hold: &KeptHold, _now: SystemTime) -> Result<Option<KeptHold>, StoreError> {
+        NotDoneSnafu { reason: "there is no list by which one VM could be chosen" }.fail()
+    }
+}
+
 /// The platform's list of VMs, which enters and takes out VMs by itself.
 struct ListedVms(Arc<dyn VmList>);
 
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -21,6 +21,7 @@
         route::RouteTable,
         sent_parts::SentParts,
     },
+    quarantine::Quarantine,
     retry::RetryBudget,
 };
 use rand::Rng as _;
@@ -33,7 +34,11 @@
     endpoints::{EndpointTable, from_millis, to_millis},
     kernel::ServiceContext,
     net::Network,
-    published::{channels::Channels, ports::Dialect, written::WrittenParts},
+    published::{
+        channels::Channels,
+        ports::{Dialect, QuarantineBook},
+        written::WrittenParts,
+    },
     settings::{PublishedSettings, Settings},
     shared::lock,
 };
@@ -79,6 +84,8 @@
     pub states: EndpointTable,
     /// Connections to endpoints.
     pub channels: Channels,
+    /// Whether what is in force was taken from another VM at least once.
+    pub(super) was_handed: AtomicBool,
     /// Whether what is in force is being taken from another VM.
     pub(super) is_taking: AtomicBool,
     /// What is handed on to other VMs.
@@ -106,6 +113,11 @@
     view: Mutex<StoreView>,
     is_reader: AtomicBool,
     retries: Mutex<HashMap<ServiceId, RetryBudget>>,
+    quarantine: Mutex<Quarantine>,
+    /// Tells the keeper of the quarantine that it changed.
+    quarantine_changed: Notify,
+    /// When an endpoint last answered this VM, in milliseconds since the Unix epoch; 0 for never.
+    answered: AtomicU64,
     sent_parts: Mutex<SentParts>,
     rng: Mutex<ChaCha8Rng>,
 }
@@ -131,6 +143,7 @@
             usable: ArcSwap::default(),
             states: EndpointTable::default(),
             channels: Channels::new(network, connect_timeout),
+            was_handed: AtomicBool::new(false),
             is_taking: AtomicBool::new(false),
             written: Mutex::default(),
             handing: Mutex::default(),
@@ -153,6 +166,9 @@
             }),
             is_reader: AtomicBool::new(false),
             retries: Mutex::default(),
+            quarantine: Mutex::default(),
+            quarantine_changed: Notify::new(),
+            answered: AtomicU64::new(0),
             sent_parts: Mutex::default(),
             rng: Mutex::new(rng),
             tuning: ArcSwap::from_pointee(settings.published.clone()),
@@ -308,6 +324,31 @@
         lock(&self.rollouts)
     }
 
+    /// What is known of requests that crash endpoints, locked for a moment.
+    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        lock(&self.quarantine)
+    }
+
+    /// Tells the keeper of the quarantine that it changed.
+    pub fn tell_quarantine(&self) {
+        self.quarantine_changed.notify_one();
+    }
+
+    /// Waits until the quarantine has changed.
+    pub async fn quarantine_changed(&self) {
+        self.quarantine_changed.notified().await;
+    }
+
+    /// Notes that an endpoint answered this VM.
+    pub fn note_answer(&self, now: SystemTime) {
+        self.answered.fetch_max(to_millis(now), Ordering::AcqRel);
+    }
+
+    /// Whether an endpoint answered this VM lately.
+    pub fn answered_within(&self, time: Duration, now: SystemTime) -> bool {
+        from_millis(self.answered.load(Ordering::Acquire)).is_some_and(|at| now < at + time)
+    }
+
     /// The other VMs, locked for a moment.
     pub fn peers(&self) -> MutexGuard<'_, Peers> {
         lock(&self.peers)
@@ -417,6 +458,8 @@
     pub shared: Arc<Published>,
     /// The network.
     pub network: Arc<dyn Network>,
+    /// The kept list of requests that are held back.
+    pub quarantine_book: Arc<dyn QuarantineBook>,
     /// Ends the tasks of traffic.
     pub end: CancellationToken,
     /// Makes callers' connections end with the answer that they are at.
--- a/havengrade_router/src/published/events.rs
+++ b/havengrade_router/src/published/events.rs
@@ -26,8 +26,8 @@
         choose::choose,
         context::PublishedContext,
         job::Job,
-        looks::note_break,
         pace::Pace,
+        quarantine::{may_resume, note_answered, note_break},
         refuse::{AnswerBody, BodyError},
         rewrite::answer_head,
         tries::{Opened, Try, fail, log_try, open},
@@ -171,7 +171,7 @@
                 awaited.end();
                 note_broken(cx, job, &source.made.endpoint);
             }
-            note_break(cx, job, &source.made.endpoint);
+            note_break(cx, job, &source.made.endpoint, sent);
             fail(cx, &source.made.endpoint);
             return Err(RunState::MayHaveRun);
         },
@@ -237,7 +237,7 @@
             if broken == Broken::CutOff {
                 note_broken(&self.cx, &job, &source.made.endpoint);
             }
-            note_break(&self.cx, &job, &source.made.endpoint);
+            note_break(&self.cx, &job, &source.made.endpoint, source.made.sent);
             fail(&self.cx, &source.made.endpoint);
             // The run that broke off is ended before another one goes on.
             drop(source);
@@ -297,6 +297,10 @@
             if job.is_keyed() && !self.cx.shared.may_use_key(now) {
                 return None;
             }
+            if !may_resume(&self.cx, job).await {
+                log::info!(request = job.id.as_str(); "stream not taken up: endpoints end under its request");
+                return None;
+            }
             let chosen = choose(&self.cx, job, now)?;
             if !self.cx.shared.take_retry(&job.service) {
                 log::info!(request = job.id.as_str(); "stream not taken up: the retry budget is spent");
@@ -346,6 +350,7 @@
         note_end(&self.cx, job, &endpoint, None);
         note_session_end(&self.cx, job, &endpoint.version);
         succeed(&self.cx, &endpoint);
+        note_answered(&self.cx, job, &endpoint.version, self.cx.shared.clock.now());
         self.log_end(job, Some(&endpoint), "complete");
         self.cx.shared.channels.keep(&endpoint.id, channel, self.cx.shared.clock.now());
     }
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -7,19 +7,24 @@
     published::{attempt::RunState, route::AnswerShape, size},
 };
 use http_body_util::{BodyExt as _, Limited};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    http::response,
+};
 use tokio::time::timeout;
 
 use crate::published::{
     answers::{Awaited, InProgress, failure_of, log_answer, note_broken, note_end, note_first, note_session, succeed},
-    choose::{choose, why_none},
+    choose::{Chosen, choose, why_none},
     context::PublishedContext,
     events,
     job::{Job, admit},
-    looks::note_break,
+    quarantine::{self, note_answered, note_break, note_unframed},
     refuse::{AnswerBody, Refusal, whole},
     rewrite::answer_head,
-    tries::{LIMIT_SLACK, Opened, fail, log_try, open},
+    tries::{LIMIT_SLACK, Opened, Try, fail, log_try, open},
 };
 
 /// Largest answer that is passed on as a whole, in bytes.
@@ -131,23 +136,14 @@
 ///
 /// [`Refusal`] where no endpoint may be tried any more.
 pub(super) async fn try_next(cx: &PublishedContext, job: &mut Job) -> Result<Result<Opened, RunState>, Refusal> {
-    let now = cx.shared.clock.now();
-    if job.time_left(now) < LEAST_TIME {
-        return Err(job.refusal(Refusal::NoTimeLeft, Refusal::TimedOut));
-    }
-    if job.is_keyed() && !cx.shared.may_use_key(now) {
-        return Err(job.refusal(Refusal::Stale, Refusal::Lost));
-    }
-    let Some(chosen) = choose(cx, job, now) else {
-        return Err(job.refusal(why_none(cx, job, now), Refusal::Lost));
-    };
+    let chosen = next_chosen(cx, job).await?;
     let has_paid = std::mem::take(&mut job.has_paid);
     if job.attempts.is_repeat() && !has_paid && !cx.shared.take_retry(&job.service) {
         log::info!(request = job.id.as_str(), service = job.service.as_str(); "no retry: the budget is spent");
         return Err(job.refusal(Refusal::NoEndpoint, Refusal::Lost));
     }
     job.tried.push(chosen.endpoint.id.clone());
-    note_session(cx, job, &chosen.endpoint.version, now);
+    note_session(cx, job, &chosen.endpoint.version, cx.shared.clock.now());
     let opened = open(cx, job, chosen, None).await;
     if job.attempts.is_repeat() && matches!(opened, Err(RunState::NotSent)) {
         cx.shared.put_back_retry(&job.service);
@@ -155,6 +151,30 @@
     Ok(opened)
 }
 
+/// The endpoint for the next try, once the request may be sent.
+async fn next_chosen(cx: &PublishedContext, job: &mut Job) -> Result<Chosen, Refusal> {
+    if job.is_trial && job.attempts.is_repeat() {
+        return Err(job.refusal(Refusal::NoEndpoint, Refusal::Lost));
+    }
+    loop {
+        let trial = if job.is_trial { None } else { quarantine::admit(cx, job).await? };
+        let now = cx.shared.clock.now();
+        if job.time_left(now) < LEAST_TIME {
+            return Err(job.refusal(Refusal::NoTimeLeft, Refusal::TimedOut));
+        }
+        if job.is_keyed() && !cx.shared.may_use_key(now) {
+            return Err(job.refusal(Refusal::Stale, Refusal::Lost));
+        }
+        let Some(chosen) = choose(cx, job, now) else {
+            return Err(job.refusal(why_none(cx, job, now), Refusal::Lost));
+        };
+        match trial {
+            Some(hold) if !quarantine::claim_trial(cx, job, &hold).await => {},
+            _ => return Ok(chosen),
+        }
+    }
+}
+
 /// Turns an opened answer into one for the caller.
 async fn answer(cx: &PublishedContext, job: &mut Job, opened: Opened, guard: &mut Option<InProgress>) -> Tried {
     let is_stream = matches!(job.route.shape, AnswerShape::Events { .. }) && opened.head.status.is_success();
@@ -175,10 +195,11 @@
     let stronger = size::stronger(&job.route.models, job.model.as_deref()?, opened.confidence)?;
     let mut after = job.attempts.clone();
     after.note(RunState::Ran);
-    if !after.may_try_again() || !cx.shared.take_spare_retry(&job.service) {
+    let now = cx.shared.clock.now();
+    if !after.may_try_again() || job.is_trial || !cx.shared.take_spare_retry(&job.service) {
         return None;
     }
-    let took = cx.shared.clock.now().duration_since(opened.made.sent).unwrap_or_default();
+    let took = now.duration_since(opened.made.sent).unwrap_or_default();
     note_first(cx, job, &opened.made, took);
     note_end(cx, job, &opened.made.endpoint, None);
     succeed(cx, &opened.made.endpoint);
@@ -205,7 +226,7 @@
     let Ok(Ok(collected)) = collected else {
         log_try(job, endpoint, "the answer broke off");
         note_broken(cx, job, endpoint);
-        note_break(cx, job, endpoint);
+        note_break(cx, job, endpoint, made.sent);
         fail(cx, endpoint);
         return Tried::Failed(RunState::MayHaveRun);
     };
@@ -216,6 +237,9 @@
         note_first(cx, job, &made, took);
     }
     note_end(cx, job, endpoint, failure);
+    if head.status.is_success() {
+        note_whole(cx, job, &made, &head, now);
+    }
     if is_failure {
         fail(cx, endpoint);
     } else {
@@ -225,3 +249,15 @@
     let head = answer_head(cx, head);
     Tried::Answered { answer: Response::from_parts(head, whole(collected.to_bytes())), is_failure }
 }
+
+/// Notes a whole answer. One that names no length ends with its connection, as it also would if its endpoint ended, so that a look at the
+/// endpoint has to tell.
+fn note_whole(cx: &PublishedContext, job: &Job, made: &Try, head: &response::Parts, now: SystemTime) {
+    let has_end = head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
+    if has_end {
+        note_answered(cx, job, &made.endpoint.version, now);
+        return;
+    }
+    let (cx, job, made) = (cx.clone(), job.clone(), made.clone());
+    tokio::spawn(async move { note_unframed(&cx, &job, &made.endpoint, made.sent).await });
+}
--- a/havengrade_router/src/published/hand_on.rs
+++ b/havengrade_router/src/published/hand_on.rs
@@ -22,7 +22,7 @@
         context::PublishedContext,
         parts::{deflate, endpoints_text, operators_text, vms_text},
         rollouts::told_rollouts,
-        wire::{encode_rollout, from_i64, to_i64},
+        wire::{encode_quarantine, encode_rollout, from_i64, to_i64},
     },
     services::ACCEPT_PAUSE,
     shared::lock,
@@ -156,7 +156,7 @@
 
 /// A head after which nothing follows; the generated default names empty things instead of none.
 fn empty_head() -> StateHead {
-    StateHead { ask_instead: None, operators: None, endpoints: None, vms: None, rollouts: None }
+    StateHead { ask_instead: None, operators: None, endpoints: None, vms: None, rollouts: None, quarantine: None }
 }
 
 /// An answer: its head, and the texts that follow.
@@ -175,6 +175,7 @@
             answer.head.rollouts = told_rollouts(cx, now)
                 .map(|told| told.into_iter().map(|(told, usual)| encode_rollout(told, usual)).collect());
         }
+        answer.head.quarantine = cx.shared.quarantine().hand_on(now).map(encode_quarantine);
         if question.wants_vms {
             answer.head.vms = Some(answer.part(0, Duration::ZERO, vms_text(cx)?));
         }
--- a/havengrade_router/src/published/job.rs
+++ b/havengrade_router/src/published/job.rs
@@ -55,6 +55,8 @@
     pub(super) limit: SystemTime,
     /// Whether the next try was taken out of the retry budget already.
     pub(super) has_paid: bool,
+    /// Whether it is the one by which a request that was held back is tried once more.
+    pub(super) is_trial: bool,
     /// What it is known by, once that was asked for.
     mark: OnceLock<RequestMark>,
     /// Tries so far.
@@ -164,6 +166,7 @@
         model,
         arrived,
         has_paid: false,
+        is_trial: false,
         mark: OnceLock::new(),
         tried: Vec::new(),
     })
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -24,6 +24,7 @@
     net::Datagrams,
     published::{
         context::PublishedContext,
+        quarantine::tell,
         store_view::{Questions, answer, hint},
         wire::{Report, decode_report, encode_report},
     },
@@ -163,7 +164,9 @@
     fn is_report_due(&self, work: &[(EndpointId, Work)], now: SystemTime) -> bool {
         let Some((at, sent)) = &self.sent else { return true };
         let pause = if self.cx.shared.peers().is_large() { LARGE_FLEET_PAUSE } else { REPORT_PAUSE };
-        let is_news = sent != work || self.cx.shared.rollouts().has_news(self.cx.shared.incarnation, now);
+        let is_news = sent != work
+            || self.cx.shared.rollouts().has_news(self.cx.shared.incarnation, now)
+            || self.cx.shared.quarantine().has_news();
         now >= *at + if is_news { pause } else { REPORT_EVERY }
     }
 
@@ -227,7 +230,8 @@
 fn own_report(cx: &PublishedContext, seq: u64, work: &[(EndpointId, Work)]) -> Report {
     let now = cx.shared.clock.now();
     let rollouts = cx.shared.rollouts().news(cx.shared.rollout_bounds(), cx.shared.incarnation, now);
-    Report { work: WorkReport { peer: cx.me(), seq, work: work.to_vec() }, rollouts }
+    let quarantine = cx.shared.quarantine().tell(now);
+    Report { work: WorkReport { peer: cx.me(), seq, work: work.to_vec() }, rollouts, quarantine }
 }
 
 /// Takes the other VMs' datagrams.
@@ -274,6 +278,8 @@
     for learned in learned {
         log_learned(&learned, peer);
     }
+    let changes = cx.shared.quarantine().hear(report.quarantine, now);
+    tell(cx, &changes);
     cx.shared.peers().report(report.work, now);
     cx.shared.tell_heard();
 }
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -1,6 +1,9 @@
 //! The borders of published routes: what an adapter of a deployment provides.
 
-use std::time::{Duration, SystemTime};
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -13,6 +16,7 @@
         rollout::{RolloutOrder, RolloutStatus},
         route::Publication,
     },
+    quarantine::KeptHold,
 };
 use hyper::{HeaderMap, StatusCode};
 use snafu::Snafu;
@@ -225,6 +229,31 @@
     pub text: Bytes,
 }
 
+/// The kept list of requests that are held back, since they crash the endpoints that run them.
+#[async_trait]
+pub trait QuarantineBook: Send + Sync {
+    /// All that are on the list.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] where the list could not be read.
+    async fn read(&self) -> Result<Vec<KeptHold>, StoreError>;
+
+    /// Enters a request, unless it is on the list.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] where it was not entered, or may not have been.
+    async fn keep(&self, hold: &KeptHold) -> Result<(), StoreError>;
+
+    /// Claims the next trial of a request for this VM, by [`havengrade_core::quarantine::next_trial`]; gives the entry that was written, unless another VM was first.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] where it was not claimed, or may not have been.
+    async fn claim_trial(&self, hold: &KeptHold, now: SystemTime) -> Result<Option<KeptHold>, StoreError>;
+}
+
 /// The kept list of the VMs that serve published routes.
 #[async_trait]
 pub trait Roster: Send + Sync {
@@ -260,6 +289,8 @@
     pub endpoints: Box<dyn Feed<DirectoryEvent>>,
     /// States of roll-outs.
     pub statuses: Box<dyn StatusBook>,
+    /// Requests that are held back.
+    pub quarantine: Arc<dyn QuarantineBook>,
     /// The VMs that serve published routes.
     pub roster: Box<dyn Roster>,
     /// Whether VMs take what operators wrote from each other, since reading it has its price.
--- a/havengrade_router/src/published/program.rs
+++ b/havengrade_router/src/published/program.rs
@@ -29,6 +29,7 @@
         hand_on::serve_state,
         peers::PeersService,
         ports::Ports,
+        quarantine::keep_list,
         rollouts::RolloutService,
         roster::keep_roster,
         server::{metrics_page, readiness, serve_callers, serve_page},
@@ -60,11 +61,12 @@
     ///
     /// [`StartError`] where a port can't be opened or a service does not start.
     pub async fn start(settings: Settings, parts: Parts, ports: Ports, traffic: &Handle) -> Result<Self, StartError> {
-        let Ports { dialect, operators, endpoints, statuses, roster, hands_news_on } = ports;
+        let Ports { dialect, operators, endpoints, statuses, quarantine, roster, hands_news_on } = ports;
         let shared = Published::new(settings, parts.clock, dialect, parts.network.clone(), parts.seed);
         let cx = PublishedContext {
             shared: Arc::new(shared),
             network: parts.network,
+            quarantine_book: quarantine,
             end: CancellationToken::new(),
             closing: CancellationToken::new(),
             connections: TaskTracker::new(),
@@ -84,6 +86,7 @@
         ];
         let kernel = Kernel::start(services, &cx).await?;
         cx.connections.spawn(cx.end.clone().run_until_cancelled_owned(keep_roster(cx.clone(), roster)));
+        cx.connections.spawn(cx.end.clone().run_until_cancelled_owned(keep_list(cx.clone())));
         let mut servers = Vec::new();
         if hands_news_on {
             let state = bind(&cx, "listen.peers", cx.shared.settings.listen.peers).await?;
--- /dev/null
+++ b/havengrade_router/src/published/quarantine.rs
@@ -0,0 +1,283 @@
+//! Requests that crash endpoints: what tries and other VMs tell of them, and the list that outlasts all VMs.
+
+use std::{
+    collections::HashMap,
+    sync::atomic::Ordering,
+    time::{Duration, SystemTime},
+};
+
+use havengrade_core::{
+    mark::{RequestMark, mark},
+    published::directory::ListedEndpoint,
+    quarantine::{KeptHold, QuarantineChange, Standing},
+};
+use rand::RngExt as _;
+use tokio::time::{sleep, timeout};
+
+use crate::published::{channels::Presence, context::PublishedContext, job::Job, refuse::Refusal};
+
+/// Least time between two looks at an endpoint; all requests there break in the same moment when it ends.
+const LOOK_PAUSE: Duration = Duration::from_millis(300);
+/// Time within which another endpoint must have answered this VM, so that one that says nothing is not just cut off with all others.
+const ANSWERED_LATELY: Duration = Duration::from_millis(1000);
+/// Time after which a trial is claimed once more, where another VM was first: reports tell of it by then.
+const CLAIM_PAUSE: Duration = Duration::from_millis(300);
+/// Times that a request waits until it is known whether it may be sent: to be judged, for its trial, and while others are tried.
+const MAX_WAITS: u32 = 12;
+/// Most time of such a wait; callers are better told to come back than held for longer.
+const MOST_WAIT: Duration = Duration::from_millis(6000);
+/// Least time of such a wait.
+const LEAST_WAIT: Duration = Duration::from_millis(20);
+/// Time between two rounds of the list's keeper while there is nothing to do.
+const IDLE: Duration = Duration::from_millis(1000);
+/// The same while something is to be read or written.
+const BUSY: Duration = Duration::from_millis(100);
+/// Time since the start after which the reports of VMs that read the list have told all that is on it.
+const TOLD_AFTER: Duration = Duration::from_secs(3);
+/// Most time that a VM leaves to others for writing that a request is held back: reports reach them in a fraction of it.
+const KEEP_SPREAD_MS: u64 = 1500;
+
+/// What may be done with a request before its next try, once it is judged by what all VMs saw; others' reports are waited for.
+async fn standing(cx: &PublishedContext, job: &Job) -> Standing {
+    let mut standing = Standing::Free;
+    for _ in 0..MAX_WAITS {
+        let now = cx.shared.clock.now();
+        standing = {
+            let quarantine = cx.shared.quarantine();
+            if quarantine.is_watching() { quarantine.standing(job.mark(), now) } else { Standing::Free }
+        };
+        let Standing::Awaited { known_in } = standing else { return standing };
+        if known_in >= job.time_left(now).min(MOST_WAIT) {
+            return standing;
+        }
+        sleep(known_in.max(LEAST_WAIT)).await;
+        settle(cx, cx.shared.clock.now());
+    }
+    standing
+}
+
+/// Whether a stream may be taken up as far as is known; a trial is one send.
+pub(super) async fn may_resume(cx: &PublishedContext, job: &Job) -> bool {
+    !job.is_trial && standing(cx, job).await == Standing::Free
+}
+
+/// Lets a request through, or refuses it where it is held back; gives what it is held for where it may be tried once more.
+pub(super) async fn admit(cx: &PublishedContext, job: &Job) -> Result<Option<KeptHold>, Refusal> {
+    let held = match standing(cx, job).await {
+        Standing::Free => return Ok(None),
+        Standing::OnTrial(hold) if !job.attempts.is_repeat() => return Ok(Some(hold)),
+        Standing::OnTrial(_) => Refusal::Quarantined { back_after: CLAIM_PAUSE },
+        Standing::Awaited { known_in } => Refusal::Quarantined { back_after: known_in },
+        Standing::Held { back_after } => Refusal::Quarantined { back_after },
+    };
+    Err(job.refusal(held, Refusal::Lost))
+}
+
+/// Makes a request the one by which it is tried once more; tells whether it may be sent now, or is to wait since another VM was first.
+pub(super) async fn claim_trial(cx: &PublishedContext, job: &mut Job, hold: &KeptHold) -> bool {
+    let claimed = match cx.quarantine_book.claim_trial(hold, cx.shared.clock.now()).await {
+        Ok(claimed) => claimed,
+        Err(error) => {
+            log::warn!(request = job.id.as_str(); "a request that is held back is not tried: {error}");
+            None
+        },
+    };
+    let Some(kept) = claimed else {
+        sleep(CLAIM_PAUSE).await;
+        return false;
+    };
+    {
+        let mut quarantine = cx.shared.quarantine();
+        quarantine.note_trials(kept.mark, kept.trials, kept.tried);
+        quarantine.set_kept(kept.mark);
+    }
+    log::info!(
+        request = job.id.as_str(),
+        mark = name(kept.mark).as_str(),
+        trials = kept.trials;
+        "a request that is held back is tried once more"
+    );
+    job.is_trial = true;
+    true
+}
+
+/// Notes that a request got a whole answer, so that it is none of those that crash endpoints.
+pub(super) fn note_answered(cx: &PublishedContext, job: &Job, version: &str, now: SystemTime) {
+    cx.shared.note_answer(now);
+    let run = (job.mark(), mark(&[version.as_bytes()]));
+    let change = cx.shared.quarantine().note_answered(run, now);
+    tell(cx, change.as_slice());
+}
+
+/// Notes that a try broke: the connection was lost, the answer broke off, or nothing came; then looks whether the endpoint has ended.
+pub(super) fn note_break(cx: &PublishedContext, job: &Job, endpoint: &ListedEndpoint, sent: SystemTime) {
+    let now = cx.shared.clock.now();
+    let ran_for = now.duration_since(sent).unwrap_or_default();
+    let run = (job.mark(), mark(&[endpoint.version.as_bytes()]));
+    cx.shared.quarantine().note_broken(run, &endpoint.id, ran_for, now);
+    settle(cx, now);
+    let is_due = cx.shared.states.slot(&endpoint.id).is_some_and(|slot| slot.begin_look(LOOK_PAUSE, now));
+    if !is_due {
+        return;
+    }
+    let (cx, endpoint) = (cx.clone(), endpoint.clone());
+    tokio::spawn(async move { look(&cx, &endpoint).await.name() });
+}
+
+/// Notes an answer that ended with its connection: it was whole if its endpoint is there.
+pub(super) async fn note_unframed(cx: &PublishedContext, job: &Job, endpoint: &ListedEndpoint, sent: SystemTime) {
+    let now = cx.shared.clock.now();
+    let ran_for = now.duration_since(sent).unwrap_or_default();
+    match look(cx, endpoint).await {
+        Presence::Answers => note_answered(cx, job, &endpoint.version, now),
+        Presence::Refuses | Presence::Silent => {
+            let run = (job.mark(), mark(&[endpoint.version.as_bytes()]));
+            cx.shared.quarantine().note_broken(run, &endpoint.id, ran_for, now);
+            settle(cx, now);
+        },
+    }
+}
+
+async fn look(cx: &PublishedContext, endpoint: &ListedEndpoint) -> Presence {
+    let found = cx.shared.channels.look(&endpoint.id, endpoint.address, cx.shared.clock.now()).await;
+    let now = cx.shared.clock.now();
+    metrics::counter!("endpoint_looks", "found" => found.name()).increment(1);
+    log::info!(endpoint = endpoint.id.as_str(), found = found.name(); "a look at an endpoint where a try broke");
+    let hears_others = cx.shared.answered_within(ANSWERED_LATELY, now);
+    match found {
+        Presence::Refuses => cx.shared.quarantine().note_ended(&endpoint.id, now),
+        Presence::Silent if hears_others => cx.shared.quarantine().note_ended(&endpoint.id, now),
+        Presence::Silent => {},
+        Presence::Answers => cx.shared.quarantine().note_there(&endpoint.id),
+    }
+    settle(cx, now);
+    found
+}
+
+/// Judges by what is known now; where a request waits to be judged, the keeper of the list looks again.
+pub(super) fn settle(cx: &PublishedContext, now: SystemTime) {
+    if judge(cx, now) {
+        cx.shared.tell_quarantine();
+    }
+}
+
+/// Judges by what is known now; tells whether a request waits to be judged.
+fn judge(cx: &PublishedContext, now: SystemTime) -> bool {
+    let (changes, has_suspects) = {
+        let mut quarantine = cx.shared.quarantine();
+        (quarantine.judge(now), quarantine.has_suspects())
+    };
+    tell(cx, &changes);
+    has_suspects
+}
+
+/// Writes the lines of changes, and wakes the keeper of the list.
+pub(super) fn tell(cx: &PublishedContext, changes: &[QuarantineChange]) {
+    for change in changes {
+        match change {
+            QuarantineChange::Judged { mark, crashes } => {
+                metrics::counter!("requests_quarantined").increment(1);
+                log::warn!(
+                    mark = name(*mark).as_str(),
+                    crashes = *crashes;
+                    "a request is held back, since endpoints end under it"
+                );
+            },
+            QuarantineChange::Learned { mark } => {
+                log::warn!(mark = name(*mark).as_str(); "a request is held back, as others tell");
+            },
+            QuarantineChange::Released { mark } => {
+                log::warn!(mark = name(*mark).as_str(); "a request is held back no longer, since an endpoint answered it");
+            },
+        }
+    }
+    if !changes.is_empty() {
+        cx.shared.tell_quarantine();
+    }
+}
+
+/// A request's mark as it stands in lines.
+pub(super) fn name(mark: RequestMark) -> String {
+    format!("{mark:016x}")
+}
+
+/// Keeps the list of requests that are held back: reads it at a start where no other VM told, and writes what is new.
+pub(super) async fn keep_list(cx: PublishedContext) {
+    let mut keeper = Keeper { cx: cx.clone(), due: HashMap::new() };
+    cx.closing.run_until_cancelled(keeper.run()).await;
+}
+
+struct Keeper {
+    cx: PublishedContext,
+    /// When this VM writes that a request is held back, unless another one did.
+    due: HashMap<RequestMark, SystemTime>,
+}
+
+impl Keeper {
+    async fn run(&mut self) {
+        loop {
+            let now = self.cx.shared.clock.now();
+            self.cx.shared.quarantine().prune(now);
+            let has_suspects = judge(&self.cx, now);
+            if self.cx.shared.follows() && !self.cx.shared.quarantine().is_read() {
+                self.learn(now).await;
+            }
+            let unkept = self.cx.shared.quarantine().unkept();
+            self.due.retain(|mark, _| unkept.iter().any(|hold| hold.mark == *mark));
+            for hold in &unkept {
+                if self.is_due(hold.mark, now) {
+                    self.keep(hold).await;
+                }
+            }
+            let is_done = unkept.is_empty() && !has_suspects && self.cx.shared.quarantine().is_read();
+            let pause = if is_done { IDLE } else { BUSY };
+            let is_changed = timeout(pause, self.cx.shared.quarantine_changed()).await.is_ok();
+            if is_changed {
+                // What changes at the same moment is looked at together.
+                sleep(BUSY).await;
+            }
+        }
+    }
+
+    fn is_due(&mut self, mark: RequestMark, now: SystemTime) -> bool {
+        let spread = Duration::from_millis(self.cx.shared.rng().random_range(0..KEEP_SPREAD_MS));
+        now >= *self.due.entry(mark).or_insert(now + spread)
+    }
+
+    /// Learns what is on the list: by reading it, where this VM had to learn all else from the store as well, or by the reports of those
+    /// that did.
+    async fn learn(&self, now: SystemTime) {
+        let was_handed = self.cx.shared.was_handed.load(Ordering::Acquire);
+        if !was_handed || self.cx.shared.is_reader() {
+            self.read().await;
+        } else if self.cx.shared.running_for(now) >= TOLD_AFTER {
+            self.cx.shared.quarantine().set_read();
+        }
+    }
+
+    async fn read(&self) {
+        match self.cx.quarantine_book.read().await {
+            Ok(kept) => {
+                let changes = self.cx.shared.quarantine().take_kept(&kept, self.cx.shared.clock.now());
+                tell(&self.cx, &changes);
+            },
+            Err(error) => {
+                log::warn!("the list of requests that are held back was not read: {error}");
+                sleep(IDLE).await;
+            },
+        }
+    }
+
+    async fn keep(&self, hold: &KeptHold) {
+        match self.cx.quarantine_book.keep(hold).await {
+            Ok(()) => {
+                log::info!(mark = name(hold.mark).as_str(); "a request is on the list of those that are held back");
+                self.cx.shared.quarantine().set_kept(hold.mark);
+            },
+            Err(error) => {
+                log::warn!(mark = name(hold.mark).as_str(); "a request that is held back was not written: {error}");
+                sleep(IDLE).await;
+            },
+        }
+    }
+}
--- a/havengrade_router/src/published/refuse.rs
+++ b/havengrade_router/src/published/refuse.rs
@@ -43,6 +43,11 @@
         /// Time until the session ends.
         left: Duration,
     },
+    /// Endpoints end under the request, and it is held back.
+    Quarantined {
+        /// Time after which it may come back.
+        back_after: Duration,
+    },
     /// The time was over before the request could be sent.
     NoTimeLeft,
     /// The request may have run, and no answer came.
@@ -65,6 +70,7 @@
             Self::NoEndpoint => "no_endpoint",
             Self::BadVersion => "bad_version",
             Self::SessionVersionGone { .. } => "session_version_gone",
+            Self::Quarantined { .. } => "quarantined",
             Self::NoTimeLeft => "no_time_left",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
@@ -84,6 +90,7 @@
             | Self::NoEndpoint
             | Self::BadVersion
             | Self::SessionVersionGone { .. }
+            | Self::Quarantined { .. }
             | Self::NoTimeLeft => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -98,6 +105,7 @@
             Self::NoEndpoint | Self::NoTimeLeft => Some(Obstacle::FullEndpoints),
             Self::BadVersion => Some(Obstacle::BadVersion),
             Self::SessionVersionGone { left } => Some(Obstacle::Session { left }),
+            Self::Quarantined { back_after } => Some(Obstacle::Quarantine { back_after }),
             _ => None,
         }
     }
--- a/havengrade_router/src/published/take.rs
+++ b/havengrade_router/src/published/take.rs
@@ -27,8 +27,9 @@
         hand_on::{FRAME_LIMIT, MAX_FRAME},
         parts::{EndpointsPart, OperatorsPart, VmsPart, inflate},
         ports::OperatorEvent,
+        quarantine::tell,
         rollouts::take_told,
-        wire::{decode_rollout, decode_usual, from_i64, to_i64},
+        wire::{decode_quarantine, decode_rollout, decode_usual, from_i64, to_i64},
     },
 };
 
@@ -217,6 +218,16 @@
         });
         take_told(cx, told);
     }
+    cx.shared.was_handed.store(true, Ordering::Release);
+    if let Some(quarantine) = head.quarantine {
+        let now = cx.shared.clock.now();
+        let changes = {
+            let mut known = cx.shared.quarantine();
+            known.set_read();
+            known.hear(decode_quarantine(quarantine), now)
+        };
+        tell(cx, &changes);
+    }
     let endpoints_known = question.endpoints_position.map(from_i64);
     let is_list = endpoints.iter().flatten().any(|event| matches!(event, DirectoryEvent::All(_)));
     let events = endpoints.unwrap_or_default();
--- a/havengrade_router/src/published/tries.rs
+++ b/havengrade_router/src/published/tries.rs
@@ -14,8 +14,8 @@
         choose::Chosen,
         context::PublishedContext,
         job::Job,
-        looks::note_break,
         ports::EndpointHead,
+        quarantine::{name, note_break},
         rewrite::encode,
     },
 };
@@ -68,13 +68,14 @@
 ) -> Result<Opened, RunState> {
     let endpoint = &chosen.endpoint;
     let in_flight = cx.shared.states.enter_with(&endpoint.id, chosen.tokens);
+    let begun = cx.shared.clock.now();
     let max_idle = if job.attempts.is_repeatable() { MAX_IDLE } else { MAX_IDLE_ONCE };
     let (mut channel, response, mut made) = match exchange(cx, job, &chosen, resume_after, max_idle).await {
         // A kept connection may have ended just before; whether the endpoint lives, a new one tells.
         Err(ChannelError::NotSent { .. }) => exchange(cx, job, &chosen, resume_after, Duration::ZERO).await,
         exchanged => exchanged,
     }
-    .map_err(|error| failed(cx, job, endpoint, &error))?;
+    .map_err(|error| failed(cx, job, endpoint, begun, &error))?;
     let (head, body) = response.into_parts();
     let facts = cx.shared.dialect.decode_answer(head.status, &head.headers);
     if let Some(keep) = facts.keep_alive {
@@ -143,14 +144,20 @@
 }
 
 /// Notes a failure of the connection; tells how far the request got.
-fn failed(cx: &PublishedContext, job: &Job, endpoint: &ListedEndpoint, error: &ChannelError) -> RunState {
+fn failed(
+    cx: &PublishedContext,
+    job: &Job,
+    endpoint: &ListedEndpoint,
+    begun: SystemTime,
+    error: &ChannelError,
+) -> RunState {
     log_try(job, endpoint, &error.to_string());
     let state = run_state(error);
     if matches!(error, ChannelError::Lost { .. }) {
         note_broken(cx, job, endpoint);
     }
     if state == RunState::MayHaveRun {
-        note_break(cx, job, endpoint);
+        note_break(cx, job, endpoint, begun);
     }
     // One refused connection says more than a failed answer does.
     fail_after(cx, endpoint, if state == RunState::NotSent { 1 } else { EJECT_AFTER });
@@ -180,7 +187,7 @@
         request = job.id.as_str(),
         endpoint = endpoint.id.as_str(),
         version = endpoint.version.as_str(),
-        mark = format!("{:016x}", job.mark()).as_str(),
+        mark = name(job.mark()).as_str(),
         tries = job.tried.len();
         "try failed: {outcome}"
     );
--- a/havengrade_router/src/published/wire.rs
+++ b/havengrade_router/src/published/wire.rs
@@ -13,10 +13,11 @@
         },
         times::{LoadedTimes, Times},
     },
+    quarantine::{QuarantineNews, ToldAnswer, ToldCrash, ToldHold},
 };
 use havengrade_rpc::reports::{
-    EndpointAnswers, EndpointChange, EndpointEntry, EndpointWork, RecentAnswers, RolloutHalt, RolloutState,
-    RouteEvidence as WireEvidence, VmReport,
+    AnsweredRequest, EndpointAnswers, EndpointChange, EndpointCrash, EndpointEntry, EndpointWork, HeldRequest,
+    Quarantine as WireQuarantine, RecentAnswers, RolloutHalt, RolloutState, RouteEvidence as WireEvidence, VmReport,
 };
 
 const RUNNING: &str = "running";
@@ -33,6 +34,8 @@
     pub(super) work: WorkReport,
     /// What it tells of roll-outs.
     pub(super) rollouts: RolloutNews,
+    /// What it tells of requests that crash endpoints.
+    pub(super) quarantine: QuarantineNews,
 }
 
 pub(super) fn encode_report(report: Report) -> VmReport {
@@ -59,6 +62,7 @@
         Some(peer.failure_domain),
         (!halts.is_empty()).then_some(halts),
         (!recent.is_empty()).then_some(recent),
+        (report.quarantine != QuarantineNews::default()).then(|| encode_quarantine(report.quarantine)),
     )
 }
 
@@ -86,9 +90,75 @@
     Some(Report {
         work: WorkReport { peer, seq: from_i64(report.seq), work: work.collect::<Vec<(EndpointId, Work)>>() },
         rollouts,
+        quarantine: report.quarantine.map(decode_quarantine).unwrap_or_default(),
     })
 }
 
+/// Writes what is known of requests that crash endpoints; a mark is 64 bits without a meaning of their own, so it passes through the
+/// schema's signed integers.
+pub(super) fn encode_quarantine(news: QuarantineNews) -> WireQuarantine {
+    let millis = |time: Duration| to_i64(time.as_millis() as u64);
+    let QuarantineNews { crashes, held, answered } = news;
+    WireQuarantine::new(
+        crashes
+            .into_iter()
+            .map(|told| {
+                let (mark, version) = (told.mark.cast_signed(), told.version.cast_signed());
+                EndpointCrash::new(mark, told.endpoint, version, millis(told.ran_for), millis(told.age))
+            })
+            .collect::<Vec<_>>(),
+        held.iter().map(encode_hold).collect::<Vec<_>>(),
+        answered
+            .into_iter()
+            .map(|told| AnsweredRequest::new(told.mark.cast_signed(), told.version.cast_signed(), millis(told.age)))
+            .collect::<Vec<_>>(),
+    )
+}
+
+fn encode_hold(told: &ToldHold) -> HeldRequest {
+    let millis = |time: Duration| to_i64(time.as_millis() as u64);
+    let ToldHold { mark, version, age, held_for, left, trials, tried_ago, is_kept } = *told;
+    let trials = i32::try_from(trials).unwrap_or(i32::MAX);
+    HeldRequest::new(
+        mark.cast_signed(),
+        millis(age),
+        millis(held_for),
+        millis(left),
+        trials,
+        is_kept,
+        version.cast_signed(),
+        tried_ago.map(millis),
+    )
+}
+
+pub(super) fn decode_quarantine(news: WireQuarantine) -> QuarantineNews {
+    let time = |millis: i64| Duration::from_millis(from_i64(millis));
+    let crashes = news.crashes.into_iter().map(|told| ToldCrash {
+        mark: told.mark.cast_unsigned(),
+        endpoint: told.endpoint,
+        version: told.version.cast_unsigned(),
+        ran_for: time(told.ran_ms),
+        age: time(told.age_ms),
+    });
+    let held = news.held.into_iter().map(|told| ToldHold {
+        mark: told.mark.cast_unsigned(),
+        version: told.version.cast_unsigned(),
+        age: time(told.age_ms),
+        held_for: time(told.held_ms),
+        left: time(told.left_ms),
+        trials: from_i32(told.trials) as usize,
+        tried_ago: told.tried_ms.map(time),
+        is_kept: told.is_kept,
+    });
+    let answered = news.answered.into_iter();
+    let answered = answered.map(|told| ToldAnswer {
+        mark: told.mark.cast_unsigned(),
+        version: told.version.cast_unsigned(),
+        age: time(told.age_ms),
+    });
+    QuarantineNews { crashes: crashes.collect(), held: held.collect(), answered: answered.collect() }
+}
+
 fn encode_evidence(evidence: RouteEvidence) -> WireEvidence {
     let RouteEvidence { service, version, route, seen } = evidence;
     WireEvidence::new(
--- a/schema/reports.thrift
+++ b/schema/reports.thrift
@@ -68,6 +68,51 @@
   4: required i32 rest_errors,
 }
 
+/** A request was in progress at an endpoint when that ended. */
+struct EndpointCrash {
+  /** What the request is known by, over all its repeats. */
+  1: required i64 mark,
+  2: required string endpoint,
+  /** What the version of the endpoint is known by. */
+  3: required i64 version,
+  /** Time from when the request was sent there until the endpoint ended. */
+  4: required i64 ran_ms,
+  5: required i64 age_ms,
+}
+
+/** A request that is held back, since it crashes the endpoints that run it. */
+struct HeldRequest {
+  1: required i64 mark,
+  /** Time since the earliest of the crashes for which it is held. */
+  2: required i64 age_ms,
+  /** Time since it is held. */
+  3: required i64 held_ms,
+  /** Time for which it is held on. */
+  4: required i64 left_ms,
+  /** Trials that were begun. */
+  5: required i32 trials,
+  /** Whether it is known to be written where it outlasts all VMs. */
+  6: required bool is_kept,
+  /** Version of the last endpoint that ended under it. */
+  7: required i64 version,
+  /** Time since the last of the trials. */
+  8: optional i64 tried_ms,
+}
+
+/** A request that was at a crash and that an endpoint has answered as a whole since. */
+struct AnsweredRequest {
+  1: required i64 mark,
+  2: required i64 version,
+  3: required i64 age_ms,
+}
+
+/** What the sender knows of requests that crash endpoints. */
+struct Quarantine {
+  1: required list<EndpointCrash> crashes,
+  2: required list<HeldRequest> held,
+  3: required list<AnsweredRequest> answered,
+}
+
 /** What a VM says of itself. */
 struct VmReport {
   1: required string vm,
@@ -86,6 +131,7 @@
   9: optional string failure_domain,
   10: optional list<RolloutHalt> halts,
   11: optional list<RecentAnswers> recent_answers,
+  12: optional Quarantine quarantine,
 }
 
 /** An entry of the list of endpoints. */
@@ -157,6 +203,8 @@
   4: optional StatePart vms,
   /** Roll-outs whose states are written; absent where the answering VM does not know them all. */
   5: optional list<RolloutState> rollouts,
+  /** Absent where the answering VM does not know what was kept before its start. */
+  6: optional Quarantine quarantine,
 }
 
 /** One datagram. */
