--- a/havengrade_core/src/published/directory.rs
+++ b/havengrade_core/src/published/directory.rs
@@ -1,7 +1,7 @@
 //! The endpoints of published services, as the platform lists them and as its outages blur the list.
 
 use std::{
-    collections::HashMap,
+    collections::BTreeMap,
     net::SocketAddr,
     time::{Duration, SystemTime},
 };
@@ -56,7 +56,7 @@
 /// The endpoints that are known.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
-    entries: HashMap<EndpointId, Entry>,
+    entries: BTreeMap<EndpointId, Entry>,
     last_read: Option<SystemTime>,
     grace_until: Option<SystemTime>,
 }
--- a/havengrade_core/src/published/peers.rs
+++ b/havengrade_core/src/published/peers.rs
@@ -1,7 +1,7 @@
 //! What the other VMs say of their work in progress, summed up by endpoint.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     time::{Duration, SystemTime},
 };
@@ -74,7 +74,7 @@
 /// The other VMs that are known, and their work.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
-    by_vm: HashMap<VmId, Known>,
+    by_vm: BTreeMap<VmId, Known>,
     sums: HashMap<EndpointId, Work>,
     is_listed: bool,
     /// Rises whenever a VM becomes known anew.
