Hold back requests under which endpoints end at the own interface too

Cause: the same as for published routes: tries are counted by the attempt, and VMs told each other nothing of requests. Change: the chat interface and plain services note what breaks and what is answered in the same quarantine; heartbeats tell it.

--- a/havengrade_replay/src/measure/messages.rs
+++ b/havengrade_replay/src/measure/messages.rs
@@ -47,6 +47,7 @@
         (!uses.is_empty()).then_some(uses),
         (!tallies.is_empty()).then_some(tallies),
         None,
+        None,
     )
 }
 
--- a/havengrade_router/src/published/configured.rs
+++ b/havengrade_router/src/published/configured.rs
@@ -18,7 +18,7 @@
         rollout::RolloutStatus,
         route::CallerLimits,
     },
-    quarantine::KeptHold,
+    quarantine::{KeptHold, next_trial},
     secret,
 };
 use hyper::{HeaderMap, StatusCode};
@@ -184,8 +184,9 @@
         Ok(())
     }
 
-    async fn claim_trial(&self, _hold: &KeptHold, _now: SystemTime) -> Result<Option<KeptHold>, StoreError> {
-        NotDoneSnafu { reason: "there is no list by which one VM could be chosen" }.fail()
+    /// Others are told of the trial; two VMs that begin one at the same moment both make it.
+    async fn claim_trial(&self, hold: &KeptHold, now: SystemTime) -> Result<Option<KeptHold>, StoreError> {
+        Ok(next_trial(&[*hold], hold, now))
     }
 }
 
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -33,5 +33,5 @@
 mod takers;
 mod tries;
 mod vms;
-mod wire;
+pub(crate) mod wire;
 mod written;
--- a/havengrade_router/src/published/wire.rs
+++ b/havengrade_router/src/published/wire.rs
@@ -96,7 +96,7 @@
 
 /// Writes what is known of requests that crash endpoints; a mark is 64 bits without a meaning of their own, so it passes through the
 /// schema's signed integers.
-pub(super) fn encode_quarantine(news: QuarantineNews) -> WireQuarantine {
+pub(crate) fn encode_quarantine(news: QuarantineNews) -> WireQuarantine {
     let millis = |time: Duration| to_i64(time.as_millis() as u64);
     let QuarantineNews { crashes, held, answered } = news;
     WireQuarantine::new(
@@ -131,7 +131,7 @@
     )
 }
 
-pub(super) fn decode_quarantine(news: WireQuarantine) -> QuarantineNews {
+pub(crate) fn decode_quarantine(news: WireQuarantine) -> QuarantineNews {
     let time = |millis: i64| Duration::from_millis(from_i64(millis));
     let crashes = news.crashes.into_iter().map(|told| ToldCrash {
         mark: told.mark.cast_unsigned(),
--- a/havengrade_router/src/services/members/mod.rs
+++ b/havengrade_router/src/services/members/mod.rs
@@ -10,6 +10,7 @@
 use havengrade_core::{
     ids::{Incarnation, VmId},
     membership::{Heartbeat, Member, Membership},
+    quarantine::QuarantineNews,
 };
 use havengrade_rpc::peers::{
     AccountUse, EndpointLoad, EvidenceTally, PeerFetch, PeerHeartbeat, PeerRecords, PeerReply, PeerRequest,
@@ -23,6 +24,7 @@
     endpoints::EndpointReport,
     kernel::Context,
     platform::{LogRecord, VmListing},
+    published::wire::{decode_quarantine, encode_quarantine},
     services::{
         bills::{self, BillsMessage},
         config::{self, ConfigMessage},
@@ -31,6 +33,7 @@
         ledger::{self, LedgerMessage},
         peers::{self, PeersMessage},
     },
+    traffic::quarantine::{judge, tell},
 };
 
 /// Name of the service.
@@ -52,7 +55,7 @@
     /// A heartbeat; its sender is given ours.
     Heard {
         /// The heartbeat.
-        heartbeat: PeerHeartbeat,
+        heartbeat: Box<PeerHeartbeat>,
         /// When we asked for it; none where it came unasked, and may have been on its way for long.
         asked: Option<SystemTime>,
         /// Is given our own heartbeat.
@@ -109,7 +112,7 @@
         match message {
             MembersMessage::Listed(listing) => state.listed(listing),
             MembersMessage::Heard { heartbeat, asked, reply } => {
-                state.heard(heartbeat, asked);
+                state.heard(*heartbeat, asked);
                 if let Some(reply) = reply {
                     let _ = reply.send(state.heartbeat(None));
                 }
@@ -181,7 +184,7 @@
             .filter(|(_, count)| *count > 0)
             .map(|(account, count)| AccountUse::new(account.clone(), count.cast_signed()))
             .collect();
-        let News { evidence, loads } = news.unwrap_or_default();
+        let News { evidence, loads, quarantine } = news.unwrap_or_default();
         PeerHeartbeat::new(
             shared.vm().clone(),
             shared.incarnation.cast_signed(),
@@ -195,6 +198,7 @@
             (!uses.is_empty()).then_some(uses),
             (!evidence.is_empty()).then_some(evidence),
             (!loads.is_empty()).then_some(loads),
+            quarantine.map(encode_quarantine),
         )
     }
 
@@ -204,7 +208,10 @@
         self.share_limits();
         self.judge_majority();
         self.tell_live();
-        let news = News { evidence: self.own_evidence().await, loads: self.own_reports() };
+        let now = self.cx.shared.clock.now();
+        judge(&self.cx, now);
+        let quarantine = self.own_quarantine(now);
+        let news = News { evidence: self.own_evidence().await, loads: self.own_reports(), quarantine };
         let heartbeat = self.heartbeat(Some(news));
         for to in self.choose_peers() {
             let call = tokio::spawn(send_heartbeat(self.cx.clone(), myself.clone(), to, heartbeat.clone()));
@@ -212,6 +219,13 @@
         }
     }
 
+    /// What there is to tell of requests that crash endpoints.
+    fn own_quarantine(&self, now: SystemTime) -> Option<QuarantineNews> {
+        let mut quarantine = self.cx.shared.quarantine();
+        quarantine.prune(now);
+        quarantine.is_watching().then(|| quarantine.tell(now))
+    }
+
     fn own_reports(&self) -> Vec<EndpointLoad> {
         let to_load = |(endpoint, report)| match report {
             EndpointReport::Load { load, leaving } => EndpointLoad::new(endpoint, load.cast_signed(), leaving, false),
@@ -331,6 +345,10 @@
         {
             let _ = service.cast(EndpointsMessage::Relayed(loads.into_iter().map(from_load).collect()));
         }
+        if let Some(quarantine) = message.quarantine {
+            let changes = self.cx.shared.quarantine().hear(decode_quarantine(quarantine), now);
+            tell(&changes);
+        }
         self.uses.insert(heartbeat.vm.clone(), message.uses.unwrap_or_default());
         self.fetch_newer(&heartbeat);
         self.note_successor(&heartbeat);
@@ -370,6 +388,7 @@
 async fn send_heartbeat(cx: Context, service: ActorRef<MembersMessage>, to: VmId, heartbeat: PeerHeartbeat) {
     let asked = cx.shared.clock.now();
     if let Some(PeerReply::Heartbeat(heartbeat)) = call(&cx, to, PeerRequest::Heartbeat(heartbeat)).await {
+        let heartbeat = Box::new(heartbeat);
         let _ = service.cast(MembersMessage::Heard { heartbeat, asked: Some(asked), reply: None });
     }
 }
@@ -393,7 +412,7 @@
 /// Sends a request to a VM through the service for peers.
 pub(crate) async fn call(cx: &Context, to: VmId, request: PeerRequest) -> Option<PeerReply> {
     let peers = cx.find::<PeersMessage>(peers::NAME)?;
-    let reply = peers.call(|reply| PeersMessage::Send { to, request, reply }, None).await;
+    let reply = peers.call(|reply| PeersMessage::Send { to, request: Box::new(request), reply }, None).await;
     reply.ok()?.success_or(()).ok()
 }
 
@@ -402,4 +421,5 @@
 struct News {
     evidence: Vec<EvidenceTally>,
     loads: Vec<EndpointLoad>,
+    quarantine: Option<QuarantineNews>,
 }
--- a/havengrade_router/src/services/peers/mod.rs
+++ b/havengrade_router/src/services/peers/mod.rs
@@ -65,7 +65,7 @@
         /// The VM.
         to: VmId,
         /// The request.
-        request: PeerRequest,
+        request: Box<PeerRequest>,
         /// Is given its reply; dropped if none comes.
         reply: RpcReplyPort<PeerReply>,
     },
@@ -173,7 +173,7 @@
     ) -> Result<(), ActorProcessingErr> {
         match message {
             PeersMessage::Listed(vms) => state.listed(vms),
-            PeersMessage::Send { to, request, reply } => state.send(&to, request, reply),
+            PeersMessage::Send { to, request, reply } => state.send(&to, *request, reply),
             PeersMessage::Hold { records, holder } => state.hold(&records, holder),
             PeersMessage::ReleaseAtPeers { requests } => state.release_at_peers(&requests),
             PeersMessage::Held { writer, records, reply } => {
--- a/havengrade_router/src/services/peers/server.rs
+++ b/havengrade_router/src/services/peers/server.rs
@@ -67,8 +67,12 @@
     match request {
         PeerRequest::Heartbeat(heartbeat) => {
             let members = cx.find::<MembersMessage>(members::NAME)?;
-            let reply =
-                members.call(|reply| MembersMessage::Heard { heartbeat, asked: None, reply: Some(reply) }, None).await;
+            let reply = members
+                .call(
+                    |reply| MembersMessage::Heard { heartbeat: Box::new(heartbeat), asked: None, reply: Some(reply) },
+                    None,
+                )
+                .await;
             reply.ok()?.success_or(()).ok().map(PeerReply::Heartbeat)
         },
         PeerRequest::Fetch(fetch) => fetch_records(cx, &fetch).await.map(PeerReply::Records),
--- a/havengrade_router/src/shared.rs
+++ b/havengrade_router/src/shared.rs
@@ -17,6 +17,7 @@
     evidence::{Subject, Tally, Totals},
     ids::{EndpointId, Incarnation, Offset, VmId},
     membership,
+    quarantine::Quarantine,
     retry::RetryBudget,
 };
 use rand::Rng;
@@ -72,6 +73,7 @@
     freshness: ArcSwap<Freshness>,
     admission: Mutex<Admission>,
     retries: Mutex<RetryBudget>,
+    quarantine: Mutex<Quarantine>,
     appends: Mutex<AppendBudget>,
     seen: Mutex<HashMap<Subject, Tally>>,
     rng: Mutex<ChaCha8Rng>,
@@ -105,6 +107,7 @@
             admission: Mutex::default(),
             seen: Mutex::default(),
             appends: Mutex::default(),
+            quarantine: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(settings.endpoints.retry_percent)),
             rng: Mutex::new(rng),
             live_vms: ArcSwap::from_pointee(vec![settings.vm.id.clone()]),
@@ -252,6 +255,11 @@
         lock(&self.admission)
     }
 
+    /// What is known of requests that crash endpoints, locked for a moment.
+    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        lock(&self.quarantine)
+    }
+
     /// The retry budget, locked for a moment.
     pub fn retries(&self) -> MutexGuard<'_, RetryBudget> {
         lock(&self.retries)
--- a/havengrade_router/src/traffic/job.rs
+++ b/havengrade_router/src/traffic/job.rs
@@ -28,6 +28,7 @@
         api::completion,
         engine::{EngineCall, EngineError, PieceSink},
         ledger, plain,
+        quarantine::Watched,
         refuse::{ANSWER_LOST, lost_answer, refuse, unclaimed},
         request::{Job, Keyed, Spent},
         table::{End, Head, RequestEntry},
@@ -153,8 +154,13 @@
 ) -> Result<VersionAnswer, Stop> {
     let mut tried: Vec<EndpointId> = Vec::new();
     let mut problem = no_endpoint();
+    let watched = Watched::new(job, Some(version), "");
     let mut collector = Collector { entry: &job.entry, head: None, content: String::new() };
     while let Some(endpoint) = next_endpoint(job, Some(version), &tried) {
+        if let Err(held) = watched.admit().await {
+            problem = held;
+            break;
+        }
         claim(job, &endpoint).await?;
         if !job.may_send(Some(version)) {
             break;
@@ -172,12 +178,14 @@
         };
         let in_flight = job.cx.shared.endpoints.enter(&endpoint.id);
         let was_sent = job.mark_sent();
+        let sent = job.now();
         let result = call.run(&body, &mut collector).await;
         drop(in_flight);
         job.note_try(&endpoint.id, result.is_ok());
         note_end(job, version, result.is_ok());
         match result {
             Ok(usage) => {
+                watched.note_answered();
                 spend(job, version, usage, spent);
                 return Ok(VersionAnswer { content: collector.content, endpoint: endpoint.id, usage });
             },
@@ -188,6 +196,7 @@
                 problem = refused(&reason);
             },
             Err(EngineError::NotRun(reason) | EngineError::Broken(reason)) => {
+                watched.note_broken(&endpoint, sent).await;
                 if !job.is_repeatable() {
                     return Err(Stop::Ended(give_up(job, lost_answer()).await));
                 }
--- a/havengrade_router/src/traffic/mod.rs
+++ b/havengrade_router/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod ledger;
 mod plain;
 mod problem;
+pub(crate) mod quarantine;
 mod refuse;
 mod request;
 mod routes;
--- a/havengrade_router/src/traffic/plain.rs
+++ b/havengrade_router/src/traffic/plain.rs
@@ -17,6 +17,7 @@
         Problem,
         caller::{IDEMPOTENCY_KEY, REQUEST_ID},
         job::{Stop, claim, give_up, next_endpoint, settle},
+        quarantine::Watched,
         refuse::lost_answer,
         request::{Job, Spent},
         table::{End, Head},
@@ -34,7 +35,12 @@
 pub(crate) async fn call(job: &Job, content_type: &str, path: &str) -> End {
     let mut tried: Vec<EndpointId> = Vec::new();
     let mut problem = unavailable("no endpoint of the service is there now");
+    let watched = Watched::new(job, None, path);
     while let Some(endpoint) = next(job, &tried).await {
+        if let Err(held) = watched.admit().await {
+            problem = held;
+            break;
+        }
         if let Err(Stop::Ended(end)) = claim(job, &endpoint).await {
             return end;
         }
@@ -42,16 +48,24 @@
             break;
         }
         let in_flight = job.cx.shared.endpoints.enter(&endpoint.id);
+        let sent = job.now();
         let result = send(job, &endpoint, content_type, path).await;
         drop(in_flight);
         job.note_try(&endpoint.id, result.is_ok());
         match result {
+            Ok(answer) if (200..300).contains(&answer.status) => {
+                watched.note_answered();
+                return finish(job, &endpoint, answer).await;
+            },
             Ok(answer) => return finish(job, &endpoint, answer).await,
             Err(error) if error.surely_not_sent() => problem = unavailable(&error.to_string()),
-            Err(error) if job.is_repeatable() || endpoint.deduplicates => {
+            Err(error) => {
+                watched.note_broken(&endpoint, sent).await;
+                if !job.is_repeatable() && !endpoint.deduplicates {
+                    return give_up(job, lost_answer()).await;
+                }
                 problem = Problem::may_have_run(StatusCode::BAD_GATEWAY, "service_lost", error.to_string());
             },
-            Err(_) => return give_up(job, lost_answer()).await,
         }
         tried.push(endpoint.id);
     }
--- a/havengrade_rpc/tests/decoders.rs
+++ b/havengrade_rpc/tests/decoders.rs
@@ -14,7 +14,7 @@
     let uses = uses.into_iter().map(|(account, count)| AccountUse::new(account, count)).collect::<Vec<_>>();
     let loads = loads.into_iter().map(|(id, load)| EndpointLoad::new(id, load, false, false)).collect::<Vec<_>>();
     let vm = "vm-1".to_owned();
-    PeerRequest::Heartbeat(PeerHeartbeat::new(vm, 1, 2, 3, None, 4, true, false, 5, uses, None, loads))
+    PeerRequest::Heartbeat(PeerHeartbeat::new(vm, 1, 2, 3, None, 4, true, false, 5, uses, None, loads, None))
 }
 
 /// A call as a stock client writes it.
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -3,6 +3,8 @@
  * Frames: a four-byte length before each message, compact protocol, one reply to each request.
  */
 
+include "reports.thrift"
+
 /** Requests that a client account has in progress at the sender. */
 struct AccountUse {
   1: required string account,
@@ -44,6 +46,8 @@
   11: optional list<EvidenceTally> evidence,
   /** Reports since the sender's last heartbeat; not in replies. */
   12: optional list<EndpointLoad> loads,
+  /** What the sender knows of requests that crash endpoints; not in replies. */
+  13: optional reports.Quarantine quarantine,
 }
 
 /** A record of the configuration stream. */
