--- a/havengrade_dev/tests/published_crashing_request.rs
+++ b/havengrade_dev/tests/published_crashing_request.rs
@@ -385,3 +385,18 @@
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
+
+#[tokio::test(start_paused = true)]
+async fn while_the_store_is_away_a_held_request_is_refused_as_soon_as_its_trial_can_not_be_claimed() {
+    let (fleet, _endpoints) = Fleet::start(DAY).await;
+    let deadly = async |host| fleet.ask(host, "/stream/", "", "deadly-1").await;
+    deadly(1).await;
+    fleet.store.set_away(true);
+    let ends = fleet.record.lock().unwrap().ends.len();
+    let begin = Instant::now();
+    let answer = deadly(1).await;
+    assert_eq!(reason(&answer), "503 quarantined");
+    // It is judged a second after the last crash, and its trial is due two seconds later.
+    assert!(begin.elapsed() < Duration::from_secs(4), "{:?}", begin.elapsed());
+    assert_eq!(fleet.record.lock().unwrap().ends.len(), ends, "no trial without the list");
+}
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -169,7 +169,7 @@
             return Err(job.refusal(why_none(cx, job, now), Refusal::Lost));
         };
         match trial {
-            Some(hold) if !quarantine::claim_trial(cx, job, &hold).await => {},
+            Some(hold) if !quarantine::claim_trial(cx, job, &hold).await? => {},
             _ => return Ok(chosen),
         }
     }
--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -74,17 +74,26 @@
 }
 
 /// Makes a request the one by which it is tried once more; tells whether it may be sent now, or is to wait since another VM was first.
-pub(super) async fn claim_trial(cx: &PublishedContext, job: &mut Job, hold: &KeptHold) -> bool {
-    let claimed = match cx.quarantine_book.claim_trial(hold, cx.shared.clock.now()).await {
+///
+/// # Errors
+///
+/// [`Refusal`] where the list can't be written, or the request has waited for long enough.
+pub(super) async fn claim_trial(cx: &PublishedContext, job: &mut Job, hold: &KeptHold) -> Result<bool, Refusal> {
+    let now = cx.shared.clock.now();
+    let held = Refusal::Quarantined { back_after: CLAIM_PAUSE };
+    let claimed = match cx.quarantine_book.claim_trial(hold, now).await {
         Ok(claimed) => claimed,
         Err(error) => {
             log::warn!(request = job.id.as_str(); "a request that is held back is not tried: {error}");
-            None
+            return Err(held);
         },
     };
     let Some(kept) = claimed else {
+        if now >= job.arrived + MOST_WAIT {
+            return Err(held);
+        }
         sleep(CLAIM_PAUSE).await;
-        return false;
+        return Ok(false);
     };
     {
         let mut quarantine = cx.shared.quarantine();
@@ -98,7 +107,7 @@
         "a request that is held back is tried once more"
     );
     job.is_trial = true;
-    true
+    Ok(true)
 }
 
 /// Notes that a request got a whole answer, so that it is none of those that crash endpoints.
