Take a request off the list of held ones once an answer has freed it

Change: the VM whose answer frees a request takes its entry off the list, and tries again until that is done. Ruled out: letting every VM that hears of it write (a call a VM). Left: the entry stays where that VM ends before the store has taken it off.

--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -9,7 +9,7 @@
 //! one that is held is tried a few times more, one VM at a time for all of them, and is free again once an endpoint answers it.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, SystemTime},
 };
 
@@ -225,6 +225,8 @@
     held: HashMap<RequestMark, Hold>,
     /// Requests that wait until what others saw has come in, and when that will be.
     suspects: HashMap<RequestMark, SystemTime>,
+    /// Requests that an answer at this VM freed, and that are still on the list that outlasts all VMs.
+    freed: HashSet<RequestMark>,
     /// The last answers that this VM saw.
     answered: Answered,
     /// Answers to requests that were at crashes, when, and how often that was told.
@@ -325,7 +327,9 @@
     /// Notes that an endpoint of a version answered a request as a whole; gives what changes by it.
     pub fn note_answered(&mut self, run: (RequestMark, VersionMark), now: SystemTime) -> Option<QuarantineChange> {
         self.answered.note(run, now);
-        self.clear(run, now)
+        let change = self.clear(run, now);
+        self.freed.extend(change.map(|_| run.0));
+        change
     }
 
     fn see(&mut self, mark: RequestMark, sight: Sight, is_own: bool, now: SystemTime) {
@@ -404,6 +408,7 @@
                 trials: 0,
                 tried: None,
             };
+            self.freed.remove(&mark);
             self.held.insert(mark, Hold { kept, is_kept: false, told: 0 });
             changes.push(QuarantineChange::Judged { mark, crashes: crashes.len() });
         }
@@ -561,6 +566,16 @@
         }
     }
 
+    /// Requests to take off the list that outlasts all VMs, so that a start of all of them does not hold them back again.
+    pub fn freed(&self) -> Vec<RequestMark> {
+        self.freed.iter().copied().collect()
+    }
+
+    /// Notes that a request is off that list.
+    pub fn set_off_list(&mut self, mark: RequestMark) {
+        self.freed.remove(&mark);
+    }
+
     /// Forgets what is too old to count.
     pub fn prune(&mut self, now: SystemTime) {
         self.broken.retain(|_, tries| {
--- a/havengrade_dev/src/stand_in/published.rs
+++ b/havengrade_dev/src/stand_in/published.rs
@@ -252,6 +252,12 @@
         Ok(())
     }
 
+    async fn release(&self, mark: RequestMark) -> Result<(), StoreError> {
+        self.call().await?;
+        lock(&self.store.kept).held.remove(&mark);
+        Ok(())
+    }
+
     async fn claim_trial(&self, hold: &KeptHold, now: SystemTime) -> Result<Option<KeptHold>, StoreError> {
         self.call().await?;
         let mut kept = lock(&self.store.kept);
--- a/havengrade_router/src/published/configured.rs
+++ b/havengrade_router/src/published/configured.rs
@@ -10,6 +10,7 @@
 use async_trait::async_trait;
 use havengrade_core::{
     config::Config,
+    mark::RequestMark,
     membership::ListedVm,
     published::{
         configured::{endpoints, publication},
@@ -184,6 +185,10 @@
         Ok(())
     }
 
+    async fn release(&self, _mark: RequestMark) -> Result<(), StoreError> {
+        Ok(())
+    }
+
     /// Others are told of the trial; two VMs that begin one at the same moment both make it.
     async fn claim_trial(&self, hold: &KeptHold, now: SystemTime) -> Result<Option<KeptHold>, StoreError> {
         Ok(next_trial(&[*hold], hold, now))
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use havengrade_core::{
     ids::{RequestId, ServiceId, SessionId},
+    mark::RequestMark,
     published::{
         attempt::RunState,
         directory::{DirectoryEvent, SoftwareVersion},
@@ -246,6 +247,13 @@
     /// [`StoreError`] where it was not entered, or may not have been.
     async fn keep(&self, hold: &KeptHold) -> Result<(), StoreError>;
 
+    /// Takes a request off the list, since it is free.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] where it was not taken off, or may not have been.
+    async fn release(&self, mark: RequestMark) -> Result<(), StoreError>;
+
     /// Claims the next trial of a request for this VM, by [`havengrade_core::quarantine::next_trial`]; gives the entry that was written, unless another VM was first.
     ///
     /// # Errors
--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -238,7 +238,12 @@
                     self.keep(hold).await;
                 }
             }
-            let is_done = unkept.is_empty() && !has_suspects && self.cx.shared.quarantine().is_read();
+            let freed = self.cx.shared.quarantine().freed();
+            for mark in &freed {
+                self.release(*mark).await;
+            }
+            let is_done =
+                unkept.is_empty() && freed.is_empty() && !has_suspects && self.cx.shared.quarantine().is_read();
             let pause = if is_done { IDLE } else { BUSY };
             let is_changed = timeout(pause, self.cx.shared.quarantine_changed()).await.is_ok();
             if is_changed {
@@ -277,6 +282,19 @@
         }
     }
 
+    async fn release(&self, mark: RequestMark) {
+        match self.cx.quarantine_book.release(mark).await {
+            Ok(()) => {
+                log::info!(mark = name(mark).as_str(); "a request is off the list of those that are held back");
+                self.cx.shared.quarantine().set_off_list(mark);
+            },
+            Err(error) => {
+                log::warn!(mark = name(mark).as_str(); "a request that is free is still on the list: {error}");
+                sleep(IDLE).await;
+            },
+        }
+    }
+
     async fn keep(&self, hold: &KeptHold) {
         match self.cx.quarantine_book.keep(hold).await {
             Ok(()) => {
