Learn of another VM's trial by the claim that came second

Cause: a claim that another VM was first with told nothing, so that a VM that had missed its reports claimed again every 0.3 s. Change: the list is read then, which tells of the trial and of requests that are free or held meanwhile. Ruled out: giving the list back with each claim: the port would hand out what only a refused claim needs.

--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -92,6 +92,8 @@
         if now >= job.arrived + MOST_WAIT {
             return Err(held);
         }
+        // The reports on the other trial may be lost; the list tells of it.
+        read_list(cx).await;
         sleep(CLAIM_PAUSE).await;
         return Ok(false);
     };
@@ -216,6 +218,21 @@
     cx.closing.run_until_cancelled(keeper.run()).await;
 }
 
+/// Takes what is on the list; tells whether it could be read.
+async fn read_list(cx: &PublishedContext) -> bool {
+    match cx.quarantine_book.read().await {
+        Ok(kept) => {
+            let changes = cx.shared.quarantine().take_kept(&kept, cx.shared.clock.now());
+            tell(cx, &changes);
+            true
+        },
+        Err(error) => {
+            log::warn!("the list of requests that are held back was not read: {error}");
+            false
+        },
+    }
+}
+
 struct Keeper {
     cx: PublishedContext,
     /// When this VM writes that a request is held back, unless another one did.
@@ -263,25 +280,14 @@
     async fn learn(&self, now: SystemTime) {
         let was_handed = self.cx.shared.was_handed.load(Ordering::Acquire);
         if !was_handed || self.cx.shared.is_reader() {
-            self.read().await;
+            if !read_list(&self.cx).await {
+                sleep(IDLE).await;
+            }
         } else if self.cx.shared.running_for(now) >= TOLD_AFTER {
             self.cx.shared.quarantine().set_read();
         }
     }
 
-    async fn read(&self) {
-        match self.cx.quarantine_book.read().await {
-            Ok(kept) => {
-                let changes = self.cx.shared.quarantine().take_kept(&kept, self.cx.shared.clock.now());
-                tell(&self.cx, &changes);
-            },
-            Err(error) => {
-                log::warn!("the list of requests that are held back was not read: {error}");
-                sleep(IDLE).await;
-            },
-        }
-    }
-
     async fn release(&self, mark: RequestMark) {
         match self.cx.quarantine_book.release(mark).await {
             Ok(()) => {
