--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -16,23 +16,20 @@
 use crate::{
     answered::{ANSWER_LIFE, Answered, Run},
     blame::{Blamed, Sight, Sights, is_same_moment, to_blame},
+    hold::HOLD,
     ids::EndpointId,
     mark::{RequestMark, VersionMark},
 };
+pub use crate::{
+    hold::{KeptHold, next_trial},
+    quarantine_news::{QuarantineNews, ToldAnswer, ToldCrash, ToldHold},
+};
 
-/// Time for which a request is held back. It is as long as an operator may need to mend the endpoints: each crash takes all
-/// other requests there with it.
-const HOLD: Duration = Duration::from_secs(24 * 3600);
 /// Time since the last crash of a request after which it is judged. Until then it waits where enough is known of it, since what other
 /// VMs saw of the crash, which may name another cause, is on its way: two reports, and as much again for lost ones.
 const SETTLE: Duration = Duration::from_millis(1000);
-/// Times since a request was held back after which it is tried once more. The users allow three sends after the third crash; one is
-/// left for those that were on their way. The first follows before most callers give up.
-const TRIALS: [Duration; 2] = [Duration::from_secs(2), Duration::from_secs(600)];
 /// Time without any crash after which a request is tried: while other causes are at work, an innocent one would fail.
 const CALM: Duration = Duration::from_millis(1500);
-/// Time that a trial takes, for callers of the same request that come meanwhile.
-const TRIAL_TIME: Duration = Duration::from_secs(2);
 /// Time for which a crash counts against a request that comes rarely.
 const SIGHT_LIFE: Duration = Duration::from_secs(3600);
 /// Time from a try that breaks until its endpoint is known to have ended; a look takes as long as a connection may.
@@ -48,112 +45,6 @@
 /// Crashes that a VM which starts is told of.
 const MAX_HANDED: usize = 96;
 
-/// A request was in progress at an endpoint when that ended, as VMs tell each other.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ToldCrash {
-    /// The request.
-    pub mark: RequestMark,
-    /// The endpoint.
-    pub endpoint: EndpointId,
-    /// Its version.
-    pub version: VersionMark,
-    /// Time from when the request was sent there until then.
-    pub ran_for: Duration,
-    /// Time since then.
-    pub age: Duration,
-}
-
-/// A request that is held back, as VMs tell each other.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ToldHold {
-    /// The request.
-    pub mark: RequestMark,
-    /// Version of the last endpoint that ended under it.
-    pub version: VersionMark,
-    /// Time since the earliest of the crashes for which it is held.
-    pub age: Duration,
-    /// Time since it is held.
-    pub held_for: Duration,
-    /// Time for which it is held on.
-    pub left: Duration,
-    /// Trials that were begun.
-    pub trials: usize,
-    /// Time since the last of them.
-    pub tried_ago: Option<Duration>,
-    /// Whether it is known to be written where it outlasts all VMs.
-    pub is_kept: bool,
-}
-
-/// A request that an endpoint answered as a whole, as VMs tell each other.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ToldAnswer {
-    /// The request.
-    pub mark: RequestMark,
-    /// Version of the endpoint.
-    pub version: VersionMark,
-    /// Time since then.
-    pub age: Duration,
-}
-
-/// What a VM tells others of requests that crash endpoints.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct QuarantineNews {
-    /// Crashes.
-    pub crashes: Vec<ToldCrash>,
-    /// Requests that are held back.
-    pub held: Vec<ToldHold>,
-    /// Requests that were answered, of those that were at crashes.
-    pub answered: Vec<ToldAnswer>,
-}
-
-/// A request that is held back, as it is kept where it outlasts all VMs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct KeptHold {
-    /// The request.
-    pub mark: RequestMark,
-    /// Version of the last endpoint that ended under it; an answer of another version says nothing.
-    pub version: VersionMark,
-    /// The earliest of the crashes for which it is held.
-    pub first_crash: SystemTime,
-    /// Since when.
-    pub since: SystemTime,
-    /// Until when.
-    pub until: SystemTime,
-    /// Trials that were begun.
-    pub trials: usize,
-    /// When the last of them was.
-    pub tried: Option<SystemTime>,
-}
-
-/// The entry by which a VM claims the next trial of a request, given what is on the list; none where another trial runs or was claimed
-/// first. Trials come one at a time, so that the endpoint of one does not end under that of another request.
-///
-/// ```
-/// use std::time::{Duration, SystemTime};
-/// use havengrade_core::quarantine::{KeptHold, next_trial};
-///
-/// let at = |seconds| SystemTime::UNIX_EPOCH + Duration::from_secs(seconds);
-/// let hold =
-///     KeptHold { mark: 7, version: 1, first_crash: at(1), since: at(2), until: at(90), trials: 0, tried: None };
-/// let claimed = next_trial(&[], &hold, at(5)).unwrap();
-/// assert_eq!(next_trial(&[claimed], &hold, at(6)), None);
-/// ```
-pub fn next_trial(known: &[KeptHold], wanted: &KeptHold, now: SystemTime) -> Option<KeptHold> {
-    let runs = |kept: &KeptHold| kept.trial_left(now).is_some();
-    let was_claimed = |kept: &KeptHold| kept.mark == wanted.mark && now < kept.until && kept.trials != wanted.trials;
-    let is_free = !known.iter().any(|kept| runs(kept) || was_claimed(kept));
-    is_free.then(|| KeptHold { trials: wanted.trials + 1, tried: Some(now), ..*wanted })
-}
-
-impl KeptHold {
-    /// Time until the end of a trial that runs.
-    fn trial_left(&self, now: SystemTime) -> Option<Duration> {
-        let left = (self.tried? + TRIAL_TIME).duration_since(now).ok()?;
-        // One from the future is that of a VM whose clock was wrong.
-        (!left.is_zero() && left <= TRIAL_TIME).then_some(left)
-    }
-}
-
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -202,13 +93,6 @@
     told: u32,
 }
 
-impl Hold {
-    /// When the next trial may be, if there is to be one.
-    fn next_trial(&self) -> Option<SystemTime> {
-        Some(self.kept.since + *TRIALS.get(self.kept.trials)?)
-    }
-}
-
 /// What is known of requests that crash endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
@@ -271,7 +155,7 @@
         }
         let calm = self.last_crash.map_or(SystemTime::UNIX_EPOCH, |at| at + CALM);
         let until = |at: SystemTime| at.duration_since(now).ok().filter(|left| !left.is_zero());
-        match hold.next_trial().map(|at| until(at.max(calm))) {
+        match hold.kept.next_trial_at().map(|at| until(at.max(calm))) {
             Some(None) => Standing::OnTrial(hold.kept),
             Some(Some(left)) => Standing::Awaited { known_in: left },
             None => Standing::Held { back_after: hold.kept.until.duration_since(now).unwrap_or_default() },
@@ -437,7 +321,7 @@
         for mark in least_told(self.held.iter().map(|(mark, hold)| (*mark, hold.told))) {
             let Some(hold) = self.held.get_mut(&mark) else { continue };
             hold.told += 1;
-            news.held.push(tell_hold(hold, now));
+            news.held.push(ToldHold::new(&hold.kept, hold.is_kept, now));
         }
         for key in least_told(self.tellings.iter().map(|(key, told)| (key.clone(), *told))) {
             self.tellings.entry(key.clone()).and_modify(|told| *told += 1);
@@ -475,7 +359,7 @@
         let mut crashes: Vec<ToldCrash> = crashes.collect();
         crashes.sort_by_key(|crash| crash.age);
         crashes.truncate(MAX_HANDED);
-        let held = self.held.values().map(|hold| tell_hold(hold, now)).collect();
+        let held = self.held.values().map(|hold| ToldHold::new(&hold.kept, hold.is_kept, now)).collect();
         let answered = self.cleared.iter();
         let answered =
             answered.map(|((mark, version), (at, _))| ToldAnswer { mark: *mark, version: *version, age: age(*at) });
@@ -601,22 +485,6 @@
     }
 }
 
-fn tell_hold(hold: &Hold, now: SystemTime) -> ToldHold {
-    let age = |at: SystemTime| now.duration_since(at).unwrap_or_default();
-    let KeptHold { mark, version, first_crash, since, until, trials, tried } = hold.kept;
-    let left = until.duration_since(now).unwrap_or_default();
-    ToldHold {
-        mark,
-        version,
-        age: age(first_crash),
-        held_for: age(since),
-        left,
-        trials,
-        tried_ago: tried.map(age),
-        is_kept: hold.is_kept,
-    }
-}
-
 /// What a report tells of some things: those that were not told often enough, and a few of the others in turn.
 fn least_told<T: Ord>(all: impl Iterator<Item = (T, u32)>) -> Vec<T> {
     let mut all: Vec<(u32, T)> = all.map(|(thing, told)| (told, thing)).collect();
