Send cold endpoints no more than they bear, from all VMs together

Cause: endpoints that have just started, or whose failure domain was taken back, bear few requests a second; each VM sent there as to any other, and more, since an empty endpoint is the cheapest. Change: entries tell for how long an endpoint is cold; what it bears is divided among two VMs of its own failure domain, chosen in an order that all share. A request that a new version would be tried with goes to an old one where the new endpoints are all cold. Where nothing else is left the request is refused with a time to come back. Ways: a share for each VM by the number of VMs, as a test beside it, breaks the bound with 84 or 390 VMs, since each sends a whole request or none; two holders send 11 in a second at most with 7, 84 and 390 VMs, and keep the bound of 18 where each VM misses a tenth of the others. Ruled out: avoiding cold endpoints altogether, since a new version and a domain that came back would get nothing.

--- a/havengrade_core/src/published/configured.rs
+++ b/havengrade_core/src/published/configured.rs
@@ -72,5 +72,6 @@
         version: String::new(),
         slots: item.capacity,
         is_leaving: false,
+        cold_for: Duration::ZERO,
     })
 }
--- a/havengrade_core/src/published/directory.rs
+++ b/havengrade_core/src/published/directory.rs
@@ -1,7 +1,7 @@
 //! The endpoints of published services, as the platform lists them and as its outages blur the list.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     time::{Duration, SystemTime},
 };
@@ -30,6 +30,9 @@
     pub slots: u32,
     /// Whether it will end soon and takes no new work.
     pub is_leaving: bool,
+    /// Time from when this was read for which it is still cold: it bears few requests a second.
+    #[serde(default)]
+    pub cold_for: Duration,
 }
 
 /// A change of the list.
@@ -53,6 +56,9 @@
 /// An endpoint's entry goes after three heartbeats that are missing, each about a second apart.
 pub const OUTAGE_AFTER: Duration = Duration::from_millis(2500);
 
+/// Time by which one read of an entry may come later than another: that between two reads of the list.
+const READ_SLACK: Duration = Duration::from_millis(800);
+
 /// The endpoints that are known.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
@@ -63,10 +69,37 @@
 
 #[derive(Clone, Debug)]
 struct Entry {
+    /// What was read, but for how long it is cold.
     endpoint: ListedEndpoint,
+    cold_until: Option<SystemTime>,
     lapsed: bool,
 }
 
+impl Entry {
+    fn new(endpoint: ListedEndpoint, now: SystemTime) -> Self {
+        let cold_until = (!endpoint.cold_for.is_zero()).then(|| now + endpoint.cold_for);
+        Self { endpoint: ListedEndpoint { cold_for: Duration::ZERO, ..endpoint }, cold_until, lapsed: false }
+    }
+
+    /// Whether an entry that is read at `now` says the same; a time for which it is cold is read more or less late.
+    fn is_same(&self, read: &ListedEndpoint, now: SystemTime) -> bool {
+        let other = Self::new(read.clone(), now);
+        let known_cold = self.cold_until.filter(|until| now < *until);
+        let is_as_cold = match (known_cold, other.cold_until) {
+            (Some(known), Some(until)) => until <= known + READ_SLACK,
+            (None, None) => true,
+            (Some(_), None) | (None, Some(_)) => false,
+        };
+        !self.lapsed && self.endpoint == other.endpoint && is_as_cold
+    }
+
+    /// The entry as it would be read at `now`.
+    fn read(&self, now: SystemTime) -> ListedEndpoint {
+        let cold_for = self.cold_until.and_then(|until| until.duration_since(now).ok()).unwrap_or_default();
+        ListedEndpoint { cold_for, ..self.endpoint.clone() }
+    }
+}
+
 impl Directory {
     /// Takes what a read brought; the list was as it says at `at`, which lies before `now`.
     ///
@@ -85,7 +118,7 @@
         let mut has_changed = false;
         let mut news = Vec::new();
         for event in events {
-            if self.is_news(&event) {
+            if self.is_news(&event, now) {
                 has_changed |= self.take(event.clone(), now);
                 news.push(event);
             }
@@ -95,11 +128,11 @@
     }
 
     /// Whether an event says anything that is not known; most only renew an entry.
-    fn is_news(&self, event: &DirectoryEvent) -> bool {
+    fn is_news(&self, event: &DirectoryEvent, now: SystemTime) -> bool {
         match event {
             DirectoryEvent::Seen(endpoint) => {
                 let known = self.entries.get(&endpoint.id);
-                known.is_none_or(|entry| entry.lapsed || entry.endpoint != *endpoint)
+                known.is_none_or(|entry| !entry.is_same(endpoint, now))
             },
             DirectoryEvent::Gone(id) => self.entries.contains_key(id),
             DirectoryEvent::All(_) => true,
@@ -108,17 +141,17 @@
 
     fn take(&mut self, event: DirectoryEvent, now: SystemTime) -> bool {
         match event {
-            DirectoryEvent::Seen(endpoint) => self.see(endpoint),
+            DirectoryEvent::Seen(endpoint) => self.see(endpoint, now),
             DirectoryEvent::Gone(id) => self.lose(&id, now),
             DirectoryEvent::All(endpoints) => self.replace(endpoints, now),
         }
     }
 
-    fn see(&mut self, endpoint: ListedEndpoint) -> bool {
+    fn see(&mut self, endpoint: ListedEndpoint, now: SystemTime) -> bool {
         let known = self.entries.get(&endpoint.id);
-        let is_same = known.is_some_and(|entry| !entry.lapsed && entry.endpoint == endpoint);
+        let is_same = known.is_some_and(|entry| entry.is_same(&endpoint, now));
         if !is_same {
-            self.entries.insert(endpoint.id.clone(), Entry { endpoint, lapsed: false });
+            self.entries.insert(endpoint.id.clone(), Entry::new(endpoint, now));
         }
         !is_same
     }
@@ -138,7 +171,7 @@
         let missing: Vec<EndpointId> = self.entries.keys().filter(|id| !listed.contains(*id)).cloned().collect();
         let mut has_changed = false;
         for endpoint in endpoints {
-            has_changed |= self.see(endpoint);
+            has_changed |= self.see(endpoint, now);
         }
         for id in missing {
             has_changed |= self.lose(&id, now);
@@ -163,8 +196,14 @@
     }
 
     /// What the list holds, without entries that lapsed and are kept for a time.
-    pub fn listed(&self) -> Vec<ListedEndpoint> {
-        self.entries.values().filter(|entry| !entry.lapsed).map(|entry| entry.endpoint.clone()).collect()
+    pub fn listed(&self, now: SystemTime) -> Vec<ListedEndpoint> {
+        self.entries.values().filter(|entry| !entry.lapsed).map(|entry| entry.read(now)).collect()
+    }
+
+    /// Until when endpoints are cold, as their entries tell; those that are not cold are left out.
+    pub fn cold(&self, now: SystemTime) -> HashMap<EndpointId, SystemTime> {
+        let cold = |(id, entry): (&EndpointId, &Entry)| Some((id.clone(), entry.cold_until.filter(|at| now < *at)?));
+        self.entries.iter().filter_map(cold).collect()
     }
 
     /// All endpoints, also those that leave.
--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -4,6 +4,7 @@
 //! chooses account, endpoint and model for each request, and leaves its body and headers as they are.
 
 pub mod attempt;
+pub mod cold;
 pub mod come_back;
 pub mod configured;
 pub mod directory;
--- a/havengrade_core/src/published/peers.rs
+++ b/havengrade_core/src/published/peers.rs
@@ -171,7 +171,7 @@
     }
 
     /// All VMs that are known.
-    pub fn all(&self) -> impl Iterator<Item = &Peer> {
+    pub fn all(&self) -> impl Iterator<Item = &Peer> + Clone {
         self.by_vm.values().map(|known| &known.peer)
     }
 
--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -216,6 +216,21 @@
         if takes_new { Allowed::Only(new.clone()) } else { Allowed::Not(new.clone()) }
     }
 
+    /// Whether a request may go to the old versions as well as to the one that is tried: its order is under way, and no session of its
+    /// own keeps the request to a version.
+    pub fn may_leave_trial(
+        &self,
+        service: &str,
+        session: Option<&str>,
+        bounds: RolloutBounds,
+        now: SystemTime,
+    ) -> bool {
+        let Some(running) = self.by_service.get(service) else { return false };
+        let is_trial = running.phase(bounds, session.is_some(), now) == Phase::Trial;
+        let pinned = session.and_then(|id| self.pins.version(id, bounds.session_time, now));
+        is_trial && pinned.is_none()
+    }
+
     /// Whether a version is the one of a service's newest order.
     pub fn is_ordered(&self, service: &str, version: &str) -> bool {
         self.by_service.get(service).is_some_and(|running| running.order.version == version)
--- a/havengrade_core/src/published/route.rs
+++ b/havengrade_core/src/published/route.rs
@@ -110,6 +110,9 @@
     pub max_connections: u32,
     /// Models and their costs; empty for a plain service.
     pub models: Vec<ModelPrice>,
+    /// Requests a second that a cold endpoint bears from all VMs together; 0 where it bears as many as any other.
+    #[serde(default)]
+    pub cold_per_s: f64,
 }
 
 impl PublishedService {
--- a/havengrade_core/tests/published.rs
+++ b/havengrade_core/tests/published.rs
@@ -54,6 +54,7 @@
         version: version.into(),
         slots: 10,
         is_leaving: false,
+        cold_for: Duration::ZERO,
     }
 }
 
--- /dev/null
+++ b/havengrade_core/tests/published_cold.rs
@@ -0,0 +1,182 @@
+//! What cold endpoints get from fleets of several sizes, whose lists of VMs differ.
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    collections::HashMap,
+    time::{Duration, SystemTime},
+};
+
+use havengrade_core::published::{
+    cold::{ColdEndpoints, HOLDERS, is_holder},
+    directory::ListedEndpoint,
+    peers::Peer,
+};
+use rand::{RngExt as _, seq::SliceRandom as _};
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
+
+/// Requests a second that a cold endpoint bears.
+const PER_S: f64 = 8.8;
+/// What operators allow it to get in a second: half as much again, and five.
+const BOUND: usize = 18;
+/// Time for which an endpoint is cold.
+const COLD_FOR: Duration = Duration::from_secs(3);
+/// Requests a second that each VM would send to the endpoint if it might.
+const DEMAND: f64 = 6.0;
+
+fn at(millis: u64) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_millis(1_800_000_000_000 + millis)
+}
+
+fn vm(index: usize, domains: usize) -> Peer {
+    Peer {
+        vm: format!("vm-{index}"),
+        incarnation: 1,
+        address: ([10, 0, 0, 1], 80).into(),
+        failure_domain: format!("d{}", index % domains),
+    }
+}
+
+fn endpoint(id: usize, domain: &str) -> ListedEndpoint {
+    ListedEndpoint {
+        id: format!("e{id}"),
+        service: "x".into(),
+        address: ([10, 0, 0, 9], 80).into(),
+        failure_domain: domain.into(),
+        version: "v1".into(),
+        slots: 16,
+        is_leaving: false,
+        cold_for: COLD_FOR,
+    }
+}
+
+/// Requests that a cold endpoint got: the most in a second, and in each second of its time on the mean.
+struct Got {
+    most: usize,
+    mean: f64,
+}
+
+/// A fleet in which each VM misses some of the others on its list, before a cold endpoint.
+struct Fleet {
+    vms: Vec<Peer>,
+    missing: f64,
+}
+
+impl Fleet {
+    fn new(size: usize, missing: f64) -> Self {
+        Self { vms: (0..size).map(|index| vm(index, 4)).collect(), missing }
+    }
+
+    fn send(&self, id: usize, rng: &mut ChaCha8Rng) -> Got {
+        let endpoint = endpoint(id, "d1");
+        let mut states: Vec<ColdEndpoints> = vec![ColdEndpoints::default(); self.vms.len()];
+        let holders: Vec<bool> = self.vms.iter().map(|me| self.holds(me, &endpoint, rng)).collect();
+        let mut sent = Vec::new();
+        let mut order: Vec<usize> = (0..self.vms.len()).collect();
+        for millis in (0..COLD_FOR.as_millis() as u64).step_by(10) {
+            order.shuffle(rng);
+            for &index in &order {
+                if rng.random::<f64>() > DEMAND / 100.0 {
+                    continue;
+                }
+                let now = at(millis);
+                if states[index].may_send(&endpoint.id, PER_S, 1, || holders[index], now) {
+                    states[index].note_sent(&endpoint.id);
+                    sent.push(now);
+                }
+            }
+        }
+        got(&sent)
+    }
+
+    fn holds(&self, me: &Peer, endpoint: &ListedEndpoint, rng: &mut ChaCha8Rng) -> bool {
+        let known: Vec<Peer> =
+            self.vms.iter().filter(|vm| vm.vm != me.vm && rng.random::<f64>() >= self.missing).cloned().collect();
+        is_holder((&me.vm, &me.failure_domain), known.iter(), endpoint)
+    }
+}
+
+fn got(sent: &[SystemTime]) -> Got {
+    let in_second =
+        |from: SystemTime| sent.iter().filter(|at| (from..from + Duration::from_secs(1)).contains(*at)).count();
+    let most = sent.iter().map(|from| in_second(*from)).max().unwrap_or_default();
+    Got { most, mean: sent.len() as f64 / COLD_FOR.as_secs_f64() }
+}
+
+#[test]
+fn a_cold_endpoint_gets_what_it_bears_from_fleets_of_any_size() {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    for size in [7, 84, 390] {
+        let fleet = Fleet::new(size, 0.0);
+        for id in 0..60 {
+            let Got { most, mean } = fleet.send(id, &mut rng);
+            assert!(most <= 11, "{most} in a second from {size} VMs");
+            assert!(mean >= 0.3 * PER_S, "{mean} a second on the mean from {size} VMs");
+        }
+    }
+}
+
+#[test]
+fn lists_that_differ_do_not_break_the_bound() {
+    let mut rng = ChaCha8Rng::seed_from_u64(4);
+    for size in [7, 84, 390] {
+        // A tenth of the VMs is unknown to each, as right after a start of all.
+        let fleet = Fleet::new(size, 0.1);
+        let worst = (0..200).map(|id| fleet.send(id, &mut rng).most).max().unwrap();
+        assert!(worst <= BOUND, "{worst} in a second from {size} VMs");
+    }
+}
+
+/// The other way that was weighed: what an endpoint bears, divided evenly among all VMs.
+///
+/// With 84 VMs the sum keeps to it only on the mean, since each VM sends a whole request or none.
+#[test]
+fn a_share_for_each_vm_breaks_the_bound_in_a_large_fleet() {
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut worst = HashMap::new();
+    for size in [7, 84, 390] {
+        for _ in 0..600 {
+            let rate = PER_S / size as f64;
+            let mut saved: Vec<f64> = (0..size).map(|_| rng.random::<f64>()).collect();
+            let mut sent = Vec::new();
+            for millis in (0..COLD_FOR.as_millis() as u64).step_by(10) {
+                for share in &mut saved {
+                    *share = (*share + rate / 100.0).min(1.0);
+                    if *share >= 1.0 && rng.random::<f64>() < DEMAND / 100.0 {
+                        *share -= 1.0;
+                        sent.push(at(millis));
+                    }
+                }
+            }
+            let most = worst.entry(size).or_insert(0);
+            *most = got(&sent).most.max(*most);
+        }
+    }
+    assert!(worst[&84] > BOUND || worst[&390] > BOUND, "{worst:?}");
+}
+
+#[test]
+fn the_holders_stand_in_the_endpoints_own_domain_as_far_as_there_are_some() {
+    let vms: Vec<Peer> = (0..8).map(|index| vm(index, 4)).collect();
+    let holders = |domain: &str, vms: &[Peer]| {
+        let holds = |me: &&Peer| {
+            let others: Vec<Peer> = vms.iter().filter(|vm| vm.vm != me.vm).cloned().collect();
+            is_holder((&me.vm, &me.failure_domain), others.iter(), &endpoint(1, domain))
+        };
+        vms.iter().filter(holds).cloned().collect::<Vec<Peer>>()
+    };
+    assert!(holders("d2", &vms).iter().all(|vm| vm.failure_domain == "d2"));
+    assert_eq!(holders("d2", &vms).len(), HOLDERS);
+    assert_eq!(holders("elsewhere", &vms).len(), HOLDERS);
+    let without: Vec<Peer> = vms.iter().filter(|vm| vm.vm != "vm-2").cloned().collect();
+    let mixed = holders("d2", &without);
+    assert_eq!(mixed.len(), HOLDERS, "one of another domain makes up for the one that is missing");
+    assert_eq!(mixed.iter().filter(|vm| vm.failure_domain == "d2").count(), 1);
+}
+
+#[test]
+fn a_vm_that_has_just_started_saves_up_before_it_sends() {
+    let mut cold = ColdEndpoints::default();
+    let mut may = |millis| cold.may_send("e1", PER_S, 1, || true, at(millis));
+    assert!(!may(0) && !may(100));
+    assert!(may(300));
+}
--- a/havengrade_dev/tests/published_fleet.rs
+++ b/havengrade_dev/tests/published_fleet.rs
@@ -49,6 +49,7 @@
         version: version.into(),
         slots: 8,
         is_leaving: false,
+        cold_for: Duration::ZERO,
     })
 }
 
--- a/havengrade_dev/tests/support/published.rs
+++ b/havengrade_dev/tests/support/published.rs
@@ -89,6 +89,7 @@
         version: version.into(),
         slots: 8,
         is_leaving: false,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/havengrade_router/src/published/choose.rs
+++ b/havengrade_router/src/published/choose.rs
@@ -4,6 +4,7 @@
 
 use havengrade_core::{
     published::{
+        cold::is_holder,
         directory::ListedEndpoint,
         peers::Work,
         placement::{Candidate, Placement, Prompt, place},
@@ -34,7 +35,9 @@
     let session = job.facts.session.as_deref();
     let share = connection_share(cx, job);
     let has_room = |endpoint: &&ListedEndpoint| share.is_none_or(|share| in_flight(cx, endpoint) < share);
-    let versioned = versioned(cx, job, &endpoints, session, now);
+    let versioned = bearing(cx, job, versioned(cx, job, &endpoints, session, now), now);
+    let versioned =
+        if versioned.is_empty() { bearing(cx, job, untried(cx, job, &endpoints, now), now) } else { versioned };
     let (prompt, prefixes) = prompt(cx, job).unzip();
     let prefixes = prefixes.unwrap_or_default();
     let candidates = candidates(cx, versioned.into_iter().filter(has_room), &prefixes, now);
@@ -43,6 +46,7 @@
     let placed = place(&candidates, placement, &mut *cx.shared.rng())?;
     cx.shared.sent_parts().note(&prefixes, &placed.endpoint.id, now);
     let endpoint = placed.endpoint.clone();
+    cx.shared.cold().note_sent(&endpoint.id);
     let load = Load::of(work_at(cx, &endpoint).requests, endpoint.slots);
     Some(Chosen { endpoint, tokens: placed.tokens, load })
 }
@@ -76,6 +80,49 @@
     sound.collect()
 }
 
+/// The endpoints of old versions, for a request that a new one would have been tried with.
+fn untried<'a>(
+    cx: &PublishedContext,
+    job: &Job,
+    endpoints: &[&'a ListedEndpoint],
+    now: SystemTime,
+) -> Vec<&'a ListedEndpoint> {
+    let rollouts = cx.shared.rollouts();
+    let session = job.facts.session.as_deref();
+    if !rollouts.may_leave_trial(&job.service, session, cx.shared.rollout_bounds(), now) {
+        return Vec::new();
+    }
+    let is_old = |endpoint: &&ListedEndpoint| !rollouts.is_ordered(&job.service, &endpoint.version);
+    let is_sound = |endpoint: &&ListedEndpoint| !rollouts.is_barred(&job.service, &endpoint.version);
+    endpoints.iter().copied().filter(is_old).filter(is_sound).collect()
+}
+
+/// The endpoints that bear another request: those that are not cold, and the cold ones to which this VM may send one now.
+fn bearing<'a>(
+    cx: &PublishedContext,
+    job: &Job,
+    endpoints: Vec<&'a ListedEndpoint>,
+    now: SystemTime,
+) -> Vec<&'a ListedEndpoint> {
+    let per_s = cx.shared.routes.load().service(&job.service).map_or(0.0, |service| service.cold_per_s);
+    if per_s <= 0.0 {
+        return endpoints;
+    }
+    let domains = cx.shared.emptied.load();
+    let mut cold = cx.shared.cold();
+    let peers = cx.shared.peers();
+    let vm = &cx.shared.settings.vm;
+    let bears = |endpoint: &&ListedEndpoint| {
+        if !cold.is_cold(&endpoint.id, now) && !domains.may_be_cold(&endpoint.failure_domain, now) {
+            return true;
+        }
+        // Who does not know the others yet can't tell whether it is one of those that may send.
+        let is_holder = || peers.is_listed() && is_holder((&vm.id, &vm.failure_domain), peers.all(), endpoint);
+        cold.may_send(&endpoint.id, per_s, peers.revision(), is_holder, now)
+    };
+    endpoints.into_iter().filter(bears).collect()
+}
+
 /// Why no endpoint was found for a request.
 pub(super) fn why_none(cx: &PublishedContext, job: &Job, now: SystemTime) -> Refusal {
     let usable = cx.shared.usable.load();
@@ -85,8 +132,10 @@
         return Refusal::DomainEmptied { known_for: cx.shared.emptied.load().emptied_for(now) };
     }
     let session = job.facts.session.as_deref();
-    if !versioned(cx, job, &endpoints, session, now).is_empty() {
-        return Refusal::NoEndpoint;
+    let versioned = versioned(cx, job, &endpoints, session, now);
+    if !versioned.is_empty() {
+        let is_cold = bearing(cx, job, versioned, now).is_empty();
+        return if is_cold { Refusal::ColdEndpoints } else { Refusal::NoEndpoint };
     }
     let rollouts = cx.shared.rollouts();
     let is_bad = |endpoint: &&ListedEndpoint| rollouts.is_bad(&job.service, &endpoint.version);
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -13,6 +13,7 @@
 use havengrade_core::{
     ids::{Incarnation, ServiceId},
     published::{
+        cold::ColdEndpoints,
         directory::ListedEndpoint,
         emptied::EmptiedDomains,
         handing::Handing,
@@ -122,6 +123,7 @@
     /// When an endpoint last answered this VM, in milliseconds since the Unix epoch; 0 for never.
     answered: AtomicU64,
     sent_parts: Mutex<SentParts>,
+    cold: Mutex<ColdEndpoints>,
     rng: Mutex<ChaCha8Rng>,
 }
 
@@ -174,6 +176,7 @@
             quarantine_changed: Notify::new(),
             answered: AtomicU64::new(0),
             sent_parts: Mutex::default(),
+            cold: Mutex::default(),
             rng: Mutex::new(rng),
             tuning: ArcSwap::from_pointee(settings.published.clone()),
             settings,
@@ -439,6 +442,11 @@
         lock(&self.sent_parts)
     }
 
+    /// The endpoints that are cold, locked for a moment.
+    pub fn cold(&self) -> MutexGuard<'_, ColdEndpoints> {
+        lock(&self.cold)
+    }
+
     /// The random numbers, locked for a moment.
     pub fn rng(&self) -> MutexGuard<'_, ChaCha8Rng> {
         lock(&self.rng)
--- a/havengrade_router/src/published/wire.rs
+++ b/havengrade_router/src/published/wire.rs
@@ -291,6 +291,7 @@
                 endpoint.version,
                 to_i32(endpoint.slots),
                 endpoint.is_leaving,
+                (!endpoint.cold_for.is_zero()).then(|| to_i64(endpoint.cold_for.as_millis() as u64)),
             );
             Some(EndpointChange::new(endpoint.id, entry))
         },
@@ -312,6 +313,7 @@
         version: entry.version,
         slots: from_i32(entry.slots),
         is_leaving: entry.leaving,
+        cold_for: Duration::from_millis(entry.cold_ms.map_or(0, from_i64)),
     }))
 }
 
--- a/schema/reports.thrift
+++ b/schema/reports.thrift
@@ -142,6 +142,8 @@
   4: required string version,
   5: required i32 slots,
   6: required bool leaving,
+  /** Time from when it was read for which it is still cold. */
+  7: optional i64 cold_ms,
 }
 
 /** A change of the list of endpoints; without an entry, it went. */
