Bear a store that comes back from an older copy: nothing known goes back, and what was lost is written again

Cause: such a store gives offsets out again, so that a follower passed over records at offsets that it had read, a conditional append met its condition by chance, and what VMs had written was gone. Change: a position is an offset in an era of the store, told by the header of each answer; positions of a later era are after all earlier ones, so that VMs tell each other of it by the positions that they exchange anyway. A record appended in another era than was read is a conflict. VMs enter the list of VMs again, readers write lost states of roll-outs, kept versions and held requests again; entries of endpoints that left, and of requests that were answered since, are told from new ones. Ruled out: comparing end offsets, which may have grown past what was known. Open: the own interface's log (claims, bills).

--- a/havengrade_core/src/published/directory.rs
+++ b/havengrade_core/src/published/directory.rs
@@ -44,6 +44,9 @@
     Gone(EndpointId),
     /// The list was read afresh; what it does not hold is gone.
     All(Vec<ListedEndpoint>),
+    /// The list was read from a store that came back from an older copy: what it does not hold may be entered again soon, and what
+    /// has left meanwhile may still stand there.
+    Restored(Vec<ListedEndpoint>),
 }
 
 /// Time after an outage's end for which entries that lapsed during it are kept.
@@ -56,6 +59,9 @@
 /// An endpoint's entry goes after three heartbeats that are missing, each about a second apart.
 pub const OUTAGE_AFTER: Duration = Duration::from_millis(2500);
 
+/// Time for which endpoints that left are remembered; the copy from which a store comes back is some seconds old.
+const LEFT_KEPT: Duration = Duration::from_secs(120);
+
 /// Time by which one read of an entry may come later than another: that between two reads of the list.
 const READ_SLACK: Duration = Duration::from_millis(800);
 
@@ -63,6 +69,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<EndpointId, Entry>,
+    /// Endpoints that left, and when, for the case that an older list shows them again.
+    left: HashMap<EndpointId, SystemTime>,
+    /// When the store last came back from an older copy.
+    restored: Option<SystemTime>,
     last_read: Option<SystemTime>,
     grace_until: Option<SystemTime>,
 }
@@ -114,6 +124,7 @@
         if was_away {
             self.grace_until = Some(now + RETURN_GRACE);
         }
+        self.left.retain(|_, left| now < *left + LEFT_KEPT);
         self.last_read = self.last_read.max(Some(at));
         let mut has_changed = false;
         let mut news = Vec::new();
@@ -135,15 +146,23 @@
                 known.is_none_or(|entry| !entry.is_same(endpoint, now))
             },
             DirectoryEvent::Gone(id) => self.entries.contains_key(id),
-            DirectoryEvent::All(_) => true,
+            DirectoryEvent::All(_) | DirectoryEvent::Restored(_) => true,
         }
     }
 
     fn take(&mut self, event: DirectoryEvent, now: SystemTime) -> bool {
         match event {
-            DirectoryEvent::Seen(endpoint) => self.see(endpoint, now),
+            DirectoryEvent::Seen(endpoint) => {
+                self.left.remove(&endpoint.id);
+                self.see(endpoint, now)
+            },
             DirectoryEvent::Gone(id) => self.lose(&id, now),
             DirectoryEvent::All(endpoints) => self.replace(endpoints, now),
+            DirectoryEvent::Restored(endpoints) => {
+                self.grace_until = Some(now + RETURN_GRACE);
+                self.restored = Some(now);
+                self.replace(endpoints, now)
+            },
         }
     }
 
@@ -163,10 +182,21 @@
             entry.lapsed = true;
             return false;
         }
+        self.left.insert(id.to_owned(), now);
         self.entries.remove(id).is_some()
     }
 
-    fn replace(&mut self, endpoints: Vec<ListedEndpoint>, now: SystemTime) -> bool {
+    /// Whether an endpoint of an older list is known to have left, or to be about to.
+    fn has_left(&self, endpoint: &ListedEndpoint, now: SystemTime) -> bool {
+        let is_gone = self.left.get(&endpoint.id).is_some_and(|at| now < *at + LEFT_KEPT);
+        let is_leaving = self.entries.get(&endpoint.id).is_some_and(|entry| entry.endpoint.is_leaving);
+        is_gone || (is_leaving && !endpoint.is_leaving)
+    }
+
+    fn replace(&mut self, mut endpoints: Vec<ListedEndpoint>, now: SystemTime) -> bool {
+        if self.restored.is_some_and(|at| now < at + LEFT_KEPT) {
+            endpoints.retain(|endpoint| !self.has_left(endpoint, now));
+        }
         let listed: std::collections::HashSet<EndpointId> = endpoints.iter().map(|e| e.id.clone()).collect();
         let missing: Vec<EndpointId> = self.entries.keys().filter(|id| !listed.contains(*id)).cloned().collect();
         let mut has_changed = false;
@@ -190,6 +220,11 @@
         self.entries.len() != before
     }
 
+    /// Whether the list may miss entries that the store lost, and that are written again soon.
+    pub fn is_restoring(&self, now: SystemTime) -> bool {
+        self.restored.is_some_and(|at| now < at + RETURN_GRACE)
+    }
+
     /// Endpoints of all services that may receive new work.
     pub fn usable(&self) -> impl Iterator<Item = &ListedEndpoint> {
         self.entries.values().map(|entry| &entry.endpoint).filter(|endpoint| !endpoint.is_leaving)
--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 mod pins;
 pub mod placement;
+pub mod position;
 pub mod recent;
 pub mod relay;
 pub mod rollout;
--- a/havengrade_core/src/published/relay.rs
+++ b/havengrade_core/src/published/relay.rs
@@ -251,7 +251,7 @@
 impl ChangeLog {
     /// Notes what a read brought and the position after it.
     pub fn note(&mut self, events: &[DirectoryEvent], position: u64) {
-        let is_list = events.iter().any(|event| matches!(event, DirectoryEvent::All(_)));
+        let is_list = events.iter().any(|event| matches!(event, DirectoryEvent::All(_) | DirectoryEvent::Restored(_)));
         if is_list {
             self.changes.clear();
             self.complete_from = position;
--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -175,6 +175,19 @@
         written.is_some_and(|known| !follows(known.outcome, status.outcome))
     }
 
+    /// Statuses that are known to be written, and that a store which has lost some does not hold any more.
+    pub fn missing_in(&self, there: &[RolloutStatus]) -> Vec<RolloutStatus> {
+        let stands = |known: &RolloutStatus| {
+            there.iter().filter(|status| status.service == known.service).any(|status| {
+                let is_same_order = status.version == known.version;
+                status == known || (is_same_order && follows(known.outcome, status.outcome))
+            })
+        };
+        let mut missing: Vec<RolloutStatus> = self.statuses.values().filter(|known| !stands(known)).cloned().collect();
+        missing.sort_by(|a, b| a.service.cmp(&b.service));
+        missing
+    }
+
     /// Whether any order is still under way.
     pub fn is_any_running(&self) -> bool {
         self.by_service.values().any(|running| running.outcome == RolloutOutcome::Running)
--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -415,9 +415,14 @@
         Some(QuarantineChange::Learned { mark })
     }
 
-    /// Takes what is kept of before the start; gives what changes by it.
+    /// Takes what is kept of before the start; gives what changes by it. What an endpoint has answered since is to be taken off the list.
     pub fn take_kept(&mut self, kept: &[KeptHold], now: SystemTime) -> Vec<QuarantineChange> {
         self.is_read = true;
+        let is_refuted = |hold: &&KeptHold| {
+            let answered = self.cleared.get(&(hold.mark, hold.version));
+            answered.is_some_and(|(at, _)| hold.first_crash <= *at) && !self.held.contains_key(&hold.mark)
+        };
+        self.freed.extend(kept.iter().filter(is_refuted).map(|hold| hold.mark));
         let live = kept.iter().filter(|kept| now < kept.until);
         live.filter_map(|kept| self.learn(KeptHold { until: kept.until.min(now + HOLD), ..*kept }, true)).collect()
     }
@@ -445,6 +450,11 @@
         }
     }
 
+    /// All requests that are held back.
+    pub fn held(&self) -> Vec<KeptHold> {
+        self.held.values().map(|hold| hold.kept).collect()
+    }
+
     /// Requests to take off the list that outlasts all VMs, so that a start of all of them does not hold them back again.
     pub fn freed(&self) -> Vec<RequestMark> {
         self.freed.iter().copied().collect()
--- a/havengrade_dev/src/stand_in/published.rs
+++ b/havengrade_dev/src/stand_in/published.rs
@@ -217,6 +217,11 @@
         Self::read(self, |kept| &kept.statuses)
     }
 
+    async fn read_all(&mut self) -> Result<Vec<RolloutStatus>, StoreError> {
+        self.next = 0;
+        StatusBook::read(self).await
+    }
+
     async fn write(&mut self, status: &RolloutStatus) -> Result<WriteOutcome, StoreError> {
         self.call().await?;
         let mut kept = lock(&self.store.kept);
--- a/havengrade_router/src/http.rs
+++ b/havengrade_router/src/http.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
-    Method, Request, Response, Uri,
+    HeaderMap, Method, Request, Response, Uri,
     body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
 };
@@ -90,6 +90,8 @@
     pub status: u16,
     /// Content type of the answer; empty where it names none.
     pub content_type: String,
+    /// All its headers.
+    pub headers: HeaderMap,
     /// Body of the answer.
     pub body: Bytes,
 }
@@ -203,7 +205,7 @@
             let collected = collected.map_err(|error| HttpError::BrokenOff { address, reason: error.to_string() })?;
             let content_type = head.headers.get(CONTENT_TYPE);
             let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
-            Ok(Answer { status: head.status.as_u16(), content_type, body: collected.to_bytes() })
+            Ok(Answer { status: head.status.as_u16(), content_type, headers: head.headers, body: collected.to_bytes() })
         };
         timeout(limit, whole).await.unwrap_or_else(|_| TimedOutSnafu { address }.fail())
     }
--- a/havengrade_router/src/published/configured.rs
+++ b/havengrade_router/src/published/configured.rs
@@ -126,8 +126,8 @@
         // What other VMs have replayed, this one replays itself.
     }
 
-    fn known_at(&self, asked: SystemTime) -> SystemTime {
-        self.shared.confirmed().min(asked)
+    fn known_at(&self, asked: SystemTime) -> Option<SystemTime> {
+        Some(self.shared.confirmed().min(asked))
     }
 }
 
@@ -159,6 +159,10 @@
         Ok(Vec::new())
     }
 
+    async fn read_all(&mut self) -> Result<Vec<RolloutStatus>, StoreError> {
+        Ok(Vec::new())
+    }
+
     async fn write(&mut self, _status: &RolloutStatus) -> Result<WriteOutcome, StoreError> {
         NotDoneSnafu { reason: "no roll-out of a plain service can be ordered here" }.fail()
     }
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -18,6 +18,7 @@
         emptied::EmptiedDomains,
         handing::Handing,
         peers::{Peer, Peers},
+        position::Era,
         relay::ChangeLog,
         rollout::{RolloutBounds, Rollouts},
         route::RouteTable,
@@ -28,7 +29,10 @@
 };
 use rand::Rng as _;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
-use tokio::{sync::Notify, time::Instant};
+use tokio::{
+    sync::{Notify, watch},
+    time::Instant,
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
@@ -60,6 +64,8 @@
     pub endpoints: ChangeLog,
     /// The list of endpoints as it stands.
     pub listed: Arc<[ListedEndpoint]>,
+    /// Whether the store lost entries of the list that are written again soon.
+    pub is_restoring: bool,
     /// When nothing newer than the list existed.
     pub endpoints_at: SystemTime,
 }
@@ -84,6 +90,8 @@
     pub usable: ArcSwap<EndpointsByService>,
     /// Failure domains whose endpoints are to get nothing.
     pub emptied: ArcSwap<EmptiedDomains>,
+    /// How often the store has come back from an older copy, as far as is known.
+    eras: watch::Sender<Era>,
     /// What is known of each endpoint's state.
     pub states: EndpointTable,
     /// Connections to endpoints.
@@ -147,6 +155,7 @@
             routes: ArcSwap::default(),
             usable: ArcSwap::default(),
             emptied: ArcSwap::default(),
+            eras: watch::Sender::new(0),
             states: EndpointTable::default(),
             channels: Channels::new(network, connect_timeout),
             was_handed: AtomicBool::new(false),
@@ -168,6 +177,7 @@
                 operators: None,
                 endpoints: ChangeLog::default(),
                 listed: Arc::default(),
+                is_restoring: false,
                 endpoints_at: SystemTime::UNIX_EPOCH,
             }),
             is_reader: AtomicBool::new(false),
@@ -366,6 +376,23 @@
         lock(&self.view)
     }
 
+    /// Notes the era of a position in the store that was read here or by another VM.
+    pub fn note_era(&self, era: Era) {
+        let is_later = self.eras.send_if_modified(|known| {
+            let is_later = *known < era;
+            *known = era.max(*known);
+            is_later
+        });
+        if is_later {
+            log::warn!(era = era; "the store came back from an older copy; what this VM wrote is written again");
+        }
+    }
+
+    /// How often the store has come back from an older copy, as far as is known, and each change of it.
+    pub fn eras(&self) -> watch::Receiver<Era> {
+        self.eras.subscribe()
+    }
+
     /// Whether this VM reads the store for others.
     pub fn is_reader(&self) -> bool {
         self.is_reader.load(Ordering::Acquire) || self.is_volunteer()
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -229,7 +229,8 @@
                 }
                 self.cx.shared.pause_store(None);
                 self.is_hurried = false;
-                let at = self.feed.known_at(asked);
+                // What may be missing does not make the view any newer.
+                let at = self.feed.known_at(asked).unwrap_or(self.freshness.viewed);
                 if self.freshness.is_store_away_for_others(self.cx.shared.clock.now()) && !self.cx.shared.is_reader() {
                     self.cx.shared.set_volunteer(true);
                 }
--- a/havengrade_router/src/published/parts.rs
+++ b/havengrade_router/src/published/parts.rs
@@ -46,9 +46,13 @@
 
 /// The text of the whole list of endpoints at a revision.
 pub(super) fn endpoints_text(cx: &PublishedContext, revision: u64) -> io::Result<Bytes> {
-    let listed = cx.shared.view().listed.clone();
+    let (listed, is_restoring) = {
+        let view = cx.shared.view();
+        (view.listed.clone(), view.is_restoring)
+    };
+    let event = if is_restoring { DirectoryEvent::Restored } else { DirectoryEvent::All };
     let mut written = lock(&cx.shared.written);
-    once(&mut written.endpoints, revision, || deflate(&vec![DirectoryEvent::All(listed.to_vec())]))
+    once(&mut written.endpoints, revision, || deflate(&vec![event(listed.to_vec())]))
 }
 
 /// The text of the VMs that are known.
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -172,9 +172,10 @@
     /// Position in the store up to which everything was given; none before the first call.
     fn position(&self) -> Option<u64>;
 
-    /// When what the last call gave was the newest for sure, where the call began at `asked`.
-    fn known_at(&self, asked: SystemTime) -> SystemTime {
-        asked
+    /// When what the last call gave was the newest for sure, where the call began at `asked`; none where a store may miss what it
+    /// held before, and it is written again by and by.
+    fn known_at(&self, asked: SystemTime) -> Option<SystemTime> {
+        Some(asked)
     }
 
     /// Goes on from a position, if that is later, since what lies before it was learned from another VM.
@@ -200,6 +201,13 @@
     /// [`StoreError`] where the store could not be read.
     async fn read(&mut self) -> Result<Vec<RolloutStatus>, StoreError>;
 
+    /// Reads the newest state of each service, also those that were read before.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] where the store could not be read.
+    async fn read_all(&mut self) -> Result<Vec<RolloutStatus>, StoreError>;
+
     /// Writes a state if nothing was written since the last read.
     ///
     /// # Errors
--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -8,11 +8,14 @@
 
 use havengrade_core::{
     mark::{RequestMark, VersionMark, mark},
-    published::directory::ListedEndpoint,
+    published::{directory::ListedEndpoint, position::Era},
     quarantine::{KeptHold, QuarantineChange, Standing},
 };
 use rand::RngExt as _;
-use tokio::time::{sleep, timeout};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 use crate::{
     published::{context::PublishedContext, job::Job, refuse::Refusal},
@@ -199,7 +202,7 @@
 
 /// Keeps the list of requests that are held back: reads it at a start where no other VM told, and writes what is new.
 pub(super) async fn keep_list(cx: PublishedContext) {
-    let mut keeper = Keeper { cx: cx.clone(), due: HashMap::new() };
+    let mut keeper = Keeper { cx: cx.clone(), eras: cx.shared.eras(), due: HashMap::new() };
     cx.closing.run_until_cancelled(keeper.run()).await;
 }
 
@@ -220,6 +223,8 @@
 
 struct Keeper {
     cx: PublishedContext,
+    /// Changes whenever the store has come back from an older copy.
+    eras: watch::Receiver<Era>,
     /// When this VM writes that a request is held back, unless another one did.
     due: HashMap<RequestMark, SystemTime>,
 }
@@ -230,6 +235,10 @@
             let now = self.cx.shared.clock.now();
             self.cx.shared.quarantine().prune(now);
             let has_suspects = judge(&self.cx, now);
+            if self.eras.has_changed().unwrap_or_default() {
+                self.eras.mark_unchanged();
+                self.look_for_lost().await;
+            }
             if self.cx.shared.follows() && !self.cx.shared.quarantine().is_read() {
                 self.learn(now).await;
             }
@@ -255,6 +264,18 @@
         }
     }
 
+    /// Writes what an older copy of the list lacks, and finds what it holds though it was freed since; one of the VMs that read it does.
+    async fn look_for_lost(&self) {
+        if !self.cx.shared.is_reader() || !read_list(&self.cx).await {
+            return;
+        }
+        // Entered again unless they stand there; what VMs tell each other of the list is of before its loss.
+        let held = self.cx.shared.quarantine().held();
+        for hold in &held {
+            self.keep(hold).await;
+        }
+    }
+
     fn is_due(&mut self, mark: RequestMark, now: SystemTime) -> bool {
         let spread = Duration::from_millis(self.cx.shared.rng().random_range(0..KEEP_SPREAD_MS));
         now >= *self.due.entry(mark).or_insert(now + spread)
--- a/havengrade_router/src/published/rollouts.rs
+++ b/havengrade_router/src/published/rollouts.rs
@@ -11,11 +11,13 @@
     ids::ServiceId,
     published::{
         grounds::{Counted, Grounds},
+        position::Era,
         rollout::{RolloutOutcome, RolloutStatus, RouteEvidence, ToldHalt, ToldRollout, Verdict},
     },
 };
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
 use rand::RngExt as _;
+use tokio::sync::watch;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
@@ -140,6 +142,10 @@
     /// When this VM writes, by service, unless another one did.
     due: HashMap<ServiceId, (RolloutOutcome, SystemTime)>,
     read_at: Option<SystemTime>,
+    /// Changes whenever the store has come back from an older copy.
+    eras: watch::Receiver<Era>,
+    /// Whether states that this VM knows to be written may be gone from the store.
+    may_miss_states: bool,
     /// Whether what is kept of versions that were replaced was read.
     has_read_kept: bool,
     /// The phase of each service's roll-out that was last told in a line, and when.
@@ -158,11 +164,14 @@
         (cx, book): Self::Arguments,
     ) -> Result<RolloutState, ActorProcessingErr> {
         let ticker = tick(myself, LOOK_EVERY, || Look);
+        let eras = cx.shared.eras();
         Ok(RolloutState {
             cx,
             book,
             due: HashMap::new(),
             read_at: None,
+            eras,
+            may_miss_states: false,
             has_read_kept: false,
             told: HashMap::new(),
             _ticker: ticker,
@@ -187,6 +196,7 @@
         let halted = self.cx.shared.rollouts().judge(bounds, now);
         self.log_grounds(now);
         halted.iter().for_each(log_halt);
+        self.write_again().await;
         if !self.cx.shared.rollouts().is_any_watched(now) {
             self.due.clear();
             return;
@@ -205,6 +215,25 @@
         }
     }
 
+    /// Writes again the states that the store has lost since it came back from an older copy; one of the VMs that read it does.
+    async fn write_again(&mut self) {
+        self.may_miss_states |= self.eras.has_changed().unwrap_or_default();
+        self.eras.mark_unchanged();
+        if !self.may_miss_states || !self.cx.shared.is_reader() {
+            return;
+        }
+        let there = match self.book.read_all().await {
+            Ok(there) => there,
+            Err(error) => return log::warn!("states of roll-outs were not read: {error}"),
+        };
+        let missing: Vec<RolloutStatus> = self.cx.shared.rollouts().missing_in(&there);
+        self.may_miss_states = !missing.is_empty();
+        for status in missing {
+            // Another reader that writes first makes this a conflict, and the next look finds its record.
+            self.write_known(&status, "the store has lost it").await;
+        }
+    }
+
     /// Tells what this VM's judgement rests on: at each change of phase, and now and then while a roll-out is under way.
     fn log_grounds(&mut self, now: SystemTime) {
         let known = self.cx.shared.rollouts().grounds(self.cx.shared.rollout_bounds(), now);
@@ -298,16 +327,21 @@
         if self.cx.shared.rollouts().is_settled(&verdict.status) {
             return;
         }
-        let line = format!("{} to {}: {:?}", verdict.status.service, verdict.status.version, verdict.status.outcome);
-        if verdict.status.outcome == RolloutOutcome::Succeeded
-            && let Err(error) = self.keep(&verdict.status).await
+        self.write_known(&verdict.status, verdict.reason).await;
+    }
+
+    /// Writes a state at the end of what was read.
+    async fn write_known(&mut self, status: &RolloutStatus, reason: &str) {
+        let line = format!("{} to {}: {:?}", status.service, status.version, status.outcome);
+        if status.outcome == RolloutOutcome::Succeeded
+            && let Err(error) = self.keep(status).await
         {
             return log::warn!(state = line.as_str(); "not written, since the version before could not be kept: {error}");
         }
-        match self.book.write(&verdict.status).await {
+        match self.book.write(status).await {
             Ok(WriteOutcome::Written) => {
-                log::info!(state = line.as_str(), reason = verdict.reason; "state of a roll-out written");
-                self.cx.shared.rollouts().note_status(verdict.status.clone());
+                log::info!(state = line.as_str(), reason = reason; "state of a roll-out written");
+                self.cx.shared.rollouts().note_status(status.clone());
             },
             Ok(WriteOutcome::Conflict) => {
                 log::info!(state = line.as_str(); "another VM wrote the state of a roll-out first");
--- a/havengrade_router/src/published/roster.rs
+++ b/havengrade_router/src/published/roster.rs
@@ -43,7 +43,7 @@
             sleep(until_entry(&cx)).await;
             enter(&cx, &*roster, &me).await;
         }
-        look_on(&cx, &*roster).await;
+        tokio::join!(look_on(&cx, &*roster), enter_again(&cx, &*roster, &me));
     };
     cx.closing.run_until_cancelled(known).await;
     if let Err(error) = roster.leave(&me.vm).await {
@@ -65,6 +65,15 @@
     }
 }
 
+/// Enters this VM again whenever the store has come back from an older copy, which may not hold its entry.
+async fn enter_again(cx: &PublishedContext, roster: &dyn Roster, me: &Peer) {
+    let mut eras = cx.shared.eras();
+    while eras.changed().await.is_ok() {
+        sleep(until_entry(cx)).await;
+        enter(cx, roster, me).await;
+    }
+}
+
 /// Learns of others now and then: of a VM that is known, or else from the kept list.
 async fn look_on(cx: &PublishedContext, roster: &dyn Roster) {
     let mut settle = SETTLE.into_iter();
--- a/havengrade_router/src/published/take.rs
+++ b/havengrade_router/src/published/take.rs
@@ -229,7 +229,8 @@
         tell(cx, &changes);
     }
     let endpoints_known = question.endpoints_position.map(from_i64);
-    let is_list = endpoints.iter().flatten().any(|event| matches!(event, DirectoryEvent::All(_)));
+    let is_list =
+        endpoints.iter().flatten().any(|event| !matches!(event, DirectoryEvent::Seen(_) | DirectoryEvent::Gone(_)));
     let events = endpoints.unwrap_or_default();
     let from = endpoints_known.filter(|_| !is_list);
     send_to(cx, ENDPOINTS, FollowMessage::Relayed(relayed(&endpoints_part, events, from, asked)));
--- a/havengrade_router/src/published/takers.rs
+++ b/havengrade_router/src/published/takers.rs
@@ -9,6 +9,7 @@
 use havengrade_core::published::{
     directory::{Directory, DirectoryEvent},
     emptied::{DomainEvent, EmptiedDomains},
+    position::era,
     rollout::RolloutOrder,
     route::{Publication, RouteTable},
 };
@@ -61,6 +62,7 @@
             publish(cx, publication);
         }
         cx.shared.view().operators = Some(position);
+        cx.shared.note_era(era(position));
         cx.shared.confirm(at);
         if is_first_read {
             cx.shared.tell_learned();
@@ -130,6 +132,7 @@
             if !changes.is_empty() || has_changed {
                 view.listed = self.directory.listed(now).into();
             }
+            view.is_restoring = self.directory.is_restoring(now);
             view.endpoints_at = view.endpoints_at.max(at);
         }
         if has_changed {
--- a/havengrade_router/src/published/wire.rs
+++ b/havengrade_router/src/published/wire.rs
@@ -296,7 +296,7 @@
             Some(EndpointChange::new(endpoint.id, entry))
         },
         DirectoryEvent::Gone(id) => Some(EndpointChange::new(id, None)),
-        DirectoryEvent::All(_) => None,
+        DirectoryEvent::All(_) | DirectoryEvent::Restored(_) => None,
     }
 }
 
--- a/havengrade_router/src/traffic/plain.rs
+++ b/havengrade_router/src/traffic/plain.rs
@@ -133,7 +133,7 @@
 
 async fn finish(job: &Job, endpoint: &Endpoint, answer: Answer) -> End {
     job.entry.begin(Head { version: None, endpoint: endpoint.id.clone(), session: None });
-    let Answer { status, content_type, body } = answer;
+    let Answer { status, content_type, body, .. } = answer;
     let end = End::Answered { status, content_type, body };
     settle(job, job.bill(None, &endpoint.id, Spent::default()), &end).await;
     end
