Split how a VM stands to the store, its retries and the telling in turn out of files that had grown large

Change: store_access.rs (reading for others, how far, when the store is left alone, its eras), retries.rs (budgets by service) and tellings.rs. Behaviour is the same. Ruled out: nothing.

--- a/havengrade_core/src/lib.rs
+++ b/havengrade_core/src/lib.rs
@@ -32,3 +32,4 @@
 pub mod secret;
 pub mod selection;
 pub mod session;
+mod tellings;
--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -19,6 +19,7 @@
     hold::HOLD,
     ids::EndpointId,
     mark::{RequestMark, VersionMark},
+    tellings::{TELLINGS, least_told},
 };
 pub use crate::{
     hold::{KeptHold, next_trial},
@@ -36,12 +37,6 @@
 const BROKEN_LIFE: Duration = Duration::from_secs(3);
 /// Crashes that are remembered; the oldest ones give way.
 const MAX_SIGHTS: usize = 2048;
-/// Reports that tell of a thing, so that it is known although some are lost.
-const TELLINGS: u32 = 3;
-/// Things that a report tells for the first time.
-const MAX_FRESH: usize = 16;
-/// Things that a report tells once more, in turn, for those whom all reports on them missed.
-const MAX_AGAIN: usize = 2;
 /// Crashes that a VM which starts is told of.
 const MAX_HANDED: usize = 96;
 
@@ -494,12 +489,3 @@
         by_age.max(*newest_forgotten)
     }
 }
-
-/// What a report tells of some things: those that were not told often enough, and a few of the others in turn.
-fn least_told<T: Ord>(all: impl Iterator<Item = (T, u32)>) -> Vec<T> {
-    let mut all: Vec<(u32, T)> = all.map(|(thing, told)| (told, thing)).collect();
-    all.sort();
-    let fresh = all.iter().take_while(|(told, _)| *told < TELLINGS).count();
-    all.truncate(fresh.clamp(MAX_AGAIN, MAX_FRESH));
-    all.into_iter().map(|(_, thing)| thing).collect()
-}
--- /dev/null
+++ b/havengrade_core/src/tellings.rs
@@ -0,0 +1,17 @@
+//! How often each thing is told, and what the next report tells.
+
+/// Reports that tell of a thing, so that it is known although some are lost.
+pub(crate) const TELLINGS: u32 = 3;
+/// Things that a report tells for the first time.
+const MAX_FRESH: usize = 16;
+/// Things that a report tells once more, in turn, for those whom all reports on them missed.
+const MAX_AGAIN: usize = 2;
+
+/// What a report tells of some things: those that were not told often enough, and a few of the others in turn.
+pub(crate) fn least_told<T: Ord>(all: impl Iterator<Item = (T, u32)>) -> Vec<T> {
+    let mut all: Vec<(u32, T)> = all.map(|(thing, told)| (told, thing)).collect();
+    all.sort();
+    let fresh = all.iter().take_while(|(told, _)| *told < TELLINGS).count();
+    all.truncate(fresh.clamp(MAX_AGAIN, MAX_FRESH));
+    all.into_iter().map(|(_, thing)| thing).collect()
+}
--- a/havengrade_dev/tests/published_fleet.rs
+++ b/havengrade_dev/tests/published_fleet.rs
@@ -104,7 +104,7 @@
 
     /// Indices of the VMs that read the store for others.
     fn readers(&self) -> Vec<usize> {
-        let reads = |router: &&PublishedRouter| router.context().shared.is_reader();
+        let reads = |router: &&PublishedRouter| router.context().shared.store.is_reader();
         self.routers.iter().enumerate().filter(|(_, router)| reads(router)).map(|(index, _)| index).collect()
     }
 
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -18,21 +18,15 @@
         emptied::EmptiedDomains,
         handing::Handing,
         peers::{Peer, Peers},
-        position::Era,
-        relay::ChangeLog,
         rollout::{RolloutBounds, Rollouts},
         route::RouteTable,
         sent_parts::SentParts,
     },
     quarantine::Quarantine,
-    retry::RetryBudget,
 };
 use rand::Rng as _;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
-use tokio::{
-    sync::{Notify, watch},
-    time::Instant,
-};
+use tokio::sync::Notify;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
@@ -43,33 +37,17 @@
     published::{
         channels::Channels,
         ports::{Dialect, QuarantineBook},
+        retries::Retries,
+        store_access::StoreAccess,
         written::WrittenParts,
     },
     settings::{PublishedSettings, Settings},
     shared::lock,
 };
 
-/// Retries that a VM may save up for each service; small, since all VMs share the operators' allowance.
-const SAVED_RETRIES: u64 = 4;
-
 /// Endpoints by the service that they belong to.
 pub type EndpointsByService = HashMap<ServiceId, Vec<ListedEndpoint>>;
 
-/// How far this VM has read the store, for those who ask it.
-#[derive(Clone, Debug)]
-pub struct StoreView {
-    /// Position up to which operators' records were taken.
-    pub operators: Option<u64>,
-    /// The last changes of the list of endpoints.
-    pub endpoints: ChangeLog,
-    /// The list of endpoints as it stands.
-    pub listed: Arc<[ListedEndpoint]>,
-    /// Whether the store lost entries of the list that are written again soon.
-    pub is_restoring: bool,
-    /// When nothing newer than the list existed.
-    pub endpoints_at: SystemTime,
-}
-
 /// State of a router of published routes.
 pub struct Published {
     /// Settings that the router was started with.
@@ -90,8 +68,8 @@
     pub usable: ArcSwap<EndpointsByService>,
     /// Failure domains whose endpoints are to get nothing.
     pub emptied: ArcSwap<EmptiedDomains>,
-    /// How often the store has come back from an older copy, as far as is known.
-    eras: watch::Sender<Era>,
+    /// How this VM stands to the store.
+    pub store: StoreAccess,
     /// What is known of each endpoint's state.
     pub states: EndpointTable,
     /// Connections to endpoints.
@@ -104,14 +82,8 @@
     pub(super) written: Mutex<WrittenParts>,
     /// To whom it is handed on.
     pub(super) handing: Mutex<Handing>,
-    /// Whether the store may be read: not until a VM that starts has asked others.
-    follows: AtomicBool,
-    /// Whether this VM reads the store for others while those whose turn it is don't reach it.
-    is_volunteer: AtomicBool,
     /// Tells those who wait that another VM became known.
     heard: Notify,
-    /// Until when the store is left alone after it did not answer.
-    store_pause: Mutex<Option<Instant>>,
     /// Requests in progress.
     pub in_progress: AtomicUsize,
     confirmed: AtomicU64,
@@ -122,9 +94,8 @@
     drain_since: AtomicU64,
     rollouts: Mutex<Rollouts>,
     peers: Mutex<Peers>,
-    view: Mutex<StoreView>,
-    is_reader: AtomicBool,
-    retries: Mutex<HashMap<ServiceId, RetryBudget>>,
+    /// The retries that this VM may still make.
+    pub retries: Retries,
     quarantine: Mutex<Quarantine>,
     /// Tells the keeper of the quarantine that it changed.
     quarantine_changed: Notify,
@@ -155,17 +126,14 @@
             routes: ArcSwap::default(),
             usable: ArcSwap::default(),
             emptied: ArcSwap::default(),
-            eras: watch::Sender::new(0),
+            store: StoreAccess::default(),
             states: EndpointTable::default(),
             channels: Channels::new(network, connect_timeout),
             was_handed: AtomicBool::new(false),
             is_taking: AtomicBool::new(false),
             written: Mutex::default(),
             handing: Mutex::default(),
-            follows: AtomicBool::new(false),
-            is_volunteer: AtomicBool::new(false),
             heard: Notify::new(),
-            store_pause: Mutex::default(),
             in_progress: AtomicUsize::new(0),
             confirmed: AtomicU64::new(0),
             knows_endpoints: AtomicBool::new(false),
@@ -173,15 +141,7 @@
             drain_since: AtomicU64::new(0),
             rollouts: Mutex::default(),
             peers: Mutex::default(),
-            view: Mutex::new(StoreView {
-                operators: None,
-                endpoints: ChangeLog::default(),
-                listed: Arc::default(),
-                is_restoring: false,
-                endpoints_at: SystemTime::UNIX_EPOCH,
-            }),
-            is_reader: AtomicBool::new(false),
-            retries: Mutex::default(),
+            retries: Retries::new(settings.published.retry_ratio),
             quarantine: Mutex::default(),
             quarantine_changed: Notify::new(),
             answered: AtomicU64::new(0),
@@ -200,8 +160,7 @@
 
     /// Puts settings of published routes in force.
     pub fn tune(&self, settings: PublishedSettings) {
-        let percent = earned_percent(&settings);
-        lock(&self.retries).values_mut().for_each(|budget| budget.set_earned(percent));
+        self.retries.tune(settings.retry_ratio);
         self.tuning.store(Arc::new(settings));
     }
 
@@ -261,7 +220,7 @@
 
     /// Whether this VM knows what operators wrote, if they wrote anything, and the endpoints.
     pub fn knows_state(&self) -> bool {
-        self.knows_endpoints() && self.view().operators.is_some()
+        self.knows_endpoints() && self.store.view().operators.is_some()
     }
 
     /// Waits until this VM knows what operators wrote and the endpoints.
@@ -291,16 +250,6 @@
         self.heard.notify_waiters();
     }
 
-    /// Lets the store be read; tells whether it could not be before.
-    pub fn begin_following(&self) -> bool {
-        !self.follows.swap(true, Ordering::AcqRel)
-    }
-
-    /// Whether the store may be read.
-    pub fn follows(&self) -> bool {
-        self.follows.load(Ordering::Acquire)
-    }
-
     /// Waits until this VM knows where requests go, and how roll-outs of before its start stand.
     pub async fn learned_all(&self) {
         loop {
@@ -371,99 +320,12 @@
         lock(&self.peers)
     }
 
-    /// How far this VM has read the store, locked for a moment.
-    pub fn view(&self) -> MutexGuard<'_, StoreView> {
-        lock(&self.view)
-    }
-
-    /// Notes the era of a position in the store that was read here or by another VM.
-    pub fn note_era(&self, era: Era) {
-        let is_later = self.eras.send_if_modified(|known| {
-            let is_later = *known < era;
-            *known = era.max(*known);
-            is_later
-        });
-        if is_later {
-            log::warn!(era = era; "the store came back from an older copy; what this VM wrote is written again");
-        }
-    }
-
-    /// How often the store has come back from an older copy, as far as is known, and each change of it.
-    pub fn eras(&self) -> watch::Receiver<Era> {
-        self.eras.subscribe()
-    }
-
-    /// Whether this VM reads the store for others.
-    pub fn is_reader(&self) -> bool {
-        self.is_reader.load(Ordering::Acquire) || self.is_volunteer()
-    }
-
-    /// Whether this VM reads the store for others in place of those whose turn it is.
-    pub fn is_volunteer(&self) -> bool {
-        self.is_volunteer.load(Ordering::Acquire)
-    }
-
-    /// Notes whether it does.
-    pub fn set_volunteer(&self, is_volunteer: bool) {
-        if self.is_volunteer.swap(is_volunteer, Ordering::AcqRel) != is_volunteer {
-            log::info!(reads = u64::from(is_volunteer); "this VM reads the store in place of readers that don't reach it");
-        }
-    }
-
-    /// Notes whether this VM reads the store for others.
-    pub fn set_reader(&self, is_reader: bool) {
-        if self.is_reader.swap(is_reader, Ordering::AcqRel) != is_reader {
-            log::info!(reads = u64::from(is_reader); "this VM begins or ends to read the store for others");
-        }
-    }
-
-    /// Whether the store is left alone at `now`, since it lately did not answer one of the feeds.
-    pub fn leaves_store_alone(&self, now: Instant) -> bool {
-        lock(&self.store_pause).is_some_and(|until| now < until)
-    }
-
-    /// Leaves the store alone until a time, or no longer.
-    pub fn pause_store(&self, until: Option<Instant>) {
-        *lock(&self.store_pause) = until;
-    }
-
     /// The operators' bounds on roll-outs.
     pub fn rollout_bounds(&self) -> RolloutBounds {
         let settings = self.tuning.load();
         RolloutBounds { max_share: settings.max_trial_share, session_time: Duration::from_secs_f64(settings.session_s) }
     }
 
-    /// Notes a first try at a service.
-    pub fn earn_retry(&self, service: &str) {
-        self.with_budget(service, RetryBudget::earn);
-    }
-
-    /// Takes a retry at a service out of the budget, if there is one.
-    pub fn take_retry(&self, service: &str) -> bool {
-        self.with_budget(service, RetryBudget::take)
-    }
-
-    /// Puts a retry at a service back, since nothing was sent.
-    pub fn put_back_retry(&self, service: &str) {
-        self.with_budget(service, RetryBudget::put_back);
-    }
-
-    /// Takes a retry at a service out of the budget, if one more stays for failures.
-    pub fn take_spare_retry(&self, service: &str) -> bool {
-        self.with_budget(service, RetryBudget::take_spare)
-    }
-
-    fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let mut budgets = lock(&self.retries);
-        if let Some(budget) = budgets.get_mut(service) {
-            return act(budget);
-        }
-        let percent = earned_percent(&self.tuning.load());
-        let budget =
-            budgets.entry(service.to_owned()).or_insert_with(|| RetryBudget::with_savings(percent, SAVED_RETRIES));
-        act(budget)
-    }
-
     /// The parts of prompts that were sent to endpoints, locked for a moment.
     pub fn sent_parts(&self) -> MutexGuard<'_, SentParts> {
         lock(&self.sent_parts)
@@ -480,16 +342,6 @@
     }
 }
 
-/// Part of the bound on retries that is used; the rest covers requests that are counted in another window.
-const RETRY_SHARE: f64 = 0.9;
-/// Hundredths in a whole.
-const PERCENT: f64 = 100.0;
-
-/// What a first try adds to the retry budget, in hundredths of a retry.
-fn earned_percent(settings: &PublishedSettings) -> u32 {
-    (settings.retry_ratio * RETRY_SHARE * PERCENT) as u32
-}
-
 /// What every service of published routes is given.
 #[derive(Clone)]
 pub struct PublishedContext {
--- a/havengrade_router/src/published/events.rs
+++ b/havengrade_router/src/published/events.rs
@@ -302,7 +302,7 @@
                 return None;
             }
             let chosen = choose(&self.cx, job, now)?;
-            if !self.cx.shared.take_retry(&job.service) {
+            if !self.cx.shared.retries.take(&job.service) {
                 log::info!(request = job.id.as_str(); "stream not taken up: the retry budget is spent");
                 return None;
             }
@@ -326,7 +326,7 @@
                 },
                 Err(state) => {
                     if state == RunState::NotSent {
-                        self.cx.shared.put_back_retry(&job.service);
+                        self.cx.shared.retries.put_back(&job.service);
                     }
                     job.attempts.note(state);
                 },
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -70,7 +70,7 @@
 
 /// Lets the services read the store, at once where nobody told what is in force.
 pub(super) fn begin(cx: &PublishedContext) {
-    if !cx.shared.begin_following() {
+    if !cx.shared.store.begin_following() {
         return;
     }
     if let Some(service) = find::<OperatorEvent>(cx, OPERATORS) {
@@ -200,10 +200,10 @@
 impl<T: 'static> Follower<T> {
     fn must_ask(&self) -> bool {
         let at = Instant::now();
-        if !self.cx.shared.follows() || at < self.not_before || self.cx.shared.leaves_store_alone(at) {
+        if !self.cx.shared.store.follows() || at < self.not_before || self.cx.shared.store.is_left_alone(at) {
             return false;
         }
-        self.cx.shared.is_reader() || self.is_hurried || self.is_old(self.cx.shared.clock.now())
+        self.cx.shared.store.is_reader() || self.is_hurried || self.is_old(self.cx.shared.clock.now())
     }
 
     fn is_old(&self, now: SystemTime) -> bool {
@@ -213,26 +213,28 @@
 
     /// Time until the next look.
     fn pause(&self) -> Duration {
-        let reads_on = self.cx.shared.follows() && self.cx.shared.is_reader() && self.lost.is_none();
+        let reads_on = self.cx.shared.store.follows() && self.cx.shared.store.is_reader() && self.lost.is_none();
         if reads_on { self.taker.pause(&self.cx) } else { LOOK_EVERY }
     }
 
     async fn ask(&mut self) {
         let asked = self.cx.shared.clock.now();
         // After a loss the first answer must come at once: it says what is in force now.
-        let may_wait = self.lost.is_none() && self.cx.shared.is_reader() && !self.is_hurried;
+        let may_wait = self.lost.is_none() && self.cx.shared.store.is_reader() && !self.is_hurried;
         let wait = if may_wait { self.taker.wait(&self.cx) } else { Duration::ZERO };
         match self.feed.next(wait).await {
             Ok(events) => {
                 if self.lost.take().is_some() {
                     log::info!(feed = self.name; "store answers again");
                 }
-                self.cx.shared.pause_store(None);
+                self.cx.shared.store.pause(None);
                 self.is_hurried = false;
                 // What may be missing does not make the view any newer.
                 let at = self.feed.known_at(asked).unwrap_or(self.freshness.viewed);
-                if self.freshness.is_store_away_for_others(self.cx.shared.clock.now()) && !self.cx.shared.is_reader() {
-                    self.cx.shared.set_volunteer(true);
+                if self.freshness.is_store_away_for_others(self.cx.shared.clock.now())
+                    && !self.cx.shared.store.is_reader()
+                {
+                    self.cx.shared.store.set_volunteer(true);
                 }
                 self.freshness.viewed = at;
                 let position = self.feed.position().unwrap_or_default();
@@ -251,7 +253,7 @@
         self.lost = Some(pause);
         self.not_before = Instant::now() + pause;
         // All feeds read one store, so that what one of them finds holds for the others, until one is answered.
-        self.cx.shared.pause_store(Some(self.not_before));
+        self.cx.shared.store.pause(Some(self.not_before));
     }
 
     /// Time for which the store is left alone after it did not answer; `last` is the time before that.
@@ -260,10 +262,10 @@
             let waited = self.cx.shared.running_for(self.cx.shared.clock.now());
             return retry_after(waited, &mut *self.cx.shared.rng());
         }
-        if self.freshness.is_store_away_for_others(self.cx.shared.clock.now()) && !self.cx.shared.is_reader() {
+        if self.freshness.is_store_away_for_others(self.cx.shared.clock.now()) && !self.cx.shared.store.is_reader() {
             return turns(near(&self.cx) + 1).max(OTHER_PAUSE);
         }
-        let longest = if self.cx.shared.is_reader() { READER_PAUSE } else { OTHER_PAUSE };
+        let longest = if self.cx.shared.store.is_reader() { READER_PAUSE } else { OTHER_PAUSE };
         let spread = 1.0 + PAUSE_SPREAD * self.cx.shared.rng().random::<f64>();
         last.map_or(FIRST_PAUSE, |pause| (pause * 2).min(longest)).mul_f64(spread)
     }
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -97,7 +97,7 @@
 
 /// Tries endpoints until one answers or the request must be given up.
 async fn run(cx: &PublishedContext, mut job: Job, guard: InProgress) -> Result<Response<AnswerBody>, Refusal> {
-    cx.shared.earn_retry(&job.service);
+    cx.shared.retries.earn(&job.service);
     let mut guard = Some(guard);
     let mut spare: Option<Response<AnswerBody>> = None;
     loop {
@@ -138,7 +138,7 @@
 pub(super) async fn try_next(cx: &PublishedContext, job: &mut Job) -> Result<Result<Opened, RunState>, Refusal> {
     let chosen = next_chosen(cx, job).await?;
     let has_paid = std::mem::take(&mut job.has_paid);
-    if job.attempts.is_repeat() && !has_paid && !cx.shared.take_retry(&job.service) {
+    if job.attempts.is_repeat() && !has_paid && !cx.shared.retries.take(&job.service) {
         log::info!(request = job.id.as_str(), service = job.service.as_str(); "no retry: the budget is spent");
         return Err(job.refusal(Refusal::NoEndpoint, Refusal::Lost));
     }
@@ -146,7 +146,7 @@
     note_session(cx, job, &chosen.endpoint.version, cx.shared.clock.now());
     let opened = open(cx, job, chosen, None).await;
     if job.attempts.is_repeat() && matches!(opened, Err(RunState::NotSent)) {
-        cx.shared.put_back_retry(&job.service);
+        cx.shared.retries.put_back(&job.service);
     }
     Ok(opened)
 }
@@ -196,7 +196,7 @@
     let mut after = job.attempts.clone();
     after.note(RunState::Ran);
     let now = cx.shared.clock.now();
-    if !after.may_try_again() || job.is_trial || !cx.shared.take_spare_retry(&job.service) {
+    if !after.may_try_again() || job.is_trial || !cx.shared.retries.take_spare(&job.service) {
         return None;
     }
     let took = now.duration_since(opened.made.sent).unwrap_or_default();
--- a/havengrade_router/src/published/hand_on.rs
+++ b/havengrade_router/src/published/hand_on.rs
@@ -118,7 +118,7 @@
 
 /// A number that rises whenever what is in force changes.
 fn revision(cx: &PublishedContext) -> u64 {
-    let view = cx.shared.view();
+    let view = cx.shared.store.view();
     view.operators.unwrap_or_default().saturating_add(view.endpoints.revision())
 }
 
@@ -183,7 +183,7 @@
     }
 
     fn add_operators(&mut self, cx: &PublishedContext, question: &StateQuestion, now: SystemTime) -> io::Result<()> {
-        let position = cx.shared.view().operators.unwrap_or_default();
+        let position = cx.shared.store.view().operators.unwrap_or_default();
         let is_news = question.operators_position.is_none_or(|known| from_i64(known) < position);
         let text = if is_news { operators_text(cx, position)? } else { Bytes::new() };
         self.head.operators = Some(self.part(position, cx.shared.config_age(now).unwrap_or_default(), text));
@@ -192,7 +192,7 @@
 
     fn add_endpoints(&mut self, cx: &PublishedContext, question: &StateQuestion, now: SystemTime) -> io::Result<()> {
         let (log, at) = {
-            let view = cx.shared.view();
+            let view = cx.shared.store.view();
             (view.endpoints.clone(), view.endpoints_at)
         };
         let changes = question.endpoints_position.and_then(|known| log.since(from_i64(known)));
--- a/havengrade_router/src/published/parts.rs
+++ b/havengrade_router/src/published/parts.rs
@@ -47,7 +47,7 @@
 /// The text of the whole list of endpoints at a revision.
 pub(super) fn endpoints_text(cx: &PublishedContext, revision: u64) -> io::Result<Bytes> {
     let (listed, is_restoring) = {
-        let view = cx.shared.view();
+        let view = cx.shared.store.view();
         (view.listed.clone(), view.is_restoring)
     };
     let event = if is_restoring { DirectoryEvent::Restored } else { DirectoryEvent::All };
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -179,10 +179,10 @@
 
     /// Tells all others that operators wrote something, where this VM reads the store for them, or that it does so now.
     async fn hint(&mut self, now: SystemTime) {
-        let position = self.cx.shared.view().operators;
-        let is_offer = self.cx.shared.is_volunteer() && !self.has_offered;
-        self.has_offered = self.cx.shared.is_volunteer();
-        if !is_offer && (position <= self.hinted || !self.cx.shared.is_reader()) {
+        let position = self.cx.shared.store.view().operators;
+        let is_offer = self.cx.shared.store.is_volunteer() && !self.has_offered;
+        self.has_offered = self.cx.shared.store.is_volunteer();
+        if !is_offer && (position <= self.hinted || !self.cx.shared.store.is_reader()) {
             return;
         }
         self.hinted = position;
--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -202,7 +202,7 @@
 
 /// Keeps the list of requests that are held back: reads it at a start where no other VM told, and writes what is new.
 pub(super) async fn keep_list(cx: PublishedContext) {
-    let mut keeper = Keeper { cx: cx.clone(), eras: cx.shared.eras(), due: HashMap::new() };
+    let mut keeper = Keeper { cx: cx.clone(), eras: cx.shared.store.eras(), due: HashMap::new() };
     cx.closing.run_until_cancelled(keeper.run()).await;
 }
 
@@ -239,7 +239,7 @@
                 self.eras.mark_unchanged();
                 self.look_for_lost().await;
             }
-            if self.cx.shared.follows() && !self.cx.shared.quarantine().is_read() {
+            if self.cx.shared.store.follows() && !self.cx.shared.quarantine().is_read() {
                 self.learn(now).await;
             }
             let unkept = self.cx.shared.quarantine().unkept();
@@ -266,7 +266,7 @@
 
     /// Writes what an older copy of the list lacks, and finds what it holds though it was freed since; one of the VMs that read it does.
     async fn look_for_lost(&self) {
-        if !self.cx.shared.is_reader() || !read_list(&self.cx).await {
+        if !self.cx.shared.store.is_reader() || !read_list(&self.cx).await {
             return;
         }
         // Entered again unless they stand there; what VMs tell each other of the list is of before its loss.
@@ -285,7 +285,7 @@
     /// that did.
     async fn learn(&self, now: SystemTime) {
         let was_handed = self.cx.shared.was_handed.load(Ordering::Acquire);
-        if !was_handed || self.cx.shared.is_reader() {
+        if !was_handed || self.cx.shared.store.is_reader() {
             if !read_list(&self.cx).await {
                 sleep(IDLE).await;
             }
--- a/havengrade_router/src/published/rollouts.rs
+++ b/havengrade_router/src/published/rollouts.rs
@@ -164,7 +164,7 @@
         (cx, book): Self::Arguments,
     ) -> Result<RolloutState, ActorProcessingErr> {
         let ticker = tick(myself, LOOK_EVERY, || Look);
-        let eras = cx.shared.eras();
+        let eras = cx.shared.store.eras();
         Ok(RolloutState {
             cx,
             book,
@@ -219,7 +219,7 @@
     async fn write_again(&mut self) {
         self.may_miss_states |= self.eras.has_changed().unwrap_or_default();
         self.eras.mark_unchanged();
-        if !self.may_miss_states || !self.cx.shared.is_reader() {
+        if !self.may_miss_states || !self.cx.shared.store.is_reader() {
             return;
         }
         let there = match self.book.read_all().await {
@@ -250,7 +250,7 @@
 
     /// Whether the store must be asked; VMs that don't read it for others learn of written states from reports.
     fn must_read(&self, now: SystemTime) -> bool {
-        let is_reader = self.cx.shared.is_reader() && self.cx.shared.rollouts().is_any_running();
+        let is_reader = self.cx.shared.store.is_reader() && self.cx.shared.rollouts().is_any_running();
         match self.read_at {
             Some(at) => is_reader && now >= at + READ_EVERY,
             None => is_reader || self.cx.shared.rollouts().needs_statuses(),
--- a/havengrade_router/src/published/roster.rs
+++ b/havengrade_router/src/published/roster.rs
@@ -67,7 +67,7 @@
 
 /// Enters this VM again whenever the store has come back from an older copy, which may not hold its entry.
 async fn enter_again(cx: &PublishedContext, roster: &dyn Roster, me: &Peer) {
-    let mut eras = cx.shared.eras();
+    let mut eras = cx.shared.store.eras();
     while eras.changed().await.is_ok() {
         sleep(until_entry(cx)).await;
         enter(cx, roster, me).await;
@@ -82,7 +82,7 @@
         sleep(spread(cx, settle.next().unwrap_or(usual))).await;
         let known: HashSet<SocketAddr> = addresses(cx).into_iter().collect();
         // Those that read the store look at the kept list itself; what they learn the others ask for.
-        let is_told = cx.hands_news_on && !cx.shared.is_reader() && ask_one(cx).await;
+        let is_told = cx.hands_news_on && !cx.shared.store.is_reader() && ask_one(cx).await;
         if !is_told && let Err(error) = read_list(cx, roster).await {
             log::warn!("the list of VMs could not be read: {error}");
         }
--- /dev/null
+++ b/havengrade_router/src/published/store_access.rs
@@ -0,0 +1,131 @@
+//! How this VM stands to the store: whether it may read it, for whom it does, how far it has read, and when it leaves it alone.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::SystemTime,
+};
+
+use havengrade_core::published::{directory::ListedEndpoint, position::Era, relay::ChangeLog};
+use tokio::{sync::watch, time::Instant};
+
+use crate::shared::lock;
+
+/// How far this VM has read the store, for those who ask it.
+#[derive(Clone, Debug)]
+pub struct StoreView {
+    /// Position up to which operators' records were taken.
+    pub operators: Option<u64>,
+    /// The last changes of the list of endpoints.
+    pub endpoints: ChangeLog,
+    /// The list of endpoints as it stands.
+    pub listed: Arc<[ListedEndpoint]>,
+    /// Whether the store lost entries of the list that are written again soon.
+    pub is_restoring: bool,
+    /// When nothing newer than the list existed.
+    pub endpoints_at: SystemTime,
+}
+
+/// How a VM stands to the store.
+pub struct StoreAccess {
+    /// Whether the store may be read: not until a VM that starts has asked others.
+    follows: AtomicBool,
+    is_reader: AtomicBool,
+    /// Whether this VM reads the store for others while those whose turn it is don't reach it.
+    is_volunteer: AtomicBool,
+    /// Until when the store is left alone after it did not answer.
+    pause: Mutex<Option<Instant>>,
+    view: Mutex<StoreView>,
+    /// How often the store has come back from an older copy, as far as is known.
+    eras: watch::Sender<Era>,
+}
+
+impl Default for StoreAccess {
+    fn default() -> Self {
+        let view = StoreView {
+            operators: None,
+            endpoints: ChangeLog::default(),
+            listed: Arc::default(),
+            is_restoring: false,
+            endpoints_at: SystemTime::UNIX_EPOCH,
+        };
+        Self {
+            follows: AtomicBool::new(false),
+            is_reader: AtomicBool::new(false),
+            is_volunteer: AtomicBool::new(false),
+            pause: Mutex::default(),
+            view: Mutex::new(view),
+            eras: watch::Sender::new(0),
+        }
+    }
+}
+
+impl StoreAccess {
+    /// Lets the store be read; tells whether it could not be before.
+    pub fn begin_following(&self) -> bool {
+        !self.follows.swap(true, Ordering::AcqRel)
+    }
+
+    /// Whether the store may be read.
+    pub fn follows(&self) -> bool {
+        self.follows.load(Ordering::Acquire)
+    }
+
+    /// How far this VM has read the store, locked for a moment.
+    pub fn view(&self) -> MutexGuard<'_, StoreView> {
+        lock(&self.view)
+    }
+
+    /// Notes the era of a position in the store that was read here or by another VM.
+    pub fn note_era(&self, era: Era) {
+        let is_later = self.eras.send_if_modified(|known| {
+            let is_later = *known < era;
+            *known = era.max(*known);
+            is_later
+        });
+        if is_later {
+            log::warn!(era = era; "the store came back from an older copy; what this VM wrote is written again");
+        }
+    }
+
+    /// How often the store has come back from an older copy, as far as is known, and each change of it.
+    pub fn eras(&self) -> watch::Receiver<Era> {
+        self.eras.subscribe()
+    }
+
+    /// Whether this VM reads the store for others.
+    pub fn is_reader(&self) -> bool {
+        self.is_reader.load(Ordering::Acquire) || self.is_volunteer()
+    }
+
+    /// Whether this VM reads the store for others in place of those whose turn it is.
+    pub fn is_volunteer(&self) -> bool {
+        self.is_volunteer.load(Ordering::Acquire)
+    }
+
+    /// Notes whether it does.
+    pub fn set_volunteer(&self, is_volunteer: bool) {
+        if self.is_volunteer.swap(is_volunteer, Ordering::AcqRel) != is_volunteer {
+            log::info!(reads = u64::from(is_volunteer); "this VM reads the store in place of readers that don't reach it");
+        }
+    }
+
+    /// Notes whether this VM reads the store for others.
+    pub fn set_reader(&self, is_reader: bool) {
+        if self.is_reader.swap(is_reader, Ordering::AcqRel) != is_reader {
+            log::info!(reads = u64::from(is_reader); "this VM begins or ends to read the store for others");
+        }
+    }
+
+    /// Whether the store is left alone at `now`, since it lately did not answer one of the feeds.
+    pub fn is_left_alone(&self, now: Instant) -> bool {
+        lock(&self.pause).is_some_and(|until| now < until)
+    }
+
+    /// Leaves the store alone until a time, or no longer.
+    pub fn pause(&self, until: Option<Instant>) {
+        *lock(&self.pause) = until;
+    }
+}
--- a/havengrade_router/src/published/store_view.rs
+++ b/havengrade_router/src/published/store_view.rs
@@ -83,9 +83,9 @@
         let vms = peers.all().map(|peer| &peer.vm).chain([me]);
         let readers = self.readers.among(vms, me, now);
         let is_reader = readers.contains(&me);
-        cx.shared.set_reader(is_reader);
+        cx.shared.store.set_reader(is_reader);
         if is_reader {
-            cx.shared.set_volunteer(false);
+            cx.shared.store.set_volunteer(false);
             return None;
         }
         let vm = self.readers.next(&readers)?;
@@ -105,7 +105,7 @@
         if age >= TOLD_LIMIT {
             self.readers.hear_old(&asked.vm);
         } else if self.readers.hear(&asked.vm) {
-            cx.shared.set_volunteer(false);
+            cx.shared.store.set_volunteer(false);
         }
         take_operators(cx, asked, &answer);
         take_endpoints(cx, asked, answer);
@@ -113,7 +113,7 @@
 
     /// A hint is believed no further than that its sender is worth a question.
     fn take_hint(&mut self, cx: &PublishedContext, hint: &StoreAnswer) {
-        let known = cx.shared.view().operators;
+        let known = cx.shared.store.view().operators;
         let position = from_i64(hint.operators_position);
         if known.is_some_and(|known| position > known) {
             look(cx, hint, position);
@@ -165,7 +165,7 @@
 
 /// How far this VM has read the store; none before its first reads.
 fn positions(cx: &PublishedContext) -> Option<(u64, u64)> {
-    let view = cx.shared.view();
+    let view = cx.shared.store.view();
     Some((view.operators?, view.endpoints.position()))
 }
 
@@ -202,7 +202,7 @@
 
 /// Answers a question from what this VM knows; none before its own first reads.
 pub(super) fn answer(cx: &PublishedContext, question: &StoreQuestion, now: SystemTime) -> Option<StoreAnswer> {
-    let view = cx.shared.view().clone();
+    let view = cx.shared.store.view().clone();
     let age = |at: SystemTime| to_i64(now.duration_since(at).unwrap_or_default().as_millis() as u64 + 1);
     let changes = view.endpoints.since(from_i64(question.endpoints_position));
     let changes = changes.filter(|changes| changes.len() <= MAX_CHANGES);
--- a/havengrade_router/src/published/take.rs
+++ b/havengrade_router/src/published/take.rs
@@ -162,7 +162,7 @@
 
 fn question(cx: &PublishedContext, wanted: Wanted) -> StateQuestion {
     let (operators, endpoints) = {
-        let view = cx.shared.view();
+        let view = cx.shared.store.view();
         (view.operators, cx.shared.knows_endpoints().then(|| view.endpoints.position()))
     };
     let address = cx.shared.settings.listen.peers.to_string();
--- a/havengrade_router/src/published/takers.rs
+++ b/havengrade_router/src/published/takers.rs
@@ -48,7 +48,7 @@
     }
 
     fn take(&mut self, cx: &PublishedContext, events: Vec<OperatorEvent>, position: u64, at: SystemTime) {
-        let is_first_read = cx.shared.view().operators.is_none();
+        let is_first_read = cx.shared.store.view().operators.is_none();
         let mut publications = Vec::new();
         for event in events {
             match event {
@@ -61,8 +61,8 @@
         for publication in publications {
             publish(cx, publication);
         }
-        cx.shared.view().operators = Some(position);
-        cx.shared.note_era(era(position));
+        cx.shared.store.view().operators = Some(position);
+        cx.shared.store.note_era(era(position));
         cx.shared.confirm(at);
         if is_first_read {
             cx.shared.tell_learned();
@@ -127,7 +127,7 @@
         let now = cx.shared.clock.now();
         let (changes, has_changed) = self.directory.apply(events, at, now);
         {
-            let mut view = cx.shared.view();
+            let mut view = cx.shared.store.view();
             view.endpoints.note(&changes, position);
             if !changes.is_empty() || has_changed {
                 view.listed = self.directory.listed(now).into();
