State a bad version that few busy endpoints show as a test that is known to be red

The judgement accepts a rise by 2 in 100, and after a success it stops a version only if nearly all its endpoints err, since operators have stopped the old one by then. Ruled out: stopping it by errors of few endpoints, which would refuse all requests where 2 in 100 fail now; a longer take-over, for which the bound on the share leaves no room.

--- a/havengrade_core/tests/published_bad_version.rs
+++ b/havengrade_core/tests/published_bad_version.rs
@@ -100,6 +100,23 @@
     assert!(broken.is_empty(), "{} of {} days:\n{}", broken.len(), days.len(), broken.join("\n"));
 }
 
+/// A large service, where only the few endpoints that are busy show that the version is bad.
+#[test]
+fn a_version_that_few_busy_endpoints_show_to_be_bad_is_stopped_in_time() {
+    let days: Vec<(String, Day)> = (0..4)
+        .map(|seed| {
+            let day = Day::new(seed, Badness::UnderLoad(0.02), 0, &[]);
+            (format!("seed {seed}"), Day { endpoints: 140, rate: 480.0, ..day })
+        })
+        .collect();
+    let broken: Vec<String> = play_all(&days)
+        .into_iter()
+        .filter(|(_, played)| !played.keeps_bounds())
+        .map(|(name, played)| format!("{name}: {} late, {:.0} beyond the share", played.late, played.beyond_share))
+        .collect();
+    assert!(broken.is_empty(), "{} of {} days:\n{}", broken.len(), days.len(), broken.join("\n"));
+}
+
 #[test]
 fn a_good_version_succeeds_in_time() {
     let days: Vec<(String, Day)> =
