Look for the domains of earlier tries once a choice instead of once an endpoint

Change: the domains of the tried endpoints first; nothing is looked for at a first try. The choice is the same. Ruled out: nothing.

--- a/havengrade_core/src/published/placement.rs
+++ b/havengrade_core/src/published/placement.rs
@@ -147,11 +147,12 @@
     among: &[&'b Candidate<'a>],
     tried: &[EndpointId],
 ) -> Vec<&'b Candidate<'a>> {
-    let is_tried = |domain: &str| {
-        let mut here = candidates.iter().filter(|c| c.endpoint.failure_domain == domain);
-        here.any(|c| tried.contains(&c.endpoint.id))
-    };
-    among.iter().copied().filter(|c| !is_tried(&c.endpoint.failure_domain)).collect()
+    if tried.is_empty() {
+        return among.to_vec();
+    }
+    let tried = candidates.iter().filter(|c| tried.contains(&c.endpoint.id));
+    let domains: Vec<&str> = tried.map(|c| c.endpoint.failure_domain.as_str()).collect();
+    among.iter().copied().filter(|c| !domains.contains(&c.endpoint.failure_domain.as_str())).collect()
 }
 
 /// Chooses among the place of the prompt's shared part, those that have it cached, and a few that are drawn.
