--- a/havengrade_core/tests/published_bad_version.rs
+++ b/havengrade_core/tests/published_bad_version.rs
@@ -12,13 +12,17 @@
 #![allow(clippy::unwrap_used)]
 
 mod support {
+    pub(crate) mod rollout_day;
     pub(crate) mod rollout_fleet;
 }
 
 use std::{sync::Mutex, thread};
 
 use havengrade_core::published::rollout::RolloutOutcome;
-use support::rollout_fleet::{Badness, Day, Fault, Played, play};
+use support::{
+    rollout_day::{Badness, Day, Fault, Played},
+    rollout_fleet::play,
+};
 
 /// Moments at which a version turns bad, in milliseconds from an order of 16 s: before, in and after the trial, the take-over
 /// (about 14.9 s) and the end (15.2 s).
@@ -79,6 +83,16 @@
     played
 }
 
+/// Plays days of a bad version; none may break the bounds.
+fn assert_bounds_kept(days: &[(String, Day)]) {
+    let broken: Vec<String> = play_all(days)
+        .into_iter()
+        .filter(|(_, played)| !played.keeps_bounds())
+        .map(|(name, played)| format!("{name}: {} late, {:.0} beyond the share", played.late, played.beyond_share))
+        .collect();
+    assert!(broken.is_empty(), "{} of {} days:\n{}", broken.len(), days.len(), broken.join("\n"));
+}
+
 #[test]
 fn no_request_reaches_a_version_long_after_its_fiftieth_bad_answer() {
     let mut days = Vec::new();
@@ -92,12 +106,7 @@
             }
         }
     }
-    let broken: Vec<String> = play_all(&days)
-        .into_iter()
-        .filter(|(_, played)| !played.keeps_bounds())
-        .map(|(name, played)| format!("{name}: {} late, {:.0} beyond the share", played.late, played.beyond_share))
-        .collect();
-    assert!(broken.is_empty(), "{} of {} days:\n{}", broken.len(), days.len(), broken.join("\n"));
+    assert_bounds_kept(&days);
 }
 
 /// A large service, where only the few endpoints that are busy show that the version is bad.
@@ -109,12 +118,7 @@
             (format!("seed {seed}"), Day { endpoints: 140, rate: 480.0, ..day })
         })
         .collect();
-    let broken: Vec<String> = play_all(&days)
-        .into_iter()
-        .filter(|(_, played)| !played.keeps_bounds())
-        .map(|(name, played)| format!("{name}: {} late, {:.0} beyond the share", played.late, played.beyond_share))
-        .collect();
-    assert!(broken.is_empty(), "{} of {} days:\n{}", broken.len(), days.len(), broken.join("\n"));
+    assert_bounds_kept(&days);
 }
 
 #[test]
