Count for a cold endpoint only what is sent while it is cold, and take the first era that is known for no loss

Cause: read in the diff. Requests to a warm endpoint were taken off what a VM may send while it is cold again, for up to 10 s; a VM that first asked before it knew the others kept to being no holder until the known VMs changed; and a VM that started in a later era wrote a line of a loss that it never had. Change: what is saved up never falls below nothing; whether the others are known is asked each time; the first era is none. Ruled out: nothing.

--- a/havengrade_core/src/published/cold.rs
+++ b/havengrade_core/src/published/cold.rs
@@ -103,7 +103,8 @@
     /// Notes a request that is sent to an endpoint, if that is cold.
     pub fn note_sent(&mut self, endpoint: &str) {
         if let Some(allowance) = self.allowances.get_mut(endpoint) {
-            allowance.saved -= 1.0;
+            // What is sent while it is warm counts for nothing.
+            allowance.saved = (allowance.saved - 1.0).max(0.0);
         }
     }
 
--- a/havengrade_core/tests/published_cold.rs
+++ b/havengrade_core/tests/published_cold.rs
@@ -180,3 +180,11 @@
     assert!(!may(0) && !may(100));
     assert!(may(300));
 }
+
+#[test]
+fn what_an_endpoint_got_while_it_was_warm_does_not_count_when_it_is_cold_again() {
+    let mut cold = ColdEndpoints::default();
+    assert!(!cold.may_send("e1", PER_S, 1, || true, at(0)));
+    (0..40).for_each(|_| cold.note_sent("e1"));
+    assert!(cold.may_send("e1", PER_S, 1, || true, at(1000)));
+}
--- a/havengrade_router/src/published/choose.rs
+++ b/havengrade_router/src/published/choose.rs
@@ -118,9 +118,9 @@
         if !cold.is_cold(&endpoint.id, now) && !domains.may_be_cold(&endpoint.failure_domain, now) {
             return true;
         }
+        let is_holder = || is_holder((&vm.id, &vm.failure_domain), peers.all(), endpoint);
         // Who does not know the others yet can't tell whether it is one of those that may send.
-        let is_holder = || peers.is_listed() && is_holder((&vm.id, &vm.failure_domain), peers.all(), endpoint);
-        cold.may_send(&endpoint.id, per_s, peers.revision(), is_holder, now)
+        peers.is_listed() && cold.may_send(&endpoint.id, per_s, peers.revision(), is_holder, now)
     };
     endpoints.into_iter().filter(bears).collect()
 }
--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -224,7 +224,7 @@
 struct Keeper {
     cx: PublishedContext,
     /// Changes whenever the store has come back from an older copy.
-    eras: watch::Receiver<Era>,
+    eras: watch::Receiver<Option<Era>>,
     /// When this VM writes that a request is held back, unless another one did.
     due: HashMap<RequestMark, SystemTime>,
 }
--- a/havengrade_router/src/published/rollouts.rs
+++ b/havengrade_router/src/published/rollouts.rs
@@ -143,7 +143,7 @@
     due: HashMap<ServiceId, (RolloutOutcome, SystemTime)>,
     read_at: Option<SystemTime>,
     /// Changes whenever the store has come back from an older copy.
-    eras: watch::Receiver<Era>,
+    eras: watch::Receiver<Option<Era>>,
     /// Whether states that this VM knows to be written may be gone from the store.
     may_miss_states: bool,
     /// Whether what is kept of versions that were replaced was read.
--- a/havengrade_router/src/published/store_access.rs
+++ b/havengrade_router/src/published/store_access.rs
@@ -38,8 +38,8 @@
     /// Until when the store is left alone after it did not answer.
     pause: Mutex<Option<Instant>>,
     view: Mutex<StoreView>,
-    /// How often the store has come back from an older copy, as far as is known.
-    eras: watch::Sender<Era>,
+    /// How often the store has come back from an older copy; none before this VM knows any position.
+    eras: watch::Sender<Option<Era>>,
 }
 
 impl Default for StoreAccess {
@@ -57,7 +57,7 @@
             is_volunteer: AtomicBool::new(false),
             pause: Mutex::default(),
             view: Mutex::new(view),
-            eras: watch::Sender::new(0),
+            eras: watch::Sender::new(None),
         }
     }
 }
@@ -80,18 +80,18 @@
 
     /// Notes the era of a position in the store that was read here or by another VM.
     pub fn note_era(&self, era: Era) {
-        let is_later = self.eras.send_if_modified(|known| {
-            let is_later = *known < era;
-            *known = era.max(*known);
-            is_later
+        let has_lost_some = self.eras.send_if_modified(|known| {
+            let before = known.replace(known.map_or(era, |known| known.max(era)));
+            // Before the first one, this VM had written nothing that could be lost.
+            before.is_some_and(|before| before < era)
         });
-        if is_later {
+        if has_lost_some {
             log::warn!(era = era; "the store came back from an older copy; what this VM wrote is written again");
         }
     }
 
-    /// How often the store has come back from an older copy, as far as is known, and each change of it.
-    pub fn eras(&self) -> watch::Receiver<Era> {
+    /// Tells of each time that the store has come back from an older copy.
+    pub fn eras(&self) -> watch::Receiver<Option<Era>> {
         self.eras.subscribe()
     }
 
