Decide by the whole list of VMs who reads the store at a start, and wait while they read

What callers saw: at 985 VMs and 10,000 endpoints no request was served at all, since no VM was ready 24 s after the start or later.

Cause: each VM that started decided by the few VMs that it knew by then whether it was one of the first to read the store, and those that were not told within 0.2 s read it as well. A list of 10,000 endpoints takes longer than that to read, so that nearly all read it, for which the store has no room; it answered 503 from then on. Ruled out: processor (busiest 0.02 of a core), memory (8 MB).

Change: who has read the list of VMs tells each VM on it whether it is one of the first to read, and who is (a greeting). A VM that was asked and reads, or knows one that does, says so with the age, and holds the question for a moment; who hears it waits. At the very first start (a new setting) all enter the list before anybody reads it. At most four VMs of a failure domain read first: the list that each reads grows with the fleet, so that one in 16 was its square.

--- a/havengrade_core/src/published/start.rs
+++ b/havengrade_core/src/published/start.rs
@@ -4,29 +4,39 @@
 //! store whose calls have a price and a common limit. A VM alone that starts among others that live is the easy case.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     time::{Duration, SystemTime},
 };
 
 use rand::{Rng, RngExt as _, seq::IteratorRandom as _};
 
-use crate::{ids::VmId, published::peers::Peer, ranking::rank};
+use crate::{ids::DomainId, published::peers::Peer, ranking::rank};
 
 /// Longest time for which a VM listens for others before it reads the list of VMs.
 ///
 /// With 200 ms here, and with 350 ms of `UNTOLD_LIMIT` and longer rounds, a day on which all start again was worth 0.013 less on
 /// one small site and as much on two others (six seeds each).
 pub const LISTEN: Duration = Duration::from_millis(60);
+/// Time for which a VM listens at the first start of all, when all others enter the list as well.
+///
+/// The list takes an entry in a millisecond.
+pub const FIRST_LISTEN: Duration = Duration::from_millis(1000);
 /// VMs for each of which one reads the store itself where nobody knows anything yet.
 ///
 /// Each then hands on to 15 others: with 20 KB each that is 0.12 s of a link of 20 Mbit/s.
 const VMS_A_FIRST: usize = 16;
+/// VMs of a failure domain that read the store first, at most: the list of endpoints that each of them reads grows with the
+/// fleet, so that a number that does as well would cost the store its square.
+const MAX_FIRST: usize = 4;
 /// VMs that are asked in one round.
 const ASKED_AT_ONCE: usize = 2;
 /// Time after the first round from which a VM that nobody tells reads the store itself.
 ///
 /// The first ones need some 20 ms for their reads and hand on in a tree of two or three levels.
 pub const UNTOLD_LIMIT: Duration = Duration::from_millis(200);
+/// Time since another VM surely was reading after which a VM no longer waits for it: two questions that it may leave open.
+const READING_LIMIT: Duration = Duration::from_millis(800);
 /// Time between two VMs of a failure domain that read the store since nobody told them.
 const UNTOLD_STEP: Duration = Duration::from_millis(20);
 /// Time between two rounds.
@@ -70,61 +80,159 @@
     pause.mul_f64(1.0 + RETRY_SPREAD * rng.random::<f64>())
 }
 
+/// The VMs of a failure domain in the order in which they read the store, or all of them where it has no two.
+fn order<'a>(vms: &[&'a Peer], domain: &str) -> Vec<&'a Peer> {
+    let mut order: Vec<&Peer> = vms.iter().copied().filter(|peer| peer.failure_domain == domain).collect();
+    if order.len() < 2 {
+        order = vms.to_vec();
+    }
+    order.sort_by_cached_key(|peer| (rank(&[&peer.vm]), peer.vm.clone()));
+    order
+}
+
+/// How many of so many VMs read the store first.
+fn first_among(vms: usize) -> usize {
+    vms.div_ceil(VMS_A_FIRST).min(MAX_FIRST)
+}
+
+/// The VMs that read the store first where all start at once, by the list of VMs.
+#[derive(Clone, Debug, Default)]
+pub struct FirstReaders {
+    by_domain: HashMap<DomainId, Vec<SocketAddr>>,
+}
+
+impl FirstReaders {
+    /// Those of a list.
+    pub fn among(vms: &[&Peer]) -> Self {
+        let mut by_domain = HashMap::new();
+        for peer in vms {
+            by_domain.entry(peer.failure_domain.clone()).or_insert_with(|| {
+                let order = order(vms, &peer.failure_domain);
+                order.iter().take(first_among(order.len())).map(|peer| peer.address).collect()
+            });
+        }
+        Self { by_domain }
+    }
+
+    /// Those that VMs of a failure domain ask.
+    pub fn of(&self, domain: &str) -> &[SocketAddr] {
+        self.by_domain.get(domain).map(Vec::as_slice).unwrap_or_default()
+    }
+
+    /// Whether a VM is one of them.
+    pub fn includes(&self, peer: &Peer) -> bool {
+        self.of(&peer.failure_domain).contains(&peer.address)
+    }
+}
+
+/// What others told a VM that starts of who reads the store.
+#[derive(Clone, Debug, Default)]
+pub struct ReadingNews {
+    /// Whether this VM is one of those that read first, as one says that has read the list of VMs.
+    reads_first: bool,
+    /// Those that do.
+    readers: Vec<SocketAddr>,
+    /// When another VM surely was reading.
+    read_at: Option<SystemTime>,
+}
+
+impl ReadingNews {
+    /// Takes what a VM says that has read the list.
+    pub fn greet(&mut self, reads_first: bool, readers: Vec<SocketAddr>) {
+        self.reads_first |= reads_first;
+        self.readers = readers;
+    }
+
+    /// Takes that another VM was reading at a time; older news have no effect.
+    pub fn hear(&mut self, read_at: SystemTime) {
+        self.read_at = self.read_at.max(Some(read_at));
+    }
+
+    /// When another VM surely was reading, if any was.
+    pub fn read_at(&self) -> Option<SystemTime> {
+        self.read_at
+    }
+}
+
+/// What a VM that nobody told what is in force does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextStep {
+    /// It asks again.
+    Ask,
+    /// It reads the list of VMs, to learn when its turn is.
+    ReadList,
+    /// It reads the store.
+    ReadStore,
+}
+
 /// A VM that starts, and the others that it knows of.
 #[derive(Clone, Debug)]
 pub struct Starting<'a> {
-    /// Name of the VM.
-    pub me: &'a VmId,
-    /// Its failure domain.
-    pub domain: &'a str,
+    /// The VM.
+    pub me: &'a Peer,
     /// Others that it has heard of.
     pub others: Vec<&'a Peer>,
+    /// Whether these are all that were on the list.
+    pub is_listed: bool,
+    /// What it was told.
+    pub news: &'a ReadingNews,
 }
 
 impl Starting<'_> {
     /// The VMs of the failure domain in the order in which they read the store, or of all where it has no other.
-    fn order(&self) -> Vec<(u64, &VmId, Option<SocketAddr>)> {
-        let near = self.others.iter().filter(|peer| peer.failure_domain == self.domain);
-        let mut order: Vec<_> = near.map(|peer| (rank(&[&peer.vm]), &peer.vm, Some(peer.address))).collect();
-        if order.is_empty() {
-            order = self.others.iter().map(|peer| (rank(&[&peer.vm]), &peer.vm, Some(peer.address))).collect();
-        }
-        order.push((rank(&[self.me]), self.me, None));
-        order.sort_unstable();
-        order
+    fn order(&self) -> Vec<&Peer> {
+        let vms: Vec<&Peer> = self.others.iter().copied().chain([self.me]).collect();
+        order(&vms, &self.me.failure_domain)
     }
 
     /// Whom to ask in a round; rounds count from 0.
     ///
     /// At first any VM, since in a fleet that lives all of them know. Later, in every other round, one of those that read the
-    /// store first and any other.
+    /// store first and any other. Where only those that read first are known by name, one of them is asked each time.
     pub fn ask(&self, round: usize, rng: &mut dyn Rng) -> Vec<SocketAddr> {
+        if !self.is_listed && !self.news.readers.is_empty() {
+            return self.news.readers.iter().copied().filter(|reader| *reader != self.me.address).sample(rng, 1);
+        }
         let mut asked = self.any(rng);
         if round % 2 == 1 {
             let order = self.order();
-            let first = order.iter().take(order.len().div_ceil(VMS_A_FIRST));
+            let first = order.iter().take(first_among(order.len())).filter(|peer| peer.vm != self.me.vm);
             asked.truncate(1);
-            asked.extend(first.filter_map(|(_, _, address)| *address).choose(rng));
+            asked.extend(first.map(|peer| peer.address).choose(rng));
         }
         asked
     }
 
     fn any(&self, rng: &mut dyn Rng) -> Vec<SocketAddr> {
-        let near = self.others.iter().filter(|peer| peer.failure_domain == self.domain);
+        let domain = &self.me.failure_domain;
+        let near = self.others.iter().filter(|peer| peer.failure_domain == *domain);
         let mut asked: Vec<SocketAddr> = near.map(|peer| peer.address).sample(rng, ASKED_AT_ONCE);
         if asked.len() < ASKED_AT_ONCE {
-            let far = self.others.iter().filter(|peer| peer.failure_domain != self.domain);
+            let far = self.others.iter().filter(|peer| peer.failure_domain != *domain);
             asked.extend(far.map(|peer| peer.address).sample(rng, ASKED_AT_ONCE - asked.len()));
         }
         asked
     }
 
-    /// Whether this VM reads the store itself, where none of those that it asked in its first round at `asked` knew anything.
-    pub fn reads_store(&self, asked: SystemTime, now: SystemTime) -> bool {
+    /// What this VM does, where none of those that it asked since `asked` knew anything.
+    ///
+    /// It waits for as long as another one is known to read the store: how long that takes depends on the fleet.
+    pub fn next_step(&self, asked: SystemTime, now: SystemTime) -> NextStep {
+        if self.news.reads_first {
+            return NextStep::ReadStore;
+        }
+        let told_until = self.news.read_at.map_or(asked, |at| at + READING_LIMIT);
+        let untold_from = told_until.max(asked + UNTOLD_LIMIT);
+        if !self.is_listed {
+            return if now >= untold_from { NextStep::ReadList } else { NextStep::Ask };
+        }
         let order = self.order();
-        let place = order.iter().position(|(_, vm, _)| *vm == self.me).unwrap_or_default();
-        let is_first = place < order.len().div_ceil(VMS_A_FIRST);
+        let place = order.iter().position(|peer| peer.vm == self.me.vm).unwrap_or_default();
         let turn = u32::try_from(place).unwrap_or(u32::MAX);
-        is_first || now >= asked + UNTOLD_LIMIT + UNTOLD_STEP * turn
+        let is_first = place < first_among(order.len());
+        if is_first || now >= untold_from + UNTOLD_STEP * turn {
+            return NextStep::ReadStore;
+        }
+        NextStep::Ask
     }
 }
--- a/havengrade_core/tests/published_start.rs
+++ b/havengrade_core/tests/published_start.rs
@@ -10,7 +10,7 @@
 use havengrade_core::published::{
     handing::{Admission, Handing},
     peers::Peer,
-    start::{ROUND, Starting, UNTOLD_LIMIT},
+    start::{FirstReaders, NextStep, ROUND, ReadingNews, Starting, UNTOLD_LIMIT},
 };
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
 
@@ -52,10 +52,10 @@
                 continue;
             }
             let others = fleet.iter().filter(|peer| peer.vm != fleet[me].vm).collect();
-            let starting = Starting { me: &fleet[me].vm, domain: &fleet[me].failure_domain, others };
+            let starting = Starting { me: &fleet[me], others, is_listed: true, news: &ReadingNews::default() };
             let asked = starting.ask(round, &mut rng);
             let is_told = asked.iter().any(|to| knows_at.get(&index_of[to]).is_some_and(|at| *at <= now));
-            if !is_told && starting.reads_store(began, now) {
+            if !is_told && starting.next_step(began, now) == NextStep::ReadStore {
                 readers.insert(me);
             }
             if is_told || readers.contains(&me) {
@@ -97,12 +97,14 @@
 fn a_vm_that_starts_among_others_that_live_asks_two_of_its_failure_domain() {
     let fleet = fleet();
     let mut rng = ChaCha8Rng::seed_from_u64(3);
-    let starting = Starting { me: &fleet[0].vm, domain: "d0", others: fleet[1..].iter().collect() };
+    let news = ReadingNews::default();
+    let starting = Starting { me: &fleet[0], others: fleet[1..].iter().collect(), is_listed: true, news: &news };
     let near: BTreeSet<SocketAddr> =
         fleet.iter().filter(|peer| peer.failure_domain == "d0").map(|peer| peer.address).collect();
     let asked = starting.ask(0, &mut rng);
     assert!(asked.len() == 2 && asked.iter().all(|address| near.contains(address)));
-    let alone = Starting { me: &fleet[0].vm, domain: "elsewhere", others: fleet[1..3].iter().collect() };
+    let me = Peer { failure_domain: "elsewhere".into(), ..fleet[0].clone() };
+    let alone = Starting { me: &me, others: fleet[1..3].iter().collect(), is_listed: true, news: &news };
     assert_eq!(alone.ask(0, &mut rng).len(), 2, "without any nearby, others are asked");
 }
 
@@ -138,3 +140,50 @@
     }
     assert!(by_first <= 24, "{by_first} of sixty were served by the first VM");
 }
+
+/// A VM that only knows the one that greeted it.
+fn greeted<'a>(me: &'a Peer, by: &'a Peer, news: &'a ReadingNews) -> Starting<'a> {
+    Starting { me, others: vec![by], is_listed: false, news }
+}
+
+#[test]
+fn who_reads_first_is_decided_by_the_whole_list_and_told_to_those_that_know_little() {
+    let fleet = fleet();
+    let all: Vec<&Peer> = fleet.iter().collect();
+    let first = FirstReaders::among(&all);
+    let began = SystemTime::UNIX_EPOCH;
+    let mut reads = 0;
+    for me in &fleet[1..] {
+        let mut news = ReadingNews::default();
+        news.greet(first.includes(me), first.of(&me.failure_domain).to_vec());
+        let starting = greeted(me, &fleet[0], &news);
+        let step = starting.next_step(began, began);
+        reads += usize::from(step == NextStep::ReadStore);
+        let asked = starting.ask(0, &mut ChaCha8Rng::seed_from_u64(1));
+        assert!(asked.iter().all(|to| first.of(&me.failure_domain).contains(to)), "{asked:?}");
+    }
+    assert!((4 * DOMAINS - 1..=4 * DOMAINS).contains(&reads), "{reads} of {VMS} read the store at once");
+}
+
+#[test]
+fn a_vm_waits_for_as_long_as_another_one_reads_and_then_looks_at_the_list() {
+    let fleet = fleet();
+    let began = SystemTime::UNIX_EPOCH;
+    let mut news = ReadingNews::default();
+    for seconds in 0..3 {
+        let at = began + Duration::from_secs(seconds);
+        news.hear(at);
+        assert_eq!(greeted(&fleet[1], &fleet[0], &news).next_step(began, at + ROUND), NextStep::Ask);
+    }
+    let later = began + Duration::from_secs(3);
+    assert_eq!(greeted(&fleet[1], &fleet[0], &news).next_step(began, later), NextStep::ReadList);
+}
+
+#[test]
+fn twice_the_vms_of_a_failure_domain_read_the_store_no_more_often_at_a_start_of_all() {
+    let of = |vms: usize| {
+        let fleet: Vec<Peer> = (0..vms).map(|index| Peer { vm: format!("vm-{index}"), ..fleet()[0].clone() }).collect();
+        FirstReaders::among(&fleet.iter().collect::<Vec<_>>()).of("d0").len()
+    };
+    assert_eq!([of(10), of(50), of(164), of(334)], [1, 4, 4, 4]);
+}
--- a/havengrade_dev/src/fabric.rs
+++ b/havengrade_dev/src/fabric.rs
@@ -20,7 +20,7 @@
 };
 
 /// Number of a host.
-pub type Host = u8;
+pub type Host = u16;
 
 /// What connects the hosts of a fleet.
 pub trait Fabric: Send + Sync {
@@ -43,7 +43,7 @@
 
 impl Fabric for Loopback {
     fn address(&self, host: Host, port: u16) -> SocketAddr {
-        (Ipv4Addr::LOCALHOST, self.port_base + u16::from(host) * PORTS_A_HOST + port).into()
+        (Ipv4Addr::LOCALHOST, self.port_base + host * PORTS_A_HOST + port).into()
     }
 
     fn network(&self, _host: Host) -> Arc<dyn Network> {
@@ -125,7 +125,10 @@
 
 impl Fabric for Pipes {
     fn address(&self, host: Host, port: u16) -> SocketAddr {
-        (Ipv4Addr::new(10, 0, 0, host), 8000 + port).into()
+        {
+            let [high, low] = host.to_be_bytes();
+            (Ipv4Addr::new(10, 0, high, low), 8000 + port).into()
+        }
     }
 
     fn network(&self, host: Host) -> Arc<dyn Network> {
@@ -140,7 +143,10 @@
 
 fn host_of(address: SocketAddr) -> Host {
     match address {
-        SocketAddr::V4(address) => address.ip().octets()[3],
+        SocketAddr::V4(address) => {
+            let [_, _, high, low] = address.ip().octets();
+            Host::from_be_bytes([high, low])
+        },
         SocketAddr::V6(_) => Host::MAX,
     }
 }
--- a/havengrade_dev/src/fleet.rs
+++ b/havengrade_dev/src/fleet.rs
@@ -69,7 +69,7 @@
 }
 
 /// Failure domains of the sample deployment.
-const DOMAINS: u8 = 4;
+const DOMAINS: Host = 4;
 const LOG_HOST: Host = 1;
 const VM_LIST_HOST: Host = 2;
 const RATING_HOST: Host = 3;
@@ -109,7 +109,7 @@
 
 /// Host of a router, counted from 0.
 pub fn router_host(index: u8) -> Host {
-    ROUTER_HOSTS + index
+    ROUTER_HOSTS + Host::from(index)
 }
 
 /// Address of an engine or of an endpoint of the sample services, by its name.
@@ -199,7 +199,7 @@
                 _ => vec![STRONG.to_owned()],
             };
             let engine = Arc::new(EngineStandIn::new(versions.clone(), ENGINE_SLOTS));
-            let host = ENGINE_HOSTS + index;
+            let host = ENGINE_HOSTS + Host::from(index);
             self.start_stand_in(&id, host, Arc::new(EngineHandler(engine.clone()))).await?;
             self.engines.insert(id.clone(), engine);
             endpoints.push(self.endpoint(&id, host, EndpointKind::Engine { versions }, false));
@@ -267,7 +267,7 @@
         let host = router_host(index);
         let mut settings = Settings::default();
         settings.vm.id = vm_name(index);
-        settings.vm.failure_domain = domain(index % DOMAINS);
+        settings.vm.failure_domain = domain(Host::from(index) % DOMAINS);
         settings.listen.callers = fabric.address(host, 0);
         settings.listen.operators = fabric.address(host, 1);
         settings.listen.peers = fabric.address(host, 2);
@@ -340,7 +340,7 @@
     }
 }
 
-fn domain(number: u8) -> String {
+fn domain(number: Host) -> String {
     format!("domain-{}", number + 1)
 }
 
@@ -348,7 +348,7 @@
     ListedVm {
         id: vm_name(index),
         peer_address: options.fabric.address(router_host(index), 2),
-        failure_domain: domain(index % DOMAINS),
+        failure_domain: domain(Host::from(index) % DOMAINS),
         leaving: false,
     }
 }
--- a/havengrade_dev/src/stand_in/memory_store.rs
+++ b/havengrade_dev/src/stand_in/memory_store.rs
@@ -23,9 +23,12 @@
 };
 use tokio::{
     sync::Notify,
-    time::{sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
+/// Time after which a VM no longer waits for an answer of the store.
+const READ_LIMIT: Duration = Duration::from_millis(1500);
+
 #[derive(Default)]
 struct Kept {
     is_away: bool,
@@ -40,6 +43,11 @@
     calls: u64,
     /// Time that each answer to a read takes.
     takes: Duration,
+    /// Time for which a read of the whole list of endpoints keeps the store busy, and when it is done with those that were asked for.
+    whole_read: Duration,
+    busy_until: Option<Instant>,
+    /// Whole reads of the list of endpoints that were asked for.
+    whole_reads: u64,
 }
 
 /// A store in memory.
@@ -84,6 +92,16 @@
         lock(&self.kept).takes = takes;
     }
 
+    /// Lets each read of the whole list of endpoints keep the store busy for so long, one after the other.
+    pub fn set_whole_read(&self, takes: Duration) {
+        lock(&self.kept).whole_read = takes;
+    }
+
+    /// Reads of the whole list of endpoints so far, also those that came too late to be of use.
+    pub fn whole_reads(&self) -> u64 {
+        lock(&self.kept).whole_reads
+    }
+
     /// Calls that were made, refused ones included.
     pub fn calls(&self) -> u64 {
         lock(&self.kept).calls
@@ -147,6 +165,22 @@
         self.check()
     }
 
+    /// Waits for its turn, as one of those that read the whole list; who would wait for too long gives up.
+    async fn read_whole(&self) -> Result<(), StoreError> {
+        let done = {
+            let mut kept = lock(&self.store.kept);
+            kept.whole_reads += 1;
+            let begins = kept.busy_until.unwrap_or_else(Instant::now).max(Instant::now());
+            let done = begins + kept.whole_read;
+            kept.busy_until = Some(done);
+            done
+        };
+        let gives_up = Instant::now() + READ_LIMIT;
+        sleep_until(done.min(gives_up)).await;
+        let reason = "the stand-in did not answer in time".into();
+        if done > gives_up { Err(StoreError::Unknown { reason }) } else { Ok(()) }
+    }
+
     fn check(&self) -> Result<(), StoreError> {
         let kept = lock(&self.store.kept);
         if kept.is_away || kept.turned_away.contains(&self.vm) {
@@ -193,6 +227,9 @@
 impl Feed<DirectoryEvent> for MemoryFeed {
     async fn next(&mut self, _wait: Duration) -> Result<Vec<DirectoryEvent>, StoreError> {
         self.call().await?;
+        if self.next == 0 {
+            self.read_whole().await?;
+        }
         self.read(|kept| &kept.endpoints)
     }
 
--- a/havengrade_dev/tests/published_crashing_request.rs
+++ b/havengrade_dev/tests/published_crashing_request.rs
@@ -63,7 +63,7 @@
 struct Day {
     name: &'static str,
     vms: Host,
-    endpoints: u8,
+    endpoints: Host,
     /// The path of the requests that crash endpoints.
     path: &'static str,
     /// How many different ones there are.
--- a/havengrade_dev/tests/published_fleet.rs
+++ b/havengrade_dev/tests/published_fleet.rs
@@ -28,6 +28,7 @@
     store: MemoryStore,
     routers: Vec<PublishedRouter>,
     domains: Host,
+    is_first_start: bool,
 }
 
 fn publication(version: u64) -> OperatorEvent {
@@ -61,7 +62,13 @@
 
     /// VMs in so many failure domains, which start together.
     async fn start_in(vms: Host, domains: Host) -> Self {
-        let mut bench = Self { pipes: Pipes::default(), store: MemoryStore::default(), routers: Vec::new(), domains };
+        let mut bench = Self {
+            pipes: Pipes::default(),
+            store: MemoryStore::default(),
+            routers: Vec::new(),
+            domains,
+            is_first_start: false,
+        };
         bench.store.operate(publication(1));
         bench.start_all(vms).await;
         bench
@@ -94,6 +101,7 @@
         }
         settings.published.callers = Some(self.pipes.address(host, 0));
         settings.listen.peers = self.pipes.address(host, 1);
+        settings.published.is_first_start = self.is_first_start;
         settings.published.readiness = self.pipes.address(host, 2);
         settings.published.metrics = self.pipes.address(host, 3);
         let origin = SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000);
@@ -417,3 +425,48 @@
         assert_eq!((grounds[0].new.errors, grounds[0].old.ended), (20, 40));
     }
 }
+
+impl Bench {
+    /// VMs in so many failure domains that start together for the first time, over a store that a read of the list of endpoints keeps
+    /// busy for `whole_read`.
+    fn first_start(domains: Host, whole_read: Duration) -> Self {
+        let store = MemoryStore::default();
+        store.operate(publication(1));
+        (0..50).for_each(|index| store.list(endpoint(index, "v1")));
+        store.set_whole_read(whole_read);
+        Self { pipes: Pipes::default(), store, routers: Vec::new(), domains, is_first_start: true }
+    }
+
+    /// VMs that know what is in force and find it new enough.
+    fn knowing(&self) -> usize {
+        self.routers.len() - self.unknowing().max(self.stale())
+    }
+}
+
+/// A start of so many VMs at once before many endpoints.
+///
+/// Seen: none of 985 VMs was ready 24 s after their start, and none became it. How it came about: nearly all read the list of 10,000
+/// endpoints from the store themselves, which the store has no room for. Cause: each decided by the few VMs that it knew by then
+/// whether it was one of the first to read, and did not wait for longer than a short list takes. What proved it: reads that are
+/// counted, with lists of VMs of 22 to 265 names in the lines of those that read.
+async fn start_for_the_first_time(vms: Host) {
+    let mut bench = Bench::first_start(6, Duration::from_millis(25));
+    bench.start_all(vms).await;
+    assert_eq!(bench.knowing(), usize::from(vms), "VMs that know what is in force {START:?} after they started");
+    let reads = bench.store.whole_reads();
+    assert!(reads <= 6 * 4, "{reads} reads of the whole list");
+    sleep(Duration::from_secs(7)).await;
+    assert_eq!(bench.knowing(), usize::from(vms));
+    let others: Vec<usize> = bench.routers.iter().map(|router| router.context().shared.peers().len()).collect();
+    assert!(others.iter().all(|known| *known == usize::from(vms) - 1), "{others:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_hundred_vms_that_start_for_the_first_time_read_the_list_of_endpoints_a_few_times() {
+    start_for_the_first_time(100).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn four_hundred_vms_that_start_for_the_first_time_read_it_as_often() {
+    start_for_the_first_time(400).await;
+}
--- a/havengrade_dev/tests/support/published.rs
+++ b/havengrade_dev/tests/support/published.rs
@@ -83,7 +83,7 @@
     }
 }
 
-pub(crate) fn listed(pipes: &Pipes, index: u8, version: &str) -> ListedEndpoint {
+pub(crate) fn listed(pipes: &Pipes, index: Host, version: &str) -> ListedEndpoint {
     ListedEndpoint {
         id: format!("e{index}"),
         service: "events".into(),
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -21,6 +21,7 @@
         rollout::{RolloutBounds, Rollouts},
         route::RouteTable,
         sent_parts::SentParts,
+        start::ReadingNews,
     },
     quarantine::Quarantine,
 };
@@ -97,6 +98,7 @@
     drain_since: AtomicU64,
     rollouts: Mutex<Rollouts>,
     peers: Mutex<Peers>,
+    reading_news: Mutex<ReadingNews>,
     /// The retries that this VM may still make.
     pub retries: Retries,
     quarantine: Mutex<Quarantine>,
@@ -145,6 +147,7 @@
             drain_since: AtomicU64::new(0),
             rollouts: Mutex::default(),
             peers: Mutex::default(),
+            reading_news: Mutex::default(),
             retries: Retries::new(settings.published.retry_ratio),
             quarantine: Mutex::default(),
             quarantine_changed: Notify::new(),
@@ -324,6 +327,16 @@
         lock(&self.peers)
     }
 
+    /// What others told this VM at its start of who reads the store, locked for a moment.
+    pub fn reading_news(&self) -> MutexGuard<'_, ReadingNews> {
+        lock(&self.reading_news)
+    }
+
+    /// When this VM or another one surely was reading the store for those that start, if any was.
+    pub fn store_read_at(&self, now: SystemTime) -> Option<SystemTime> {
+        if self.store.is_reading(now) { Some(now) } else { self.reading_news().read_at() }
+    }
+
     /// The operators' bounds on roll-outs.
     pub fn rollout_bounds(&self) -> RolloutBounds {
         let settings = self.tuning.load();
--- a/havengrade_router/src/published/follow.rs
+++ b/havengrade_router/src/published/follow.rs
@@ -219,6 +219,9 @@
 
     async fn ask(&mut self) {
         let asked = self.cx.shared.clock.now();
+        if !self.cx.shared.knows_state() {
+            self.cx.shared.store.begin_reading(asked);
+        }
         // After a loss the first answer must come at once: it says what is in force now.
         let may_wait = self.lost.is_none() && self.cx.shared.store.is_reader() && !self.is_hurried;
         let wait = if may_wait { self.taker.wait(&self.cx) } else { Duration::ZERO };
@@ -245,6 +248,7 @@
     }
 
     fn lose(&mut self, error: &StoreError) {
+        self.cx.shared.store.fail_reading();
         metrics::counter!("store_errors", "feed" => self.name).increment(1);
         if self.lost.is_none() {
             log::warn!(feed = self.name; "store is lost: {error}");
--- a/havengrade_router/src/published/hand_on.rs
+++ b/havengrade_router/src/published/hand_on.rs
@@ -82,6 +82,10 @@
     let frame = timeout(FRAME_LIMIT, frames.next()).await.ok().context(LateSnafu)?;
     let frame = frame.context(LeftSnafu)?.context(BrokenSnafu)?;
     let question: StateQuestion = havengrade_rpc::decode(&frame).context(MessageSnafu)?;
+    if cx.shared.store.is_reading(cx.shared.clock.now()) {
+        // Who asks a VM that will know soon need not ask again and again.
+        let _ = timeout(WAIT_LIMIT, cx.shared.state_known()).await;
+    }
     let is_small = question.wants_vms && question.operators_position.is_some();
     if is_small || !cx.shared.knows_state() {
         // It only wants to know whom this very VM knows, or learns no more here.
@@ -164,9 +168,14 @@
         rollouts: None,
         quarantine: None,
         signals: None,
+        reading_age_ms: None,
     }
 }
 
+fn age_ms(at: SystemTime, now: SystemTime) -> i64 {
+    to_i64(now.duration_since(at).unwrap_or_default().as_millis() as u64)
+}
+
 /// An answer: its head, and the texts that follow.
 struct Answer {
     head: StateHead,
@@ -182,10 +191,13 @@
             answer.add_endpoints(cx, question, now)?;
             answer.head.rollouts = told_rollouts(cx, now)
                 .map(|told| told.into_iter().map(|(told, usual)| encode_rollout(told, usual)).collect());
+        } else {
+            answer.head.reading_age_ms = cx.shared.store_read_at(now).map(|at| age_ms(at, now));
         }
         answer.head.quarantine = cx.shared.quarantine().hand_on(now).map(encode_quarantine);
         answer.head.signals = Some(encode_signals(cx.shared.restraints().signals.hand_on(now)));
-        if question.wants_vms {
+        // Who knows nothing else is asked by all that start at once, and the list of VMs grows with the fleet.
+        if question.wants_vms && cx.shared.knows_state() {
             answer.head.vms = Some(answer.part(0, Duration::ZERO, vms_text(cx)?));
         }
         Ok(answer)
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -12,9 +12,10 @@
     published::{
         peers::{Peer, Work, WorkReport},
         rollout::Learned,
+        start::FirstReaders,
     },
 };
-use havengrade_rpc::reports::{Datagram, StoreQuestion, VmReport};
+use havengrade_rpc::reports::{Datagram, Greeting, StoreQuestion, VmReport};
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
 use snafu::ResultExt as _;
 use tokio_util::task::AbortOnDropHandle;
@@ -148,9 +149,17 @@
         }
     }
 
+    /// Makes this VM known to others, and tells each of them who reads the store first, should they have started as well.
     async fn greet(&mut self, others: &[SocketAddr]) {
         let now = self.cx.shared.clock.now();
-        self.report(own_work(&self.cx), others, now).await;
+        let work = own_work(&self.cx);
+        self.seq += 1;
+        let report = encode_report(own_report(&self.cx, self.seq, &work));
+        let greetings = greetings(&self.cx, &report, others);
+        for (greeting, to) in greetings {
+            send(&*self.socket, &Datagram::Greeting(greeting), &[to]).await;
+        }
+        self.sent = Some((now, work));
     }
 
     /// The few others that hear a usual report.
@@ -203,6 +212,20 @@
     }
 }
 
+/// What each of some others is told at this VM's start.
+fn greetings(cx: &PublishedContext, report: &VmReport, others: &[SocketAddr]) -> Vec<(Greeting, SocketAddr)> {
+    let me = cx.me();
+    let peers = cx.shared.peers();
+    let vms: Vec<&Peer> = peers.all().chain([&me]).collect();
+    let first = FirstReaders::among(&vms);
+    let greeted = vms.iter().filter(|peer| others.contains(&peer.address));
+    let greeting = |peer: &&&Peer| {
+        let readers = first.of(&peer.failure_domain).iter().map(SocketAddr::to_string).collect();
+        (Greeting::new(report.clone(), first.includes(peer), readers), peer.address)
+    };
+    greeted.map(|peer| greeting(&peer)).collect()
+}
+
 async fn send(socket: &dyn Datagrams, datagram: &Datagram, to: &[SocketAddr]) {
     let bytes = match havengrade_rpc::encode(datagram) {
         Ok(bytes) => bytes,
@@ -252,6 +275,7 @@
         let now = cx.shared.clock.now();
         match havengrade_rpc::decode::<Datagram>(buf.get(..length).unwrap_or_default()) {
             Ok(Datagram::Report(report)) => take_report(&cx, report, now),
+            Ok(Datagram::Greeting(greeting)) => take_greeting(&cx, greeting, now),
             Ok(Datagram::Question(question)) => answer_question(&cx, &*socket, &question, now).await,
             Ok(Datagram::Answer(answer)) => lock(&questions).take(&cx, answer),
             Err(error) => log::warn!("a datagram can't be read and is passed over: {error}"),
@@ -268,6 +292,14 @@
     }
 }
 
+fn take_greeting(cx: &PublishedContext, greeting: Greeting, now: SystemTime) {
+    if !cx.shared.knows_state() {
+        let readers = greeting.readers.iter().filter_map(|reader| reader.parse().ok()).collect();
+        cx.shared.reading_news().greet(greeting.reads_first, readers);
+    }
+    take_report(cx, greeting.report, now);
+}
+
 fn take_report(cx: &PublishedContext, report: VmReport, now: SystemTime) {
     let Some(report) = decode_report(report) else {
         return log::warn!("a report names no address and is passed over");
--- a/havengrade_router/src/published/roster.rs
+++ b/havengrade_router/src/published/roster.rs
@@ -31,15 +31,17 @@
 pub(super) async fn keep_roster(cx: PublishedContext, roster: Box<dyn Roster>) {
     let me = cx.me();
     let known = async {
+        // At the first start of all the list is empty, and nobody knows who reads the store until all are on it.
+        let mut is_entered = cx.shared.settings.published.is_first_start && enter_first(&*roster, &me).await;
         find_others(&cx, &*roster).await;
         // Alone, a VM must be on the list before others look. Otherwise callers come first: the list takes one entry a
         // millisecond, and whoever reads it waits for those before.
-        let is_alone = cx.shared.peers().is_empty();
-        if is_alone {
+        if !is_entered && cx.shared.peers().is_empty() {
             enter(&cx, &*roster, &me).await;
+            is_entered = true;
         }
-        learn_state(&cx).await;
-        if !is_alone {
+        learn_state(&cx, &*roster).await;
+        if !is_entered {
             sleep(until_entry(&cx)).await;
             enter(&cx, &*roster, &me).await;
         }
@@ -56,6 +58,15 @@
     entry_spread(cx.shared.peers().len()).mul_f64(cx.shared.rng().random::<f64>())
 }
 
+/// Enters this VM before anything else; tells whether that was done.
+async fn enter_first(roster: &dyn Roster, me: &Peer) -> bool {
+    let entered = roster.enter(me).await;
+    if let Err(error) = &entered {
+        log::warn!("this VM is not on the list of VMs yet, others are looked for: {error}");
+    }
+    entered.is_ok()
+}
+
 async fn enter(cx: &PublishedContext, roster: &dyn Roster, me: &Peer) {
     while let Err(error) = roster.enter(me).await {
         let waited = cx.shared.running_for(cx.shared.clock.now());
--- a/havengrade_router/src/published/starting.rs
+++ b/havengrade_router/src/published/starting.rs
@@ -1,15 +1,9 @@
 //! The start of a VM: it learns what is in force from others, or else from the store.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, SystemTime},
-};
+use std::{net::SocketAddr, time::Duration};
 
 use futures::{StreamExt as _, stream::FuturesUnordered};
-use havengrade_core::published::{
-    peers::Peer,
-    start::{ROUND, Starting, listen_for, retry_after},
-};
+use havengrade_core::published::start::{FIRST_LISTEN, NextStep, ROUND, Starting, listen_for, retry_after};
 use tokio::time::timeout;
 
 use crate::published::{
@@ -24,8 +18,8 @@
 const MAX_ROUND: Duration = Duration::from_millis(800);
 
 /// Learns what is in force, and then lets the services follow the store.
-pub(super) async fn learn_state(cx: &PublishedContext) {
-    learn(cx).await;
+pub(super) async fn learn_state(cx: &PublishedContext, roster: &dyn Roster) {
+    learn(cx, roster).await;
     follow::begin(cx);
     log::info!(vms = cx.shared.peers().len(); "what is in force is known");
 }
@@ -37,6 +31,10 @@
         follow::begin(cx);
     }
     let mut pause = listen_for(&mut *cx.shared.rng());
+    if cx.shared.settings.published.is_first_start {
+        // Until the others are on the list as well.
+        pause += FIRST_LISTEN;
+    }
     while timeout(pause, cx.shared.other_heard()).await.is_err() {
         match read_list(cx, roster).await {
             Ok(()) => return peers::greet(cx, addresses(cx)),
@@ -50,16 +48,22 @@
 }
 
 /// Asks others, round by round, until this VM knows what is in force.
-async fn learn(cx: &PublishedContext) {
+async fn learn(cx: &PublishedContext, roster: &dyn Roster) {
     let asked = cx.shared.clock.now();
     let mut pause = ROUND;
     for round in 0.. {
         if ask_round(cx, round).await {
             return;
         }
-        if reads_store(cx, asked) {
-            follow::begin(cx);
-            pause = (pause * 2).min(MAX_ROUND);
+        let step = starting(cx, |starting| starting.next_step(asked, cx.shared.clock.now()));
+        match step {
+            NextStep::Ask => {},
+            NextStep::ReadList => find_all(cx, roster).await,
+            NextStep::ReadStore => {
+                follow::begin(cx);
+                learn_all(cx, roster).await;
+                pause = (pause * 2).min(MAX_ROUND);
+            },
         }
         if timeout(pause, cx.shared.state_known()).await.is_ok() {
             return;
@@ -67,14 +71,29 @@
     }
 }
 
-fn reads_store(cx: &PublishedContext, asked: SystemTime) -> bool {
-    let peers = cx.shared.peers();
-    starting(cx, peers.all().collect()).reads_store(asked, cx.shared.clock.now())
+/// Reads the list of VMs where nobody tells anything, and greets all on it.
+async fn find_all(cx: &PublishedContext, roster: &dyn Roster) {
+    match read_list(cx, roster).await {
+        Ok(()) => peers::greet(cx, addresses(cx)),
+        Err(error) => log::warn!("nobody tells what is in force, and the list of VMs could not be read: {error}"),
+    }
 }
 
-fn starting<'a>(cx: &'a PublishedContext, others: Vec<&'a Peer>) -> Starting<'a> {
-    let vm = &cx.shared.settings.vm;
-    Starting { me: &vm.id, domain: &vm.failure_domain, others }
+/// Learns of all VMs, since whom this one hands on to takes them from it as well.
+async fn learn_all(cx: &PublishedContext, roster: &dyn Roster) {
+    if !cx.shared.peers().is_listed()
+        && let Err(error) = read_list(cx, roster).await
+    {
+        log::warn!("the list of VMs could not be read by a VM that reads for others: {error}");
+    }
+}
+
+/// What follows from this VM's start and what it knows of the others.
+fn starting<T>(cx: &PublishedContext, decide: impl FnOnce(Starting<'_>) -> T) -> T {
+    let me = cx.me();
+    let peers = cx.shared.peers();
+    let news = cx.shared.reading_news();
+    decide(Starting { me: &me, others: peers.all().collect(), is_listed: peers.is_listed(), news: &news })
 }
 
 /// Asks some others at the same time; tells whether one of them told everything.
@@ -82,10 +101,7 @@
     if !cx.hands_news_on {
         return false;
     }
-    let asked: Vec<SocketAddr> = {
-        let peers = cx.shared.peers();
-        starting(cx, peers.all().collect()).ask(round, &mut *cx.shared.rng())
-    };
+    let asked: Vec<SocketAddr> = starting(cx, |starting| starting.ask(round, &mut *cx.shared.rng()));
     let mut answers: FuturesUnordered<_> =
         asked.into_iter().map(|from| async move { (from, take(cx, from, Wanted::Everything).await) }).collect();
     while let Some((from, taken)) = answers.next().await {
--- a/havengrade_router/src/published/store_access.rs
+++ b/havengrade_router/src/published/store_access.rs
@@ -5,7 +5,7 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
-    time::SystemTime,
+    time::{Duration, SystemTime},
 };
 
 use havengrade_core::published::{directory::ListedEndpoint, position::Era, relay::ChangeLog};
@@ -13,6 +13,10 @@
 
 use crate::shared::lock;
 
+/// Longest time for which others that start wait for a read that is under way: a list of 20,000 endpoints over a link of
+/// 20 Mbit/s takes two seconds.
+const READING_LIMIT: Duration = Duration::from_secs(4);
+
 /// How far this VM has read the store, for those who ask it.
 #[derive(Clone, Debug)]
 pub struct StoreView {
@@ -35,6 +39,8 @@
     is_reader: AtomicBool,
     /// Whether this VM reads the store for others while those whose turn it is don't reach it.
     is_volunteer: AtomicBool,
+    /// Since when this VM reads what is in force; none where it does not, or knows it.
+    reading_since: Mutex<Option<SystemTime>>,
     /// Until when the store is left alone after it did not answer.
     pause: Mutex<Option<Instant>>,
     view: Mutex<StoreView>,
@@ -55,6 +61,7 @@
             follows: AtomicBool::new(false),
             is_reader: AtomicBool::new(false),
             is_volunteer: AtomicBool::new(false),
+            reading_since: Mutex::default(),
             pause: Mutex::default(),
             view: Mutex::new(view),
             eras: watch::Sender::new(None),
@@ -73,6 +80,21 @@
         self.follows.load(Ordering::Acquire)
     }
 
+    /// Notes that this VM begins to read what is in force.
+    pub fn begin_reading(&self, now: SystemTime) {
+        lock(&self.reading_since).get_or_insert(now);
+    }
+
+    /// Notes that such a read has failed.
+    pub fn fail_reading(&self) {
+        *lock(&self.reading_since) = None;
+    }
+
+    /// Whether this VM is reading what is in force, so that others may wait for it.
+    pub fn is_reading(&self, now: SystemTime) -> bool {
+        lock(&self.reading_since).is_some_and(|since| now < since + READING_LIMIT)
+    }
+
     /// How far this VM has read the store, locked for a moment.
     pub fn view(&self) -> MutexGuard<'_, StoreView> {
         lock(&self.view)
--- a/havengrade_router/src/published/take.rs
+++ b/havengrade_router/src/published/take.rs
@@ -235,6 +235,9 @@
         let others = vms.into_iter().filter(|(peer, _)| peer.vm != cx.shared.settings.vm.id);
         peers.learn(others.collect(), cx.shared.clock.now());
     }
+    if let Some(age_ms) = head.reading_age_ms {
+        cx.shared.reading_news().hear(confirmed_at(asked, Duration::from_millis(from_i64(age_ms))));
+    }
     let (Some(operators_part), Some(endpoints_part)) = (head.operators, head.endpoints) else {
         return NothingSnafu.fail();
     };
--- a/havengrade_router/src/settings/sections.rs
+++ b/havengrade_router/src/settings/sections.rs
@@ -243,6 +243,8 @@
     pub metrics: SocketAddr,
     /// IP number and port of the store that holds configuration and endpoints.
     pub store: SocketAddr,
+    /// Whether the whole deployment starts for the first time, so that no VM is on the kept list yet.
+    pub is_first_start: bool,
     /// Time for which a change of the configuration is waited for in one call, in milliseconds.
     pub config_wait_ms: u64,
     /// Time between two reads of the list of endpoints, in milliseconds.
@@ -271,6 +273,7 @@
             readiness: loopback(8083),
             metrics: loopback(8084),
             store: loopback(8090),
+            is_first_start: false,
             config_wait_ms: 700,
             endpoints_poll_ms: 600,
             store_timeout_ms: 1500,
--- a/schema/reports.thrift
+++ b/schema/reports.thrift
@@ -233,6 +233,17 @@
   /** Absent where the answering VM does not know what was kept before its start. */
   6: optional Quarantine quarantine,
   7: optional list<EndpointSignal> signals,
+  /** Time since a VM surely was reading the store for those that start; absent where none is known to, or the answering VM knows what is in force. */
+  8: optional i64 reading_age_ms,
+}
+
+/** What a VM that has read the list of VMs tells the others on it, which may have started with it. */
+struct Greeting {
+  1: required VmReport report,
+  /** Whether the VM that hears this reads the store first, where nobody knows what is in force. */
+  2: required bool reads_first,
+  /** IP numbers and ports of VMs that do. */
+  3: required list<string> readers,
 }
 
 /** One datagram. */
@@ -240,4 +251,5 @@
   1: VmReport report,
   2: StoreQuestion question,
   3: StoreAnswer answer,
+  4: Greeting greeting,
 }
