--- a/havengrade_router/src/published/take.rs
+++ b/havengrade_router/src/published/take.rs
@@ -160,7 +160,7 @@
     match wanted {
         Wanted::Endpoints(_) => send_to::<DirectoryEvent>(cx, ENDPOINTS, FollowMessage::Hurry),
         Wanted::Operators(_) | Wanted::Everything | Wanted::Vms => {
-            send_to::<OperatorEvent>(cx, OPERATORS, FollowMessage::Hurry)
+            send_to::<OperatorEvent>(cx, OPERATORS, FollowMessage::Hurry);
         },
     }
 }
--- a/havengrade_router/src/published/takers.rs
+++ b/havengrade_router/src/published/takers.rs
@@ -168,8 +168,7 @@
         let next = self.subset.next(self.directory.all(), cx.shared.peers().len() + 1);
         let is_resized = next != self.subset;
         if is_resized {
-            let used = self.directory.all().filter(|endpoint| next.includes(endpoint)).count();
-            log::info!(listed = self.directory.len(), used = used; "another part of the list of endpoints is used");
+            log_part(&self.directory, &next);
         }
         self.subset = next;
         is_resized
@@ -226,6 +225,14 @@
     }
 }
 
+/// Tells how much of the list is used, where this VM knows more; one that was told a part uses all of that.
+fn log_part(directory: &Directory, subset: &Subset) {
+    let used = directory.all().filter(|endpoint| subset.includes(endpoint)).count();
+    if used < directory.len() {
+        log::info!(listed = directory.len(), used = used; "another part of the list of endpoints is used");
+    }
+}
+
 /// Endpoints that one line names: a line for all of a large fleet would be as long as its list.
 const MAX_NAMED: usize = 64;
 
