--- a/havengrade_core/src/published/relay.rs
+++ b/havengrade_core/src/published/relay.rs
@@ -14,7 +14,7 @@
 const MIN_READERS: usize = 2;
 /// VMs that one reader answers for.
 const VMS_A_READER: usize = 64;
-/// Looks at which as many of a large fleet read for themselves, together, as those that read for others.
+/// Looks of each VM in which, together, as many of a large fleet read for themselves as read for others.
 const LOOKS_A_READING: f64 = 4.0;
 /// Rounds beyond the first in which a VM asks others for news, at most: each may take as long as a change may age.
 const MAX_ROUNDS: u32 = 3;
--- a/havengrade_core/src/published/subset.rs
+++ b/havengrade_core/src/published/subset.rs
@@ -11,9 +11,9 @@
     ranking::rank,
 };
 
-/// Endpoints of a service's version from which on some are left out, halved; below twice as many all are used.
+/// Endpoints of a service's version that are used at least; where there are fewer than twice as many, all are.
 const LEAST: usize = 512;
-/// Requests that a VM may have in progress at once for which there is a slot in what is used: a VM with an eighth of a core serves fewer.
+/// Requests in progress at one VM for which what is used has slots: a VM with an eighth of a core has fewer.
 const REQUESTS_A_VM: usize = 16;
 /// Part of a step by which the number of endpoints or VMs may change before another part is used.
 const SLACK: f64 = 0.25;
--- a/havengrade_router/src/published/roster.rs
+++ b/havengrade_router/src/published/roster.rs
@@ -96,8 +96,8 @@
         sleep(spread(cx, settle.next().unwrap_or(usual))).await;
         let known: HashSet<SocketAddr> = addresses(cx).into_iter().collect();
         // Those that read the store look at the kept list itself; what they learn the others ask for.
-        let knows_some_only = !cx.shared.peers().is_listed();
-        if !cx.hands_news_on || cx.shared.store.is_reader() || known.is_empty() || knows_some_only {
+        let knows_all = cx.shared.peers().is_listed() && !known.is_empty();
+        if !cx.hands_news_on || cx.shared.store.is_reader() || !knows_all {
             if let Err(error) = read_list(cx, roster).await {
                 log::warn!("the list of VMs could not be read: {error}");
             }
@@ -110,8 +110,8 @@
     }
 }
 
-/// Asks those that read the store whom they know; where none of them tells, this VM's turn to read the list itself comes with a chance
-/// that keeps such reads as few as those that tell.
+/// Asks those that read the store whom they know. Where none tells, it reads the list itself with a chance by which, of a whole fleet, as many do
+/// as there are readers.
 async fn ask_any(cx: &PublishedContext, roster: &dyn Roster) {
     for _ in 0..ASKED {
         if ask_one(cx).await {
