Doubt a request for its times only beside a steady suspect at the same crashes

What callers saw: requests that wait at a busy endpoint before they crash it were sent up to 11 times more after their third crash; each crash breaks all other requests there. Cause: the time since a request was sent was taken for the time for which it ran. Whoever ran for more than twice the time of the quickest suspect of all was held only from twelve crashes on, also where that suspect had been at none of its crashes, and where its own times were scattered.

Evidence: a trace of each judgement in the red test (crashes, unexplained ones, "late", times): six to seven of eight such requests were at six crashes or more and late. Ruled out: late reports (all VMs know a crash within 0.1 s); other suspects explaining the crashes (without that, innocent requests are held). Now it takes a steady suspect, under which endpoints end after about the same time, at most of the request's crashes. a_cause_that_waits_before_it_runs_is_held_whatever_broke_sooner_elsewhere failed before.

--- a/havengrade_core/src/blame.rs
+++ b/havengrade_core/src/blame.rs
@@ -23,10 +23,14 @@
 /// at as many.
 const CERTAIN: usize = 6;
 /// The same for a request that is likely to be innocent: an endpoint of the same version answered it lately, or it ran for longer when
-/// endpoints ended than others did. One that comes often is in progress at many endpoints, and several causes at once end many of them.
+/// endpoints ended than a steady suspect did. One that comes often is in progress at many endpoints, and several causes at once end many of them.
 const DESPITE_DOUBT: usize = 12;
-/// How many times longer than that of the quickest suspect its mean time must be for that.
+/// How many times longer than that of the quickest steady suspect its mean time must be for that.
 const LONGER: u32 = 2;
+/// Part of its mean time by which the times of a steady suspect differ at most.
+const STEADY_PART: f64 = 0.5;
+/// Time by which they may differ in any case.
+const STEADY_SLACK: Duration = Duration::from_millis(20);
 /// Time within which what VMs saw at an endpoint is one crash: an endpoint takes longer to come back, and what VMs tell each other of a
 /// moment differs by the time that a report takes.
 const SAME_CRASH: Duration = Duration::from_millis(1000);
@@ -82,10 +86,11 @@
     let mut explained: Vec<(&Sight, usize)> = held.map(|sight| (sight, usize::MAX)).collect();
     let mut blamed = Vec::new();
     let suspects = suspects(sights, is_held);
-    let likely = suspects.iter().filter(|suspect| suspect.seen.len() >= ENOUGH).map(Suspect::ran_for).min();
-    for suspect in suspects {
-        let is_late = likely.is_some_and(|likely| suspect.ran_for() > likely * LONGER);
+    let steady: Vec<(Duration, Vec<&Sight>)> = suspects.iter().filter_map(Suspect::as_steady).collect();
+    for suspect in &suspects {
+        let is_late = suspect.is_later_than(&steady);
         let Suspect { mark, seen } = suspect;
+        let mark = *mark;
         // One that is as quick, and was at many more crashes, is not explained by the other.
         let may_explain = |crashes: usize| is_late || seen.len() <= crashes.saturating_add(LEAD);
         let is_open =
@@ -116,6 +121,28 @@
         u128::BITS - self.ran_for().as_millis().leading_zeros()
     }
 
+    /// Its mean time and crashes, if endpoints ended about as long after each time it was sent.
+    ///
+    /// A cause that waits at the endpoint before it runs is not steady: the time since it was sent says nothing of it.
+    fn as_steady(&self) -> Option<(Duration, Vec<&Sight>)> {
+        let times = || self.seen.iter().map(|sight| sight.ran_for);
+        let spread = times().max()? - times().min()?;
+        let is_steady = spread <= self.ran_for().mul_f64(STEADY_PART).max(STEADY_SLACK);
+        (is_steady && self.seen.len() >= ENOUGH).then(|| (self.ran_for(), self.seen.clone()))
+    }
+
+    /// Whether a quicker steady suspect was there at most of its crashes.
+    fn is_later_than(&self, steady: &[(Duration, Vec<&Sight>)]) -> bool {
+        let quicker: Vec<&Sight> = steady
+            .iter()
+            .filter(|(ran_for, _)| self.ran_for() > *ran_for * LONGER)
+            .flat_map(|(_, seen)| seen)
+            .copied()
+            .collect();
+        let explained = self.seen.iter().filter(|sight| quicker.iter().any(|known| known.is_same(sight))).count();
+        2 * explained > self.seen.len()
+    }
+
     /// Mean time that it ran for when endpoints ended.
     fn ran_for(&self) -> Duration {
         let sum: Duration = self.seen.iter().map(|sight| sight.ran_for).sum();
--- a/havengrade_core/tests/quarantine.rs
+++ b/havengrade_core/tests/quarantine.rs
@@ -87,6 +87,21 @@
     assert_eq!(judged(&mut quarantine, 3000), [7, 8]);
 }
 
+/// Seen: requests that wait at busy endpoints before they crash them were at twelve crashes before they were held back. Cause: any suspect that broke
+/// sooner after it was sent made them look innocent, though it had been at other crashes.
+#[test]
+fn a_cause_that_waits_before_it_runs_is_held_whatever_broke_sooner_elsewhere() {
+    let mut quarantine = Quarantine::default();
+    for (index, ran_for) in [1047, 259, 173, 306, 855, 78].into_iter().enumerate() {
+        let beside = 100 + index as u64 / 2;
+        crash(&mut quarantine, &format!("e{index}"), &[(7, ran_for), (beside, 15)], 100 * index as u64);
+    }
+    for index in 10..13 {
+        crash(&mut quarantine, &format!("e{index}"), &[(8, 20)], 100 * index);
+    }
+    assert_eq!(judged(&mut quarantine, 3000), [7, 8]);
+}
+
 #[test]
 fn a_request_that_is_answered_is_innocent_until_it_is_at_many_more_crashes() {
     let mut quarantine = Quarantine::default();
