Count tries that were given up just before their endpoint ended as at its crash

Cause: where a model doubted its answer, or the caller left, the router gave the try up, and nothing was noted of it; the endpoint ended some ten milliseconds later under that very request.

Evidence: the lines of all VMs. The request is at three crashes from 32.37 s on and held from 33.37 s on, but its third endpoint had ended at 28.15 s; no line names it at the first ones. At 33.4866 s "model doubts its answer", at 33.557 s the endpoint ends.

Now a try that is given up is at the crash if its endpoint ends within half a second, by this VM's look or another's word. Two tests of the quarantine; both need the new call, without which nothing is noted.

--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -35,6 +35,8 @@
 const SIGHT_LIFE: Duration = Duration::from_secs(3600);
 /// Time from a try that breaks until its endpoint is known to have ended; a look takes as long as a connection may.
 const BROKEN_LIFE: Duration = Duration::from_secs(3);
+/// Time from when a try is given up until its endpoint may still end by it: it goes on until it finds that nobody waits.
+const LEFT_LIFE: Duration = Duration::from_millis(500);
 /// Crashes that are remembered; the oldest ones give way.
 const MAX_SIGHTS: usize = 2048;
 /// Crashes that a VM which starts is told of.
@@ -88,11 +90,20 @@
     told: u32,
 }
 
+/// A try that broke or was given up.
+#[derive(Clone, Debug)]
+struct Broken {
+    mark: RequestMark,
+    sight: Sight,
+    /// Until when the end of its endpoint is its crash.
+    until: SystemTime,
+}
+
 /// What is known of requests that crash endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    /// Tries that broke lately, at endpoints of which it is not known whether they ended.
-    broken: HashMap<EndpointId, Vec<(RequestMark, Sight)>>,
+    /// Tries that broke or were given up lately, at endpoints of which it is not known whether they ended.
+    broken: HashMap<EndpointId, Vec<Broken>>,
     /// Endpoints that ended lately.
     ended: HashMap<EndpointId, SystemTime>,
     /// Requests that were at crashes.
@@ -179,15 +190,29 @@
         if self.ended.get(endpoint).is_some_and(|ended| is_same_moment(*ended, now)) {
             self.see(mark, sight, true, now);
         } else {
-            self.broken.entry(endpoint.to_owned()).or_default().push((mark, sight));
+            let broken = Broken { mark, sight, until: now + BROKEN_LIFE };
+            self.broken.entry(endpoint.to_owned()).or_default().push(broken);
         }
     }
 
+    /// Notes that a try of a request was given up, `ran_for` after it was sent, while the endpoint may have been at work on it.
+    pub fn note_left(
+        &mut self,
+        (mark, version): (RequestMark, VersionMark),
+        endpoint: &str,
+        ran_for: Duration,
+        now: SystemTime,
+    ) {
+        let sight = Sight { endpoint: endpoint.to_owned(), version, ran_for, at: now };
+        let left = Broken { mark, sight, until: now + LEFT_LIFE };
+        self.broken.entry(endpoint.to_owned()).or_default().push(left);
+    }
+
     /// Notes that an endpoint has ended; the tries that broke there lately were at its crash.
     pub fn note_ended(&mut self, endpoint: &str, now: SystemTime) {
         self.ended.insert(endpoint.to_owned(), now);
-        for (mark, sight) in self.broken.remove(endpoint).unwrap_or_default() {
-            if now < sight.at + BROKEN_LIFE {
+        for Broken { mark, sight, until } in self.broken.remove(endpoint).unwrap_or_default() {
+            if now < until {
                 self.see(mark, sight, true, now);
             }
         }
@@ -369,7 +394,9 @@
         for ToldCrash { mark, endpoint, version, ran_for, age } in
             news.crashes.into_iter().filter(|told| told.age < SIGHT_LIFE)
         {
-            self.see(mark, Sight { endpoint, version, ran_for, at: at(age) }, false, now);
+            let sight = Sight { endpoint, version, ran_for, at: at(age) };
+            self.hear_end(&sight, now);
+            self.see(mark, sight, false, now);
         }
         for told in news.held {
             let kept = KeptHold {
@@ -387,6 +414,16 @@
         changes
     }
 
+    /// Takes it from another VM that an endpoint ended: tries that this VM gave up there just before were at that crash.
+    fn hear_end(&mut self, told: &Sight, now: SystemTime) {
+        let Some(tries) = self.broken.get_mut(&told.endpoint) else { return };
+        let is_left = |broken: &mut Broken| broken.sight.at <= told.at && told.at < broken.until;
+        let at_crash: Vec<Broken> = tries.extract_if(.., is_left).collect();
+        for Broken { mark, sight, .. } in at_crash {
+            self.see(mark, sight, true, now);
+        }
+    }
+
     /// Takes an answer that another VM saw, also of a request of which no crash is known here yet.
     fn hear_answer(&mut self, run: Run, at: SystemTime) -> Option<QuarantineChange> {
         let change = self.clear(run, at);
@@ -463,7 +500,7 @@
     /// Forgets what is too old to count.
     pub fn prune(&mut self, now: SystemTime) {
         self.broken.retain(|_, tries| {
-            tries.retain(|(_, sight)| now < sight.at + BROKEN_LIFE);
+            tries.retain(|broken| now < broken.until);
             !tries.is_empty()
         });
         self.ended.retain(|_, at| now < *at + BROKEN_LIFE);
--- a/havengrade_core/tests/quarantine.rs
+++ b/havengrade_core/tests/quarantine.rs
@@ -56,6 +56,36 @@
     assert!(!quarantine.is_watching());
 }
 
+/// Seen: a request that had ended three endpoints was sent six times more, since its first ends were not known to be its own. Cause: its model doubted
+/// its answer, so that the try was given up some ten milliseconds before the endpoint ended, and nothing was noted of it.
+#[test]
+fn a_try_that_was_given_up_just_before_its_endpoint_ended_was_at_the_crash() {
+    let mut quarantine = Quarantine::default();
+    let left_for = |quarantine: &mut Quarantine, endpoint: &str, left: u64, ended: u64| {
+        quarantine.note_left((7, V1), endpoint, Duration::from_millis(30), at(left));
+        crash(quarantine, endpoint, &[(100 + ended, 500)], ended);
+    };
+    left_for(&mut quarantine, "e1", 0, 70);
+    left_for(&mut quarantine, "e2", 1000, 1070);
+    left_for(&mut quarantine, "e3", 2000, 2600);
+    assert_eq!(judged(&mut quarantine, 4000), NONE, "the third endpoint ended too late for it");
+    left_for(&mut quarantine, "e4", 5000, 5070);
+    assert_eq!(judged(&mut quarantine, 7000), [7]);
+}
+
+/// The same where only another VM had a try that broke there.
+#[test]
+fn a_try_that_was_given_up_was_at_a_crash_that_another_vm_saw() {
+    let (mut here, mut other) = (Quarantine::default(), Quarantine::default());
+    for (index, endpoint) in ["e1", "e2", "e3"].into_iter().enumerate() {
+        let left = 1000 * index as u64;
+        here.note_left((7, V1), endpoint, Duration::from_millis(30), at(left));
+        crash(&mut other, endpoint, &[(100 + left, 500)], left + 70);
+        here.hear(other.tell(at(left + 90)), at(left + 100));
+    }
+    assert_eq!(judged(&mut here, 5000), [7]);
+}
+
 #[test]
 fn a_crash_counts_once_however_many_tries_break_at_it() {
     let mut quarantine = Quarantine::default();
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -24,7 +24,7 @@
     context::PublishedContext,
     events,
     job::{Job, admit},
-    quarantine::{self, note_answered, note_break, note_unframed},
+    quarantine::{self, note_answered, note_break, note_left, note_unframed},
     refuse::{AnswerBody, Refusal, whole},
     rewrite::answer_head,
     tries::{LIMIT_SLACK, Opened, Try, fail, log_try, open},
@@ -214,6 +214,7 @@
     let took = now.duration_since(opened.made.sent).unwrap_or_default();
     note_first(cx, job, &opened.made, took);
     note_end(cx, job, &opened.made.endpoint, None);
+    note_left(cx, job, &opened.made.endpoint, opened.made.sent);
     succeed(cx, &opened.made.endpoint);
     log::info!(
         request = job.id.as_str(),
--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -146,6 +146,13 @@
     tokio::spawn(async move { look(&cx, &endpoint).await });
 }
 
+/// Notes that a try was given up while its endpoint may be at work on it; if the endpoint ends right after, that is its crash.
+pub(super) fn note_left(cx: &PublishedContext, job: &Job, endpoint: &ListedEndpoint, sent: SystemTime) {
+    let now = cx.shared.clock.now();
+    let ran_for = now.duration_since(sent).unwrap_or_default();
+    cx.shared.quarantine().note_left(run_of(job, &endpoint.version), &endpoint.id, ran_for, now);
+}
+
 /// Notes an answer that ended with its connection: it was whole if its endpoint is there.
 pub(super) async fn note_unframed(cx: &PublishedContext, job: &Job, endpoint: &ListedEndpoint, sent: SystemTime) {
     let now = cx.shared.clock.now();
