Tell in a line when a session is given a version that no VM said it keeps to

No line told at which version a session was held, nor why it moved. Now a session that changes its version during a roll-out has a line, one of which nothing is known a line at level debug, both a count in sessions_placed.

--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -249,6 +249,16 @@
         self.by_service.get(service).is_some_and(|running| running.order.version == version)
     }
 
+    /// The version that a live session keeps to, as far as this VM knows.
+    pub fn session_version(&self, session: &str, bounds: RolloutBounds, now: SystemTime) -> Option<&SoftwareVersion> {
+        self.pins.version(session, bounds.session_time, now)
+    }
+
+    /// Whether live sessions of a service may keep to another version than new ones are given.
+    pub fn has_unsettled_sessions(&self, service: &str, bounds: RolloutBounds, now: SystemTime) -> bool {
+        self.by_service.get(service).is_some_and(|running| running.moves_sessions(bounds, now))
+    }
+
     /// Time until a session ends, if it is live.
     pub fn session_left(&self, session: &str, bounds: RolloutBounds, now: SystemTime) -> Option<Duration> {
         self.pins.left(session, bounds.session_time, now)
--- a/havengrade_router/src/published/answers.rs
+++ b/havengrade_router/src/published/answers.rs
@@ -42,11 +42,32 @@
 
 /// Notes that a version serves the session of a request, which keeps to it.
 pub(super) fn note_session(cx: &PublishedContext, job: &Job, version: &str, now: SystemTime) {
-    if let Some(session) = &job.facts.session {
-        cx.shared.rollouts().begin_request(session, version, job.limit, now);
+    let Some(session) = &job.facts.session else { return };
+    let bounds = cx.shared.rollout_bounds();
+    let mut rollouts = cx.shared.rollouts();
+    let is_unsettled = rollouts.has_unsettled_sessions(&job.service, bounds, now);
+    let known = rollouts.session_version(session, bounds, now).cloned();
+    rollouts.begin_request(session, version, job.limit, now);
+    drop(rollouts);
+    if is_unsettled && known.as_deref() != Some(version) {
+        log_placed(job, session, known.as_deref(), version);
     }
 }
 
+/// Writes the line of a session that goes to a version of which this VM does not know that it keeps to it.
+fn log_placed(job: &Job, session: &str, known: Option<&str>, version: &str) {
+    let (change, level) = if known.is_some() { ("moved", log::Level::Info) } else { ("unknown", log::Level::Debug) };
+    metrics::counter!("sessions_placed", "change" => change).increment(1);
+    log::log!(
+        level,
+        request = job.id.as_str(),
+        session = session,
+        known_version = known.unwrap_or("none"),
+        version = version;
+        "a session is given a version during a roll-out"
+    );
+}
+
 /// Notes that a request of a session is no longer in progress, however it ended.
 pub(super) fn release_session(cx: &PublishedContext, session: Option<&str>) {
     if let Some(session) = session {
