--- a/havengrade_core/tests/published_two_rollouts.rs
+++ b/havengrade_core/tests/published_two_rollouts.rs
@@ -101,6 +101,53 @@
     assert!(moved <= MOST_MOVED, "{moved} requests ran on another version than the one before in their session");
 }
 
+/// Seen: on every seed that was tried of a day with two orders and 84 VMs, 66 to 172 requests of sessions on another version than the one before. How it
+/// comes about: a session that `v1` served last goes on right after the second order at a VM that takes it for a new one, and goes to `v2`. Cause: a report
+/// names 48 sessions and reaches 23 VMs, while thousands of sessions are between two requests. Proof: the VMs' own lines at the moved requests name no
+/// known version; with two VMs, which hear of all sessions, the test above passes.
+#[test]
+fn sessions_keep_their_version_through_two_roll_outs_in_a_fleet_of_84_vms() {
+    const VMS: u64 = 84;
+    const HEARERS: u64 = 23;
+    let mut vms: Vec<Rollouts> = (0..VMS).map(|_| Rollouts::default()).collect();
+    let mut last: HashMap<String, String> = HashMap::new();
+    let mut moved = 0;
+    for now in (0..32_000).step_by(10) {
+        for (ordered, _, new) in ORDERS.iter().filter(|(ordered, _, _)| *ordered == now) {
+            for rollouts in &mut vms {
+                let order = RolloutOrder { service: "models".into(), version: (*new).to_owned(), duration: DURATION };
+                assert!(rollouts.order(order, at(*ordered)));
+            }
+        }
+        if now % 200 == 0 {
+            for verdict in vms[0].verdicts(BOUNDS, at(now)) {
+                for rollouts in &mut vms {
+                    rollouts.note_status(verdict.status.clone());
+                }
+            }
+            let news: Vec<_> = (0..).zip(&mut vms).map(|(vm, rollouts)| rollouts.news(BOUNDS, vm, at(now))).collect();
+            for (vm, news) in (0..).zip(news) {
+                for step in 0..HEARERS {
+                    // Prime to the number of VMs, so that each report goes to others.
+                    let to = (vm + 1 + (now / 200 * HEARERS + step) * 5) % VMS;
+                    if to != vm {
+                        vms[to as usize].hear(vm, news.clone(), at(now));
+                    }
+                }
+            }
+        }
+        for id in (0..10 * SESSIONS).filter(|id| (now + id * 10) % PERIOD == 0) {
+            let session = format!("s{id}");
+            let rollouts = &mut vms[((now / PERIOD * 31 + id) % VMS) as usize];
+            let (version, is_moved) = serve(rollouts, &session, last.get(&session), now);
+            moved += usize::from(is_moved);
+            rollouts.begin_request(&session, &version, at(now), at(now));
+            last.insert(session, version);
+        }
+    }
+    assert!(moved <= MOST_MOVED, "{moved} requests ran on another version than the one before in their session");
+}
+
 /// Seen: a session whose request at one VM took longer than the session's pause went on with another version at another VM. Cause: its pause counted from the begin of
 /// the request until that ended, so that nobody was told of it.
 #[test]
