Count streams whose callers left just before their endpoint ended as at its crash too

The call is the one that the quarantine's two tests hold; no test of its own drives a leaving caller. The chat interface ends no try before its whole answer.

--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -35,7 +35,7 @@
 const SIGHT_LIFE: Duration = Duration::from_secs(3600);
 /// Time from a try that breaks until its endpoint is known to have ended; a look takes as long as a connection may.
 const BROKEN_LIFE: Duration = Duration::from_secs(3);
-/// Time from when a try is given up until its endpoint may still end by it: it goes on until it finds that nobody waits.
+/// Time from when a try is given up until which the end of its endpoint is its crash: the endpoint runs it until it finds that nobody waits.
 const LEFT_LIFE: Duration = Duration::from_millis(500);
 /// Crashes that are remembered; the oldest ones give way.
 const MAX_SIGHTS: usize = 2048;
--- a/havengrade_router/src/published/events.rs
+++ b/havengrade_router/src/published/events.rs
@@ -27,7 +27,7 @@
         context::PublishedContext,
         job::Job,
         pace::Pace,
-        quarantine::{may_resume, note_answered, note_break},
+        quarantine::{may_resume, note_answered, note_break, note_left},
         refuse::{AnswerBody, BodyError},
         rewrite::answer_head,
         tries::{Opened, Try, fail, log_try, open},
@@ -226,8 +226,12 @@
             source.note_end_of_events(&self.cx, &job);
             let broken = match ended {
                 Ended::Complete => return self.finish(&job, source),
-                Ended::CallerLeft => return self.log_end(&job, Some(&source.made.endpoint), "the caller left"),
+                Ended::CallerLeft => {
+                    note_left(&self.cx, &job, &source.made.endpoint, source.made.sent);
+                    return self.log_end(&job, Some(&source.made.endpoint), "the caller left");
+                },
                 Ended::TimeOver => {
+                    note_left(&self.cx, &job, &source.made.endpoint, source.made.sent);
                     self.log_end(&job, Some(&source.made.endpoint), "the time limit was reached");
                     return self.break_off("the time limit was reached").await;
                 },
