Log each send of a request that was in progress at crashes

No line told whether a request that had been at crashes was sent again by a caller that came back, by a retry, or by a VM that had not heard of the crashes, so that these could not be told apart. A line names the request, its mark, the crashes that this VM knows, the attempts so far and whether the send is a trial; it is written only for requests with known crashes.

--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -174,6 +174,11 @@
         }
     }
 
+    /// Number of known crashes at which a request was in progress.
+    pub fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
+        self.observations.get(&fingerprint).map_or(0, Vec::len)
+    }
+
     /// Records the number of started trials of a request, and the start of the last one.
     pub fn record_trials(&mut self, fingerprint: RequestFingerprint, trials: usize, last_trial: Option<SystemTime>) {
         if let Some(state) = self.quarantined.get_mut(&fingerprint).filter(|state| state.entry.trials < trials) {
--- a/havengrade_router/src/published/event_stream.rs
+++ b/havengrade_router/src/published/event_stream.rs
@@ -29,7 +29,9 @@
             record_event_time, record_first_byte_time, record_outcome, record_session_version, record_success,
             release_session, version_failure,
         },
-        quarantine::{may_resume, record_abandoned_attempt, record_answer, record_broken_attempt},
+        quarantine::{
+            log_send_after_crashes, may_resume, record_abandoned_attempt, record_answer, record_broken_attempt,
+        },
         refusal::{AnswerBody, BodyError},
         rewrite::encode_answer_head,
     },
@@ -325,6 +327,7 @@
                 log::info!(request = request.id.as_str(); "stream not resumed: the retry budget is exhausted");
                 return None;
             }
+            log_send_after_crashes(&self.cx, request, &chosen.endpoint);
             request.tried_endpoints.push(chosen.endpoint.id.clone());
             let answered = tokio::select! {
                 biased;
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -25,7 +25,10 @@
         FirstByteTimer, InProgressGuard, log_answered_request, record_broken_outcome, record_first_byte_time,
         record_outcome, record_session_version, record_success, release_session, version_failure,
     },
-    quarantine::{self, record_abandoned_attempt, record_answer, record_broken_attempt, record_unframed_answer},
+    quarantine::{
+        self, log_send_after_crashes, record_abandoned_attempt, record_answer, record_broken_attempt,
+        record_unframed_answer,
+    },
     refusal::{AnswerBody, Refusal, full_body},
     rewrite::encode_answer_head,
 };
@@ -165,6 +168,7 @@
         );
         return Err(request.refusal(Refusal::NoEndpoint, Refusal::Lost));
     }
+    log_send_after_crashes(cx, request, &chosen.endpoint);
     request.tried_endpoints.push(chosen.endpoint.id.clone());
     record_session_version(cx, request, &chosen.endpoint.version, cx.shared.clock.now());
     let answered = send_attempt(cx, request, chosen, None).await;
--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -130,6 +130,26 @@
     Ok(true)
 }
 
+/// Logs that a request is sent although endpoints have crashed while it was in progress there.
+pub(super) fn log_send_after_crashes(cx: &PublishedContext, request: &ActiveRequest, endpoint: &ListedEndpoint) {
+    let crashes = {
+        let quarantine = cx.shared.quarantine();
+        if quarantine.needs_fingerprints() { quarantine.crash_count(request.fingerprint()) } else { 0 }
+    };
+    if crashes == 0 {
+        return;
+    }
+    log::info!(
+        request = request.id.as_str(),
+        mark = format_fingerprint(request.fingerprint()).as_str(),
+        endpoint = endpoint.id.as_str(),
+        crashes = crashes,
+        tries = request.tried_endpoints.len(),
+        is_trial = request.is_quarantine_trial;
+        "request sent after crashes"
+    );
+}
+
 /// Fingerprints of a request and of the version that runs it.
 fn fingerprints(request: &ActiveRequest, version: &str) -> (RequestFingerprint, VersionFingerprint) {
     (request.fingerprint(), fingerprint(&[version.as_bytes()]))
