--- a/havengrade_core/src/crash_attribution.rs
+++ b/havengrade_core/src/crash_attribution.rs
@@ -15,15 +15,15 @@
 /// Crashes without another explanation that put a request into quarantine. Callers tolerate three crashes and three
 /// further sends; a limit of two would quarantine harmless requests that were in progress at two endpoints that
 /// crashed.
-const MIN_UNEXPLAINED_CRASHES: usize = 3;
+pub(crate) const MIN_UNEXPLAINED_CRASHES: usize = 3;
 /// Crashes without another explanation from which on a request may explain crashes of others that were in progress
 /// with it.
-const MIN_EXPLAINING_CRASHES: usize = 2;
+pub(crate) const MIN_EXPLAINING_CRASHES: usize = 2;
 /// Number of crashes by which a request of like duration may exceed another one that explains some of its crashes.
 const MAX_EXCESS_CRASHES: usize = 1;
 /// Crashes that put a request into quarantine whatever else was in progress. Its caller and the router send a
 /// harmless request only a few times, so that it is not in progress at as many crashes.
-const MAX_CRASHES: usize = 6;
+pub(crate) const MAX_CRASHES: usize = 6;
 /// The same for a request that is probably harmless: an endpoint of the same version answered it recently, or it had
 /// run for longer at the crashes than a steady suspect. A frequent request is in progress at many endpoints, and
 /// several causes at once crash many.
@@ -71,6 +71,8 @@
 pub(crate) struct CrashCause {
     pub(crate) fingerprint: RequestFingerprint,
     pub(crate) crashes: Vec<CrashObservation>,
+    /// Whether the endpoints crashed after about the same run time each.
+    pub(crate) is_steady: bool,
 }
 
 /// The requests to quarantine that are not in quarantine yet.
@@ -92,6 +94,7 @@
     let steady: Vec<(Duration, Vec<&CrashObservation>)> = suspects.iter().filter_map(Suspect::as_steady).collect();
     for suspect in &suspects {
         let is_late = suspect.is_later_than(&steady);
+        let is_steady = suspect.as_steady().is_some();
         let Suspect { fingerprint, crashes } = suspect;
         let fingerprint = *fingerprint;
         // A request of like duration that was in progress at many more crashes is not explained by the other one.
@@ -102,9 +105,9 @@
         let unexplained: Vec<&CrashObservation> = crashes.iter().filter(is_unexplained).copied().collect();
         let is_answered = crashes.iter().any(|observation| is_answered(&(fingerprint, observation.version)));
         let is_certain = crashes.len() >= if is_answered || is_late { MAX_CRASHES_IF_UNLIKELY } else { MAX_CRASHES };
-        let is_cause = is_certain || (!is_answered && unexplained.len() >= MIN_UNEXPLAINED_CRASHES);
+        let is_cause = is_certain || (!is_answered && is_steady && unexplained.len() >= MIN_UNEXPLAINED_CRASHES);
         if is_cause {
-            causes.push(CrashCause { fingerprint, crashes: crashes.iter().copied().cloned().collect() });
+            causes.push(CrashCause { fingerprint, crashes: crashes.iter().copied().cloned().collect(), is_steady });
         }
         if is_cause || (!is_answered && unexplained.len() >= MIN_EXPLAINING_CRASHES) {
             explained.extend(unexplained.into_iter().map(|observation| (observation, crashes.len())));
--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -16,7 +16,10 @@
 
 use crate::{
     answer_history::{ANSWER_LIFETIME, AnswerHistory, RunKey},
-    crash_attribution::{CrashCause, CrashObservation, CrashObservations, find_crash_causes, is_same_crash_time},
+    crash_attribution::{
+        CrashCause, CrashObservation, CrashObservations, MAX_CRASHES, MIN_EXPLAINING_CRASHES, MIN_UNEXPLAINED_CRASHES,
+        find_crash_causes, is_same_crash_time,
+    },
     fingerprint::{RequestFingerprint, VersionFingerprint},
     gossip::{REPORTS_PER_ENTRY, least_reported},
     ids::EndpointId,
@@ -60,6 +63,9 @@
         /// Time after which the caller may retry.
         retry_after: Duration,
     },
+    /// The request was in progress at several crashes that other requests may have caused. It is sent once, by the
+    /// first VM that claims this entry, and is quarantined until an endpoint answers it.
+    Suspected(QuarantineEntry),
     /// The request is quarantined and a trial is due, for the first VM that claims it.
     TrialDue(QuarantineEntry),
 }
@@ -159,13 +165,19 @@
     /// ```
     pub fn status(&self, fingerprint: RequestFingerprint, now: SystemTime) -> QuarantineStatus {
         let Some(state) = self.quarantined.get(&fingerprint).filter(|state| now < state.entry.until) else {
-            let Some(settled) = self.suspects.get(&fingerprint) else { return QuarantineStatus::Free };
-            return QuarantineStatus::Pending { decided_in: settled.duration_since(now).unwrap_or_default() };
+            return self.status_before_quarantine(fingerprint, now);
         };
         if let Some(left) = state.entry.trial_left(now) {
             return QuarantineStatus::Pending { decided_in: left };
         }
-        let calm = self.last_crash.map_or(SystemTime::UNIX_EPOCH, |at| at + CALM_BEFORE_TRIAL);
+        if !state.entry.is_attributed()
+            && let Some(left) = self.settle_time_left(&state.entry, now).or_else(|| self.claimed_send_left(now))
+        {
+            return QuarantineStatus::Pending { decided_in: left };
+        }
+        let last_crash =
+            if state.entry.is_attributed() { self.last_crash } else { self.last_crash_outside_quarantine(now) };
+        let calm = last_crash.map_or(SystemTime::UNIX_EPOCH, |at| at + CALM_BEFORE_TRIAL);
         let until = |at: SystemTime| at.duration_since(now).ok().filter(|left| !left.is_zero());
         match state.entry.next_trial_at().map(|at| until(at.max(calm))) {
             Some(None) => QuarantineStatus::TrialDue(state.entry),
@@ -176,11 +188,68 @@
         }
     }
 
+    fn status_before_quarantine(&self, fingerprint: RequestFingerprint, now: SystemTime) -> QuarantineStatus {
+        if let Some(settled) = self.suspects.get(&fingerprint) {
+            return QuarantineStatus::Pending { decided_in: settled.duration_since(now).unwrap_or_default() };
+        }
+        let crashes = self.observations.get(&fingerprint).map_or(&[][..], Vec::as_slice);
+        let is_answered = crashes.iter().any(|observation| self.is_answered(&(fingerprint, observation.version), now));
+        if crashes.len() < if is_answered { MAX_CRASHES } else { MIN_UNEXPLAINED_CRASHES } {
+            return QuarantineStatus::Free;
+        }
+        let last = crashes.iter().map(|observation| observation.at).max().unwrap_or(now);
+        match (last + SETTLE_TIME).duration_since(now) {
+            Ok(left) if !left.is_zero() => return QuarantineStatus::Pending { decided_in: left },
+            _ => {},
+        }
+        let unexplained = crashes.iter().filter(|crash| !self.is_explained(crash)).count();
+        if unexplained >= MIN_UNEXPLAINED_CRASHES
+            && let Some(left) = self.claimed_send_left(now)
+        {
+            return QuarantineStatus::Pending { decided_in: left };
+        }
+        new_entry(fingerprint, crashes, now).map_or(QuarantineStatus::Free, QuarantineStatus::Suspected)
+    }
+
+    /// Time of the last recent crash at which no quarantined request was in progress.
+    fn last_crash_outside_quarantine(&self, now: SystemTime) -> Option<SystemTime> {
+        let is_quarantined = |fingerprint: &RequestFingerprint| self.quarantined.contains_key(fingerprint);
+        let (inside, outside): (Vec<_>, Vec<_>) =
+            self.observations.iter().partition(|(fingerprint, _)| is_quarantined(fingerprint));
+        let recent =
+            outside.into_iter().flat_map(|(_, crashes)| crashes).filter(|crash| crash.at + CALM_BEFORE_TRIAL > now);
+        let is_inside = |crash: &CrashObservation| {
+            inside.iter().flat_map(|(_, crashes)| *crashes).any(|known| known.is_same_crash(crash))
+        };
+        recent.filter(|crash| !is_inside(crash)).map(|crash| crash.at).max()
+    }
+
+    /// Time left of a claimed send that runs at any VM; its crash ends it.
+    fn claimed_send_left(&self, now: SystemTime) -> Option<Duration> {
+        let running = self.quarantined.values().filter_map(|state| {
+            let left = state.entry.trial_left(now)?;
+            self.crash_since(state.entry.fingerprint, state.entry.last_trial).is_none().then_some(left)
+        });
+        running.min()
+    }
+
+    /// Whether a request to which crashes are attributed was in progress at a crash.
+    fn is_explained(&self, crash: &CrashObservation) -> bool {
+        let causes = self.quarantined.values().filter(|state| state.entry.is_attributed());
+        let mut explained = causes.filter_map(|state| self.observations.get(&state.entry.fingerprint)).flatten();
+        explained.any(|known| known.is_same_crash(crash))
+    }
+
     /// Number of known crashes at which a request was in progress.
     pub fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
         self.observations.get(&fingerprint).map_or(0, Vec::len)
     }
 
+    /// Records that this VM claimed a trial or the send of a suspect, with the stored entry of the claim.
+    pub fn record_claim(&mut self, claimed: QuarantineEntry) {
+        self.merge_entry(claimed, true);
+    }
+
     /// Records the number of started trials of a request, and the start of the last one.
     pub fn record_trials(&mut self, fingerprint: RequestFingerprint, trials: usize, last_trial: Option<SystemTime>) {
         if let Some(state) = self.quarantined.get_mut(&fingerprint).filter(|state| state.entry.trials < trials) {
@@ -319,27 +388,25 @@
     /// Quarantines the requests to which crashes are attributed, once reports of other VMs have had time to arrive;
     /// returns the new ones.
     pub fn quarantine_suspects(&mut self, now: SystemTime) -> Vec<QuarantineChange> {
+        self.skip_pointless_trials(now);
         let mut changes = Vec::new();
         if !std::mem::take(&mut self.is_changed) && self.suspects.is_empty() {
             return changes;
         }
         self.suspects.clear();
-        for CrashCause { fingerprint, crashes } in self.find_crash_causes(now) {
+        for CrashCause { fingerprint, crashes, is_steady } in self.find_crash_causes(now) {
+            if self.quarantined.contains_key(&fingerprint) {
+                continue;
+            }
             let Some(last) = crashes.iter().max_by_key(|observation| observation.at) else { continue };
             if now < last.at + SETTLE_TIME {
                 self.suspects.insert(fingerprint, last.at + SETTLE_TIME);
                 continue;
             }
-            let first_crash = crashes.iter().map(|observation| observation.at).min().unwrap_or(now);
-            let entry = QuarantineEntry {
-                fingerprint,
-                version: last.version,
-                first_crash,
-                since: now,
-                until: now + QUARANTINE_DURATION,
-                trials: 0,
-                last_trial: None,
-            };
+            let Some(mut entry) = new_entry(fingerprint, &crashes, now) else { continue };
+            if !is_steady {
+                entry.last_trial = last.at.checked_sub(last.ran_for);
+            }
             self.released.remove(&fingerprint);
             self.quarantined.insert(fingerprint, EntryState { entry, is_stored: false, report_count: 0 });
             changes.push(QuarantineChange::Quarantined { fingerprint, crashes: crashes.len() });
@@ -347,12 +414,61 @@
         changes
     }
 
+    /// Time until the crash under the send of a suspect can be judged.
+    fn settle_time_left(&self, entry: &QuarantineEntry, now: SystemTime) -> Option<Duration> {
+        let crash = self.crash_since(entry.fingerprint, Some(entry.since))?;
+        (crash.at + SETTLE_TIME).duration_since(now).ok().filter(|left| !left.is_zero())
+    }
+
+    /// Skips the first trial of each suspect under whose send an endpoint crashed that ran no other suspect.
+    fn skip_pointless_trials(&mut self, now: SystemTime) {
+        let is_settled = |crash: &CrashObservation| crash.at + SETTLE_TIME <= now;
+        let sole_suspects: Vec<RequestFingerprint> = self
+            .quarantined
+            .values()
+            .filter(|state| !state.entry.is_attributed())
+            .filter(|state| {
+                let crash = self.crash_since(state.entry.fingerprint, state.entry.last_trial);
+                crash
+                    .is_some_and(|crash| is_settled(crash) && self.is_sole_suspect(state.entry.fingerprint, crash, now))
+            })
+            .map(|state| state.entry.fingerprint)
+            .collect();
+        for fingerprint in sole_suspects {
+            let last_trial = self.quarantined.get(&fingerprint).and_then(|state| state.entry.last_trial);
+            self.record_trials(fingerprint, 1, last_trial);
+        }
+    }
+
+    /// The first known crash at which a request was in progress that was sent at `since` or later.
+    fn crash_since(&self, fingerprint: RequestFingerprint, since: Option<SystemTime>) -> Option<&CrashObservation> {
+        let crashes = self.observations.get(&fingerprint)?.iter();
+        let is_sent_since = |crash: &&CrashObservation| crash.at.checked_sub(crash.ran_for) >= since;
+        crashes.filter(is_sent_since).min_by_key(|crash| crash.at)
+    }
+
+    /// Whether no other request at a crash was in progress at several crashes.
+    fn is_sole_suspect(&self, fingerprint: RequestFingerprint, crash: &CrashObservation, now: SystemTime) -> bool {
+        !self.observations.iter().any(|(other, crashes)| {
+            *other != fingerprint
+                && crashes.len() >= MIN_EXPLAINING_CRASHES
+                && crashes.iter().any(|known| known.is_same_crash(crash))
+                && !crashes.iter().any(|known| self.is_answered(&(*other, known.version), now))
+        })
+    }
+
     fn find_crash_causes(&self, now: SystemTime) -> Vec<CrashCause> {
-        let is_answered = |run: &RunKey| {
-            let is_cleared = self.cleared.get(run).is_some_and(|(at, _)| now < *at + ANSWER_LIFETIME);
-            is_cleared || self.answered.last_answer(run, now).is_some()
+        let is_answered = |run: &RunKey| self.is_answered(run, now);
+        let is_attributed = |fingerprint: RequestFingerprint| {
+            self.quarantined.get(&fingerprint).is_some_and(|state| state.entry.is_attributed())
         };
-        find_crash_causes(&self.observations, |fingerprint| self.quarantined.contains_key(&fingerprint), is_answered)
+        find_crash_causes(&self.observations, is_attributed, is_answered)
+    }
+
+    /// Whether an endpoint of a version answered a request recently.
+    fn is_answered(&self, run: &RunKey, now: SystemTime) -> bool {
+        let is_cleared = self.cleared.get(run).is_some_and(|(at, _)| now < *at + ANSWER_LIFETIME);
+        is_cleared || self.answered.last_answer(run, now).is_some()
     }
 
     /// Whether the decision on any request is pending.
@@ -490,6 +606,9 @@
             known.is_stored |= is_stored;
             // All VMs use the earliest start of the quarantine.
             known.entry.since = known.entry.since.min(reported.since);
+            if known.entry.trials == reported.trials {
+                known.entry.last_trial = known.entry.last_trial.max(reported.last_trial);
+            }
             self.record_trials(fingerprint, reported.trials, reported.last_trial);
             return None;
         }
@@ -585,3 +704,22 @@
         by_age.max(*newest_forgotten)
     }
 }
+
+/// The entry of a request that enters the quarantine at `now`; none without crashes.
+fn new_entry(
+    fingerprint: RequestFingerprint,
+    crashes: &[CrashObservation],
+    now: SystemTime,
+) -> Option<QuarantineEntry> {
+    let first = crashes.iter().min_by_key(|observation| observation.at)?;
+    let last = crashes.iter().max_by_key(|observation| observation.at)?;
+    Some(QuarantineEntry {
+        fingerprint,
+        version: last.version,
+        first_crash: first.at,
+        since: now,
+        until: now + QUARANTINE_DURATION,
+        trials: 0,
+        last_trial: None,
+    })
+}
--- a/havengrade_core/src/quarantine_entry.rs
+++ b/havengrade_core/src/quarantine_entry.rs
@@ -8,8 +8,10 @@
 /// crash also breaks all other requests at that endpoint.
 pub(crate) const QUARANTINE_DURATION: Duration = Duration::from_secs(24 * 3600);
 /// Delays from the start of the quarantine to each trial. Callers tolerate three sends after the third crash; two are
-/// trials, and one is left for requests that were in flight. The first trial comes before most callers give up.
+/// trials, and one is the send of a suspect. The first trial comes before most callers give up.
 const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(2), Duration::from_secs(600)];
+/// Time within which all VMs have a report on a claim.
+const CLAIM_REPORT_TIME: Duration = Duration::from_millis(400);
 /// Expected duration of a trial, for which other callers of the same request wait.
 const TRIAL_DURATION: Duration = Duration::from_secs(2);
 
@@ -28,7 +30,7 @@
     pub until: SystemTime,
     /// Number of trials that were started.
     pub trials: usize,
-    /// Start of the last trial.
+    /// Start of the last trial, or of the send as a suspect if there was no trial yet.
     pub last_trial: Option<SystemTime>,
 }
 
@@ -37,6 +39,9 @@
 /// Gives none while another trial runs or if another VM has claimed this one. Trials run one at a time, so that a
 /// crash in one is not attributed to the request of another.
 ///
+/// Before the first trial is due, the entry is that of a suspect, and the claim is for its single send. It depends on
+/// no other request: a harmless suspect must not wait until all causes are found.
+///
 /// ```
 /// use std::time::{Duration, SystemTime};
 /// use havengrade_core::quarantine::{QuarantineEntry, next_trial};
@@ -55,15 +60,35 @@
 /// assert_eq!(next_trial(&[claimed], &entry, at(6)), None);
 /// ```
 pub fn next_trial(known: &[QuarantineEntry], wanted: &QuarantineEntry, now: SystemTime) -> Option<QuarantineEntry> {
-    let is_on_trial = |entry: &QuarantineEntry| entry.trial_left(now).is_some();
-    let was_claimed = |entry: &QuarantineEntry| {
-        entry.fingerprint == wanted.fingerprint && now < entry.until && entry.trials != wanted.trials
+    let mut same = known.iter().filter(|entry| entry.fingerprint == wanted.fingerprint && now < entry.until);
+    let is_first_send = wanted.next_trial_at().is_some_and(|due| now < due);
+    let was_claimed = if is_first_send {
+        same.next().is_some()
+    } else {
+        same.any(|entry| entry.claim_count() > wanted.claim_count())
+    };
+    let is_in_the_way = |entry: &QuarantineEntry| {
+        let must_have_ended = wanted.is_attributed() && !is_first_send || entry.fingerprint == wanted.fingerprint;
+        entry.trial_left(now).is_some_and(|left| must_have_ended || TRIAL_DURATION - left < CLAIM_REPORT_TIME)
     };
-    let is_free = !known.iter().any(|entry| is_on_trial(entry) || was_claimed(entry));
-    is_free.then(|| QuarantineEntry { trials: wanted.trials + 1, last_trial: Some(now), ..*wanted })
+    if was_claimed || known.iter().any(is_in_the_way) {
+        return None;
+    }
+    let trials = wanted.trials + usize::from(!is_first_send);
+    Some(QuarantineEntry { trials, last_trial: Some(now), ..*wanted })
 }
 
 impl QuarantineEntry {
+    /// Whether crashes are attributed to the request; otherwise it is a suspect that was sent once.
+    pub(crate) fn is_attributed(&self) -> bool {
+        self.trials > 0 || self.last_trial.is_none()
+    }
+
+    /// Number of sends that were claimed or skipped.
+    fn claim_count(&self) -> usize {
+        self.trials + usize::from(self.last_trial.is_some())
+    }
+
     /// Time left of a running trial.
     pub(crate) fn trial_left(&self, now: SystemTime) -> Option<Duration> {
         let left = (self.last_trial? + TRIAL_DURATION).duration_since(now).ok()?;
--- a/havengrade_router/src/published/active_request.rs
+++ b/havengrade_router/src/published/active_request.rs
@@ -30,6 +30,17 @@
 /// Age of the configuration up to which a route or key that it lacks is refused as unknown.
 const MAX_TRUSTED_CONFIG_AGE: Duration = Duration::from_millis(2500);
 
+/// The single send of a quarantined or suspected request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Trial {
+    /// The request needs no claim.
+    None,
+    /// This VM claimed the send, and no endpoint may have run the request since.
+    Claimed,
+    /// An endpoint may have run the request under the claim, so that it must not be sent again.
+    Spent,
+}
+
 /// A request in progress.
 #[derive(Clone)]
 pub(super) struct ActiveRequest {
@@ -57,8 +68,8 @@
     pub(super) deadline: SystemTime,
     /// Whether the retry budget has already been charged for the next attempt.
     pub(super) has_reserved_retry: bool,
-    /// Whether this is the trial that decides if a quarantined request is released.
-    pub(super) is_quarantine_trial: bool,
+    /// Single send that this VM claimed because endpoints crashed while the request was in progress.
+    pub(super) trial: Trial,
     /// Cached result of [`Self::fingerprint`].
     fingerprint: OnceLock<RequestFingerprint>,
     /// Attempts so far.
@@ -88,6 +99,14 @@
         })
     }
 
+    /// Records how far the request ran in an attempt.
+    pub(super) fn record_attempt(&mut self, state: RunState) {
+        self.attempts.record(state);
+        if self.trial == Trial::Claimed && !state.is_surely_not_run() {
+            self.trial = Trial::Spent;
+        }
+    }
+
     /// Time until the deadline.
     pub(super) fn time_left(&self, now: SystemTime) -> Duration {
         self.deadline.duration_since(now).unwrap_or_default()
@@ -172,7 +191,7 @@
         model,
         received_at,
         has_reserved_retry: false,
-        is_quarantine_trial: false,
+        trial: Trial::None,
         fingerprint: OnceLock::new(),
         tried_endpoints: Vec::new(),
     })
--- a/havengrade_router/src/published/attempt.rs
+++ b/havengrade_router/src/published/attempt.rs
@@ -75,7 +75,7 @@
     let endpoint = &chosen.endpoint;
     let in_flight = cx.shared.endpoint_states.begin_request_with_prompt(&endpoint.id, chosen.prompt_tokens);
     let begun = cx.shared.clock.now();
-    let max_idle = if request.attempts.is_repeatable() { MAX_IDLE_IF_REPEATABLE } else { MAX_IDLE_IF_NOT_REPEATABLE };
+    let max_idle = max_idle(request);
     let (mut connection, response, mut attempt) = match exchange(cx, request, &chosen, resume_after, max_idle).await {
         // The endpoint may have closed the idle connection; only a new one shows whether it is reachable.
         Err(ConnectionError::NotSent { .. }) => exchange(cx, request, &chosen, resume_after, Duration::ZERO).await,
@@ -96,6 +96,28 @@
     Ok(AnsweredAttempt { attempt, connection, head, body, in_flight, confidence: answer_head.confidence })
 }
 
+/// Connects to an endpoint ahead of an attempt there; the connection is kept for the attempt.
+///
+/// # Errors
+///
+/// [`RunState`] of a request whose endpoint can't be reached.
+pub(super) async fn prepare_attempt(
+    cx: &PublishedContext,
+    request: &ActiveRequest,
+    endpoint: &ListedEndpoint,
+) -> Result<(), RunState> {
+    let begun = cx.shared.clock.now();
+    let connected = cx.shared.connection_pool.acquire(&endpoint.id, endpoint.address, max_idle(request), begun).await;
+    let connection = connected.map_err(|error| record_connection_failure(cx, request, endpoint, begun, &error))?;
+    cx.shared.connection_pool.release(&endpoint.id, connection, cx.shared.clock.now());
+    Ok(())
+}
+
+/// Longest idle time of a reused connection for a request.
+fn max_idle(request: &ActiveRequest) -> Duration {
+    if request.attempts.is_repeatable() { MAX_IDLE_IF_REPEATABLE } else { MAX_IDLE_IF_NOT_REPEATABLE }
+}
+
 /// Sends a request over a connection that was idle for less than `max_idle`, or a new one.
 async fn exchange(
     cx: &PublishedContext,
--- a/havengrade_router/src/published/event_stream.rs
+++ b/havengrade_router/src/published/event_stream.rs
@@ -22,16 +22,14 @@
         attempt::{AnsweredAttempt, Attempt, log_failed_attempt, record_failure, send_attempt},
         connection_pool::EndpointConnection,
         context::PublishedContext,
-        endpoint_choice::choose_endpoint,
         event_timer::EventTimer,
+        forward::next_endpoint,
         outcomes::{
             FirstByteTimer, InProgressGuard, extend_session, record_answer_metrics, record_broken_outcome,
             record_event_time, record_first_byte_time, record_outcome, record_session_version, record_success,
             release_session, version_failure,
         },
-        quarantine::{
-            log_send_after_crashes, may_resume, record_abandoned_attempt, record_answer, record_broken_attempt,
-        },
+        quarantine::{log_send_after_crashes, record_abandoned_attempt, record_answer, record_broken_attempt},
         refusal::{AnswerBody, BodyError},
         rewrite::encode_answer_head,
     },
@@ -227,7 +225,7 @@
 impl StreamRelay {
     /// Relays the stream until it is complete or can't be resumed.
     async fn run(mut self, mut request: ActiveRequest, mut upstream: EndpointStream, first: Option<EventChunk>) {
-        request.attempts.record(RunState::Ran);
+        request.record_attempt(RunState::Ran);
         let mut next = first;
         loop {
             let ended = self.relay(&request, &mut upstream, next.take()).await;
@@ -311,22 +309,22 @@
         let is_resumable = matches!(request.route.shape, AnswerShape::Events { is_resumable: true });
         let last_id = self.last_id.clone().or_else(|| request.attributes.last_event.clone());
         while is_resumable && request.attempts.may_try_again() {
-            let now = self.cx.shared.clock.now();
-            if request.requires_key() && !self.cx.shared.may_use_key(now) {
-                return None;
-            }
-            if !may_resume(&self.cx, request).await {
-                log::info!(
-                    request = request.id.as_str();
-                    "stream not resumed: the request is suspected of crashing endpoints"
-                );
-                return None;
-            }
-            let chosen = choose_endpoint(&self.cx, request, now)?;
-            if !self.cx.shared.retry_budgets.try_acquire(&request.service) {
-                log::info!(request = request.id.as_str(); "stream not resumed: the retry budget is exhausted");
-                return None;
-            }
+            let chosen = tokio::select! {
+                biased;
+                () = self.caller.closed() => return None,
+                chosen = next_endpoint(&self.cx, request) => chosen,
+            };
+            let chosen = match chosen {
+                Ok(chosen) => chosen,
+                Err(refusal) => {
+                    log::info!(
+                        request = request.id.as_str(),
+                        reason = refusal.name();
+                        "stream not resumed: no further attempt is possible"
+                    );
+                    return None;
+                },
+            };
             log_send_after_crashes(&self.cx, request, &chosen.endpoint);
             request.tried_endpoints.push(chosen.endpoint.id.clone());
             let answered = tokio::select! {
@@ -336,9 +334,10 @@
             };
             match answered {
                 Ok(answered) if answered.head.status.is_success() => {
+                    let now = self.cx.shared.clock.now();
                     record_session_version(&self.cx, request, &answered.attempt.endpoint.version, now);
                     self.resumed += 1;
-                    request.attempts.record(RunState::Ran);
+                    request.record_attempt(RunState::Ran);
                     return Some(self.resumed_stream(request, answered));
                 },
                 Ok(answered) => {
@@ -349,13 +348,13 @@
                         version_failure(answered.head.status),
                     );
                     record_failure(&self.cx, &answered.attempt.endpoint);
-                    request.attempts.record(RunState::Ran);
+                    request.record_attempt(RunState::Ran);
                 },
                 Err(state) => {
                     if state == RunState::NotSent {
                         self.cx.shared.retry_budgets.refund(&request.service);
                     }
-                    request.attempts.record(state);
+                    request.record_attempt(state);
                 },
             }
         }
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -16,8 +16,10 @@
 use tokio::time::timeout;
 
 use crate::published::{
-    active_request::{ActiveRequest, admit},
-    attempt::{AnsweredAttempt, Attempt, DEADLINE_SLACK, log_failed_attempt, record_failure, send_attempt},
+    active_request::{ActiveRequest, Trial, admit},
+    attempt::{
+        AnsweredAttempt, Attempt, DEADLINE_SLACK, log_failed_attempt, prepare_attempt, record_failure, send_attempt,
+    },
     context::PublishedContext,
     endpoint_choice::{ChosenEndpoint, choose_endpoint, refusal_without_endpoint},
     event_stream,
@@ -131,12 +133,12 @@
         match result {
             AttemptResult::Answered { answer, is_failure: false } => return Ok(answer),
             AttemptResult::Answered { answer, is_failure: true } => {
-                request.attempts.record(RunState::Ran);
+                request.record_attempt(RunState::Ran);
                 failed_answer = Some(answer);
             },
-            AttemptResult::Failed(state) => request.attempts.record(state),
+            AttemptResult::Failed(state) => request.record_attempt(state),
             AttemptResult::LowConfidence { stronger } => {
-                request.attempts.record(RunState::Ran);
+                request.record_attempt(RunState::Ran);
                 request.model = Some(stronger);
                 // The endpoint that ran the smaller model did not fail and may serve the stronger one.
                 request.tried_endpoints.pop();
@@ -159,15 +161,6 @@
     request: &mut ActiveRequest,
 ) -> Result<Result<AnsweredAttempt, RunState>, Refusal> {
     let chosen = next_endpoint(cx, request).await?;
-    let has_reserved_retry = std::mem::take(&mut request.has_reserved_retry);
-    if request.attempts.is_repeat() && !has_reserved_retry && !cx.shared.retry_budgets.try_acquire(&request.service) {
-        log::info!(
-            request = request.id.as_str(),
-            service = request.service.as_str();
-            "no retry: the retry budget is exhausted"
-        );
-        return Err(request.refusal(Refusal::NoEndpoint, Refusal::Lost));
-    }
     log_send_after_crashes(cx, request, &chosen.endpoint);
     request.tried_endpoints.push(chosen.endpoint.id.clone());
     record_session_version(cx, request, &chosen.endpoint.version, cx.shared.clock.now());
@@ -178,13 +171,26 @@
     Ok(answered)
 }
 
-/// Waits until the quarantine admits the request, then chooses the endpoint for the next attempt.
-async fn next_endpoint(cx: &PublishedContext, request: &mut ActiveRequest) -> Result<ChosenEndpoint, Refusal> {
-    if request.is_quarantine_trial && request.attempts.is_repeat() {
-        return Err(request.refusal(Refusal::NoEndpoint, Refusal::Lost));
+/// Waits until the quarantine admits the request, then chooses the endpoint for the next attempt and charges the
+/// retry budget.
+///
+/// # Errors
+///
+/// [`Refusal`] if no further attempt is possible.
+pub(super) async fn next_endpoint(
+    cx: &PublishedContext,
+    request: &mut ActiveRequest,
+) -> Result<ChosenEndpoint, Refusal> {
+    let chosen = choose_and_claim(cx, request).await;
+    if std::mem::take(&mut request.has_reserved_retry) && chosen.is_err() {
+        cx.shared.retry_budgets.refund(&request.service);
     }
+    chosen
+}
+
+async fn choose_and_claim(cx: &PublishedContext, request: &mut ActiveRequest) -> Result<ChosenEndpoint, Refusal> {
     loop {
-        let trial = if request.is_quarantine_trial { None } else { quarantine::admit(cx, request).await? };
+        let claim = quarantine::admit(cx, request).await?;
         let now = cx.shared.clock.now();
         if request.time_left(now) < MIN_ATTEMPT_TIME {
             return Err(request.refusal(Refusal::NoTimeLeft, Refusal::TimedOut));
@@ -195,13 +201,39 @@
         let Some(chosen) = choose_endpoint(cx, request, now) else {
             return Err(request.refusal(refusal_without_endpoint(cx, request, now), Refusal::Lost));
         };
-        match trial {
-            Some(entry) if !quarantine::claim_trial(cx, request, &entry).await? => {},
-            _ => return Ok(chosen),
+        if !reserve_retry(cx, request) {
+            return Err(request.refusal(Refusal::NoEndpoint, Refusal::Lost));
+        }
+        let Some(entry) = claim else { return Ok(chosen) };
+        // A claim is used up even if nothing is sent, so the endpoint must be reachable.
+        if let Err(state) = prepare_attempt(cx, request, &chosen.endpoint).await {
+            request.tried_endpoints.push(chosen.endpoint.id);
+            request.record_attempt(state);
+            if !request.attempts.may_try_again() {
+                return Err(request.refusal(Refusal::NoEndpoint, Refusal::Lost));
+            }
+        } else if quarantine::claim_send(cx, request, &entry).await? {
+            return Ok(chosen);
         }
     }
 }
 
+/// Charges the retry budget for the next attempt if it is a retry. Returns whether the budget permits the attempt.
+fn reserve_retry(cx: &PublishedContext, request: &mut ActiveRequest) -> bool {
+    if !request.attempts.is_repeat() || request.has_reserved_retry {
+        return true;
+    }
+    request.has_reserved_retry = cx.shared.retry_budgets.try_acquire(&request.service);
+    if !request.has_reserved_retry {
+        log::info!(
+            request = request.id.as_str(),
+            service = request.service.as_str();
+            "no retry: the retry budget is exhausted"
+        );
+    }
+    request.has_reserved_retry
+}
+
 /// Turns the answer of an endpoint into one for the caller.
 async fn handle_answer(
     cx: &PublishedContext,
@@ -230,7 +262,7 @@
     attempts.record(RunState::Ran);
     let now = cx.shared.clock.now();
     if !attempts.may_try_again()
-        || request.is_quarantine_trial
+        || request.trial != Trial::None
         || !cx.shared.retry_budgets.try_acquire_spare(&request.service)
     {
         return None;
--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    ops::RangeInclusive,
     sync::atomic::Ordering,
     time::{Duration, SystemTime},
 };
@@ -18,7 +19,11 @@
 };
 
 use crate::{
-    published::{active_request::ActiveRequest, context::PublishedContext, refusal::Refusal},
+    published::{
+        active_request::{ActiveRequest, Trial},
+        context::PublishedContext,
+        refusal::Refusal,
+    },
     quarantine::{ProbeResult, format_fingerprint, log_changes, log_probe},
 };
 
@@ -29,11 +34,13 @@
 const RECENT_ANSWER_TIME: Duration = Duration::from_millis(1000);
 /// Delay before a claim is repeated after another VM claimed the trial; reports on that trial arrive within it.
 const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Maximum number of waits of a request for its status: while the decision is pending, and while trials of it run
+/// Longest time that a request waits for its status: while the decision is pending, and while claimed sends run
 /// elsewhere.
-const MAX_WAITS: u32 = 12;
-/// Longest such wait; a caller that would have to wait for longer is asked to retry.
-const MAX_WAIT: Duration = Duration::from_millis(6000);
+const MAX_WAIT: Duration = Duration::from_secs(12);
+/// Longest time until a decision for which a request waits; otherwise its caller is asked to retry.
+const MAX_DECISION_TIME: Duration = Duration::from_millis(6000);
+/// Interval at which a waiting request checks its status, in milliseconds.
+const POLL_INTERVAL_MS: RangeInclusive<u64> = 100..=300;
 /// Shortest such wait.
 const MIN_WAIT: Duration = Duration::from_millis(20);
 /// Interval between two rounds of the list's synchronization while there is nothing to do.
@@ -48,10 +55,10 @@
 
 /// Returns the status of a request before its next attempt, after waiting for a pending decision.
 async fn wait_for_status(cx: &PublishedContext, request: &ActiveRequest) -> QuarantineStatus {
-    let mut status = QuarantineStatus::Free;
-    for _ in 0..MAX_WAITS {
+    let give_up_at = cx.shared.clock.now() + MAX_WAIT;
+    loop {
         let now = cx.shared.clock.now();
-        status = {
+        let status = {
             let quarantine = cx.shared.quarantine();
             if quarantine.needs_fingerprints() {
                 quarantine.status(request.fingerprint(), now)
@@ -60,24 +67,26 @@
             }
         };
         let QuarantineStatus::Pending { decided_in } = status else { return status };
-        if decided_in >= request.time_left(now).min(MAX_WAIT) {
+        if decided_in >= request.time_left(now).min(MAX_DECISION_TIME) || now >= give_up_at {
             return status;
         }
-        sleep(decided_in.max(MIN_WAIT)).await;
+        // A claimed send may end early, and the VMs must not all claim the next one at the same moment.
+        let poll_interval = Duration::from_millis(cx.shared.rng().random_range(POLL_INTERVAL_MS));
+        sleep(decided_in.min(poll_interval).max(MIN_WAIT)).await;
         evaluate_suspects(cx, cx.shared.clock.now());
     }
-    status
 }
 
-/// Whether a broken stream may be resumed; a trial is a single attempt.
-pub(super) async fn may_resume(cx: &PublishedContext, request: &ActiveRequest) -> bool {
-    !request.is_quarantine_trial && wait_for_status(cx, request).await == QuarantineStatus::Free
-}
-
-/// Admits a request, or refuses it if it is quarantined. Returns the quarantine entry if a trial must be claimed first.
+/// Admits a request, or refuses it if it is quarantined. Returns the quarantine entry if its send must be claimed first.
 pub(super) async fn admit(cx: &PublishedContext, request: &ActiveRequest) -> Result<Option<QuarantineEntry>, Refusal> {
+    match request.trial {
+        Trial::None => {},
+        Trial::Claimed => return Ok(None),
+        Trial::Spent => return Err(request.refusal(Refusal::NoEndpoint, Refusal::Lost)),
+    }
     let refusal = match wait_for_status(cx, request).await {
         QuarantineStatus::Free => return Ok(None),
+        QuarantineStatus::Suspected(entry) => return Ok(Some(entry)),
         QuarantineStatus::TrialDue(entry) if !request.attempts.is_repeat() => return Ok(Some(entry)),
         QuarantineStatus::TrialDue(_) => Refusal::Quarantined { retry_after: CLAIM_RETRY_DELAY },
         QuarantineStatus::Pending { decided_in } => Refusal::Quarantined { retry_after: decided_in },
@@ -86,23 +95,23 @@
     Err(request.refusal(refusal, Refusal::Lost))
 }
 
-/// Claims the trial of a quarantined request. Returns whether it may be sent now; otherwise another VM was first, and
-/// the request's status must be checked again.
+/// Claims the send of a suspect or the trial of a quarantined request. Returns whether it may be sent now; otherwise
+/// another VM was first, and the request's status must be checked again.
 ///
 /// # Errors
 ///
 /// [`Refusal`] if the list can't be written, or the request has waited for too long.
-pub(super) async fn claim_trial(
+pub(super) async fn claim_send(
     cx: &PublishedContext,
     request: &mut ActiveRequest,
     entry: &QuarantineEntry,
 ) -> Result<bool, Refusal> {
     let now = cx.shared.clock.now();
-    let refusal = Refusal::Quarantined { retry_after: CLAIM_RETRY_DELAY };
+    let refusal = request.refusal(Refusal::Quarantined { retry_after: CLAIM_RETRY_DELAY }, Refusal::Lost);
     let claimed = match cx.quarantine_list.claim_trial(entry, now).await {
         Ok(claimed) => claimed,
         Err(error) => {
-            log::warn!(request = request.id.as_str(); "trial of a quarantined request not claimed: {error}");
+            log::warn!(request = request.id.as_str(); "send of a suspected request not claimed: {error}");
             return Err(refusal);
         },
     };
@@ -110,23 +119,20 @@
         if now >= request.received_at + MAX_WAIT {
             return Err(refusal);
         }
-        // Reports on the other trial may be lost, but the list includes it.
+        // Reports on the other claim may be lost, but the list includes it.
         read_list(cx).await;
         sleep(CLAIM_RETRY_DELAY).await;
         return Ok(false);
     };
-    {
-        let mut quarantine = cx.shared.quarantine();
-        quarantine.record_trials(claimed.fingerprint, claimed.trials, claimed.last_trial);
-        quarantine.set_stored(claimed.fingerprint);
-    }
+    cx.shared.quarantine().record_claim(claimed);
+    cx.shared.notify_quarantine_changed();
     log::info!(
         request = request.id.as_str(),
         mark = format_fingerprint(claimed.fingerprint).as_str(),
         trials = claimed.trials;
         "trial of a quarantined request begins"
     );
-    request.is_quarantine_trial = true;
+    request.trial = Trial::Claimed;
     Ok(true)
 }
 
@@ -145,7 +151,7 @@
         endpoint = endpoint.id.as_str(),
         crashes = crashes,
         tries = request.tried_endpoints.len(),
-        is_trial = request.is_quarantine_trial;
+        is_trial = request.trial != Trial::None;
         "request sent after crashes"
     );
 }
--- a/havengrade_router/src/traffic/quarantine.rs
+++ b/havengrade_router/src/traffic/quarantine.rs
@@ -58,6 +58,7 @@
             let status = cx.shared.quarantine().status(self.fingerprint, now);
             let retry_after = match status {
                 QuarantineStatus::Free => return Ok(()),
+                QuarantineStatus::Suspected(entry) => return self.claim_trial(&entry, now),
                 QuarantineStatus::TrialDue(entry) => return self.begin_trial(&entry, now),
                 QuarantineStatus::Quarantined { retry_after } => retry_after,
                 QuarantineStatus::Pending { decided_in } => decided_in,
@@ -70,15 +71,24 @@
         }
     }
 
-    /// Starts a trial of a quarantined request, if it is due, and records it so that other VMs learn of it.
+    /// Starts a trial of a quarantined request, if it is due.
     fn begin_trial(&self, entry: &QuarantineEntry, now: SystemTime) -> Result<(), Problem> {
         let wait = (entry.since + TRIAL_DELAY).duration_since(now).unwrap_or_default();
         if !wait.is_zero() {
             return Err(quarantined(wait));
         }
-        let trial = next_trial(&[*entry], entry, now).ok_or_else(|| quarantined(MAX_WAIT))?;
-        self.request.cx.shared.quarantine().record_trials(trial.fingerprint, trial.trials, trial.last_trial);
-        log::info!(request_id = self.request.entry.id.as_str(); "trial of a quarantined request begins");
+        self.claim_trial(entry, now)
+    }
+
+    /// Records that this VM sends a suspect or a trial, so that other VMs learn of it.
+    fn claim_trial(&self, entry: &QuarantineEntry, now: SystemTime) -> Result<(), Problem> {
+        let claimed = next_trial(&[], entry, now).ok_or_else(|| quarantined(MAX_WAIT))?;
+        self.request.cx.shared.quarantine().record_claim(claimed);
+        log::info!(
+            request_id = self.request.entry.id.as_str(),
+            trials = claimed.trials;
+            "trial of a quarantined request begins"
+        );
         Ok(())
     }
 
