--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -170,16 +170,15 @@
         if let Some(left) = state.entry.trial_left(now) {
             return QuarantineStatus::Pending { decided_in: left };
         }
-        if !state.entry.is_attributed()
+        let is_attributed = state.entry.is_attributed();
+        if !is_attributed
             && let Some(left) = self.settle_time_left(&state.entry, now).or_else(|| self.claimed_send_left(now))
         {
             return QuarantineStatus::Pending { decided_in: left };
         }
-        let last_crash =
-            if state.entry.is_attributed() { self.last_crash } else { self.last_crash_outside_quarantine(now) };
+        let last_crash = if is_attributed { self.last_crash } else { self.last_crash_outside_quarantine(now) };
         let calm = last_crash.map_or(SystemTime::UNIX_EPOCH, |at| at + CALM_BEFORE_TRIAL);
-        let until = |at: SystemTime| at.duration_since(now).ok().filter(|left| !left.is_zero());
-        match state.entry.next_trial_at().map(|at| until(at.max(calm))) {
+        match state.entry.next_trial_at().map(|at| time_until(at.max(calm), now)) {
             Some(None) => QuarantineStatus::TrialDue(state.entry),
             Some(Some(left)) => QuarantineStatus::Pending { decided_in: left },
             None => {
@@ -198,9 +197,8 @@
             return QuarantineStatus::Free;
         }
         let last = crashes.iter().map(|observation| observation.at).max().unwrap_or(now);
-        match (last + SETTLE_TIME).duration_since(now) {
-            Ok(left) if !left.is_zero() => return QuarantineStatus::Pending { decided_in: left },
-            _ => {},
+        if let Some(left) = time_until(last + SETTLE_TIME, now) {
+            return QuarantineStatus::Pending { decided_in: left };
         }
         let unexplained = crashes.iter().filter(|crash| !self.is_explained(crash)).count();
         if unexplained >= MIN_UNEXPLAINED_CRASHES
@@ -417,7 +415,7 @@
     /// Time until the crash under the send of a suspect can be judged.
     fn settle_time_left(&self, entry: &QuarantineEntry, now: SystemTime) -> Option<Duration> {
         let crash = self.crash_since(entry.fingerprint, Some(entry.since))?;
-        (crash.at + SETTLE_TIME).duration_since(now).ok().filter(|left| !left.is_zero())
+        time_until(crash.at + SETTLE_TIME, now)
     }
 
     /// Skips the first trial of each suspect under whose send an endpoint crashed that ran no other suspect.
@@ -723,3 +721,8 @@
         last_trial: None,
     })
 }
+
+/// Time from `now` until `at`; none once it is reached.
+fn time_until(at: SystemTime, now: SystemTime) -> Option<Duration> {
+    at.duration_since(now).ok().filter(|left| !left.is_zero())
+}
