Claim a suspect's send or a trial only with a quarter of the time limit left

Now a request whose remaining time is under a quarter of its limit claims nothing, and one that would have to wait until then is refused at once, with the time to come back.

--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -41,6 +41,9 @@
 const MAX_DECISION_TIME: Duration = Duration::from_millis(6000);
 /// Interval at which a waiting request checks its status, in milliseconds.
 const POLL_INTERVAL_MS: RangeInclusive<u64> = 100..=300;
+/// Part of a request's time limit that must be left for a claimed send. One that its deadline or its caller cuts off
+/// uses up the claim and shows nothing.
+const MIN_TRIAL_TIME_PART: f64 = 0.25;
 /// Shortest such wait.
 const MIN_WAIT: Duration = Duration::from_millis(20);
 /// Interval between two rounds of the list's synchronization while there is nothing to do.
@@ -67,7 +70,7 @@
             }
         };
         let QuarantineStatus::Pending { decided_in } = status else { return status };
-        if decided_in >= request.time_left(now).min(MAX_DECISION_TIME) || now >= give_up_at {
+        if decided_in >= time_to_wait(request, now).min(MAX_DECISION_TIME) || now >= give_up_at {
             return status;
         }
         // A claimed send may end early, and the VMs must not all claim the next one at the same moment.
@@ -77,6 +80,12 @@
     }
 }
 
+/// Time for which a request may wait for its status.
+fn time_to_wait(request: &ActiveRequest, now: SystemTime) -> Duration {
+    let time_limit = request.deadline.duration_since(request.received_at).unwrap_or_default();
+    request.time_left(now).saturating_sub(time_limit.mul_f64(MIN_TRIAL_TIME_PART))
+}
+
 /// Admits a request, or refuses it if it is quarantined. Returns the quarantine entry if its send must be claimed first.
 pub(super) async fn admit(cx: &PublishedContext, request: &ActiveRequest) -> Result<Option<QuarantineEntry>, Refusal> {
     match request.trial {
@@ -84,8 +93,13 @@
         Trial::Claimed => return Ok(None),
         Trial::Spent => return Err(request.refusal(Refusal::NoEndpoint, Refusal::Lost)),
     }
-    let refusal = match wait_for_status(cx, request).await {
+    let status = wait_for_status(cx, request).await;
+    let has_time = !time_to_wait(request, cx.shared.clock.now()).is_zero();
+    let refusal = match status {
         QuarantineStatus::Free => return Ok(None),
+        QuarantineStatus::Suspected(_) | QuarantineStatus::TrialDue(_) if !has_time => {
+            Refusal::Quarantined { retry_after: CLAIM_RETRY_DELAY }
+        },
         QuarantineStatus::Suspected(entry) => return Ok(Some(entry)),
         QuarantineStatus::TrialDue(entry) if !request.attempts.is_repeat() => return Ok(Some(entry)),
         QuarantineStatus::TrialDue(_) => Refusal::Quarantined { retry_after: CLAIM_RETRY_DELAY },
