Test that suspects are sent once, one after the other, and that no claim is wasted

At the router's own interface the status and the claim are one step now, since two threads could both see a suspect as not sent yet.

--- a/havengrade_core/tests/quarantine.rs
+++ b/havengrade_core/tests/quarantine.rs
@@ -329,3 +329,104 @@
         "the latest crashes are kept"
     );
 }
+
+/// A quarantine in which request 1 was at three crashes that request 7 explains, the last one at 2 s.
+fn quarantine_with_suspect() -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for (endpoint, ran_for, millis) in [("e1", 900, 0), ("e2", 400, 1000), ("e3", 200, 2000)] {
+        crash(&mut quarantine, endpoint, &[(7, 60), (1, ran_for)], millis);
+    }
+    assert_eq!(newly_quarantined(&mut quarantine, 3100), [7]);
+    quarantine
+}
+
+/// Claims the send of a suspect.
+fn claim_suspect(quarantine: &mut Quarantine, fingerprint: u64, millis: u64) -> QuarantineEntry {
+    let QuarantineStatus::Suspected(entry) = quarantine.status(fingerprint, at(millis)) else { panic!("no suspect") };
+    let claimed = next_trial(&[], &entry, at(millis)).unwrap();
+    quarantine.record_claim(claimed);
+    claimed
+}
+
+/// Requests were sent on and on while they were suspected and not judged, by callers that came back and by retries, of
+/// VMs that all knew of three crashes and more. From the third crash on, a send needs a claim, which one VM gets.
+#[test]
+fn a_suspect_is_sent_once_by_the_vm_that_claims_it() {
+    let mut quarantine = quarantine_with_suspect();
+    assert!(
+        matches!(quarantine.status(1, at(2500)), QuarantineStatus::Pending { .. }),
+        "reports on its last crash may still be in transit"
+    );
+    let QuarantineStatus::Suspected(elsewhere) = quarantine.status(1, at(3150)) else { panic!("no suspect") };
+    let claimed = claim_suspect(&mut quarantine, 1, 3200);
+    assert_eq!((claimed.trials, claimed.last_trial), (0, Some(at(3200))));
+    assert_eq!(next_trial(&[claimed], &elsewhere, at(3900)), None, "another VM has claimed it");
+    assert!(matches!(quarantine.status(1, at(3300)), QuarantineStatus::Pending { .. }), "its send is running");
+    quarantine.record_answer((1, V1), at(4400));
+    assert_eq!(quarantine.status(1, at(4500)), QuarantineStatus::Free);
+}
+
+/// A suspect that has just been answered is no likely cause: an endpoint crashes soon after the cause was sent to it.
+#[test]
+fn an_answered_request_needs_no_claim_until_its_sixth_crash() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_answer((1, V1), at(0));
+    for index in 0..5 {
+        crash(&mut quarantine, &format!("e{index}"), &[(1, 60)], 1000 + index);
+    }
+    assert_eq!(quarantine.status(1, at(3000)), QuarantineStatus::Free);
+    crash(&mut quarantine, "e5", &[(1, 60)], 3000);
+    assert!(matches!(quarantine.status(1, at(4100)), QuarantineStatus::Suspected(_)));
+}
+
+/// Suspects that were sent at the same moment went to the same endpoints, where those that are harmless broke with the
+/// causes and were held back for ten minutes.
+#[test]
+fn suspects_are_sent_one_after_the_other() {
+    let mut quarantine = Quarantine::default();
+    for (endpoint, millis) in [("e1", 0), ("e2", 100), ("e3", 200)] {
+        crash(&mut quarantine, endpoint, &[(7, 40 + millis), (1, 900 - millis), (2, 600)], millis);
+    }
+    assert_eq!(newly_quarantined(&mut quarantine, 1300), [7]);
+    let QuarantineStatus::Suspected(waiting) = quarantine.status(1, at(1300)) else { panic!("no suspect") };
+    let claimed = claim_suspect(&mut quarantine, 2, 1300);
+    assert!(matches!(quarantine.status(1, at(1700)), QuarantineStatus::Pending { .. }), "another one is running");
+    assert_eq!(next_trial(&[claimed], &waiting, at(1600)), None, "this VM may not have the report on the other claim");
+    assert!(next_trial(&[claimed], &waiting, at(1800)).is_some());
+    crash(&mut quarantine, "e4", &[(2, 500)], 1800);
+    assert!(matches!(quarantine.status(1, at(1900)), QuarantineStatus::Suspected(_)), "its crash has ended it");
+}
+
+/// A trial of a request that alone explains the crash under its claimed send costs another endpoint for nothing.
+#[test]
+fn a_suspect_that_alone_explains_the_crash_under_its_send_gets_no_early_trial() {
+    let mut quarantine = quarantine_with_suspect();
+    let claimed = claim_suspect(&mut quarantine, 1, 3200);
+    let mut with_other_suspect = quarantine.clone();
+    crash(&mut quarantine, "e4", &[(1, 800), (50, 100)], 4100);
+    quarantine.quarantine_suspects(at(5200));
+    assert!(
+        matches!(quarantine.status(1, at(5300)), QuarantineStatus::Pending { decided_in } if decided_in.as_secs() > 500)
+    );
+    crash(&mut with_other_suspect, "e5", &[(8, 100)], 3500);
+    crash(&mut with_other_suspect, "e4", &[(1, 800), (8, 100)], 4100);
+    with_other_suspect.quarantine_suspects(at(5000));
+    assert!(matches!(with_other_suspect.status(1, at(5000)), QuarantineStatus::Pending { .. }), "not settled");
+    with_other_suspect.quarantine_suspects(at(5700));
+    let QuarantineStatus::TrialDue(entry) = with_other_suspect.status(1, at(5700)) else { panic!("no trial") };
+    let trial = next_trial(&[claimed], &entry, at(5700)).unwrap();
+    assert_eq!((trial.trials, trial.last_trial), (1, Some(at(5700))));
+}
+
+/// The crash of an earlier attempt of the same request, which becomes known after the claim, is not that of the claimed
+/// send; it let another suspect be sent to the same endpoint.
+#[test]
+fn a_crash_of_an_earlier_attempt_does_not_end_a_claimed_send() {
+    let mut quarantine = quarantine_with_suspect();
+    claim_suspect(&mut quarantine, 1, 3200);
+    crash(&mut quarantine, "e4", &[(1, 800), (7, 50)], 3210);
+    for (endpoint, millis) in [("f1", 3300), ("f2", 3310), ("f3", 3320)] {
+        crash(&mut quarantine, endpoint, &[(2, millis - 3200)], millis);
+    }
+    assert!(matches!(quarantine.status(2, at(4400)), QuarantineStatus::Pending { .. }), "the other send is running");
+}
--- a/havengrade_dev/tests/published_crashing_request.rs
+++ b/havengrade_dev/tests/published_crashing_request.rs
@@ -394,19 +394,24 @@
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
 
-/// Seen: requests were sent to endpoints four and seven times more after three seconds since the third end, 14 and 16 endpoints ended, on a day on which many different
-/// requests end endpoints that are so busy that a request waits before it runs. How it comes about: what ended an endpoint did not break a shorter time after it was sent
-/// than what was beside it. Cause: the time since a request was sent is taken for the time for which it ran. What speaks for it: without the waiting this day is as it
-/// should be.
-#[tokio::test(start_paused = true)]
-async fn requests_that_wait_before_they_crash_endpoints_are_held_back_too() {
+/// A day on which requests wait at busy endpoints before they crash them.
+fn waiting_day() -> Day {
     let frailty = Frailty {
         fuse: Duration::from_millis(40),
         most_wait: Duration::from_millis(1900),
         down: Duration::from_millis(3300),
         ..DAY.frailty
     };
-    let day = Day { name: "waiting", deadly: 8, endpoints: 10, every: Duration::from_secs(3), frailty, ..DAY };
+    Day { name: "waiting", deadly: 8, endpoints: 10, every: Duration::from_secs(3), frailty, ..DAY }
+}
+
+/// Seen: requests were sent to endpoints four and seven times more after three seconds since the third end, 14 and 16 endpoints ended, on a day on which many different
+/// requests end endpoints that are so busy that a request waits before it runs. How it comes about: what ended an endpoint did not break a shorter time after it was sent
+/// than what was beside it. Cause: the time since a request was sent is taken for the time for which it ran. What speaks for it: without the waiting this day is as it
+/// should be.
+#[tokio::test(start_paused = true)]
+async fn requests_that_wait_before_they_crash_endpoints_are_held_back_too() {
+    let day = waiting_day();
     let mut wrong = Vec::new();
     for seed in 1..=3 {
         let faults = faults(day, seed).await;
@@ -415,6 +420,31 @@
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
 
+/// With other seeds than the three above, a request was sent four to eight times more on 18 of 40 days. Callers came
+/// back and attempts were retried while it was suspected and not judged, though all VMs knew of its crashes.
+#[tokio::test(start_paused = true)]
+async fn on_other_seeds_requests_that_wait_are_sent_no_more_often_either() {
+    let mut wrong = Vec::new();
+    for seed in 4..=13 {
+        let faults = faults(waiting_day(), seed).await;
+        let sent_on = faults.into_iter().filter(|fault| fault.contains("times more"));
+        wrong.extend(sent_on.map(|fault| format!("seed {seed}: {fault}")));
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+/// Innocent requests that were in progress at three crashes are refused while the causes are told apart: mostly single
+/// ones, whose turn for a claimed send does not come in time, or that break a second time.
+#[tokio::test(start_paused = true)]
+async fn on_fifty_seeds_no_innocent_request_is_held_back_beside_requests_that_wait() {
+    let mut wrong = Vec::new();
+    for seed in 1..=50 {
+        let faults = faults(waiting_day(), seed).await;
+        wrong.extend(faults.into_iter().map(|fault| format!("seed {seed}: {fault}")));
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
 #[tokio::test(start_paused = true)]
 async fn while_the_store_is_away_a_held_request_is_refused_as_soon_as_its_trial_can_not_be_claimed() {
     let (fleet, _endpoints) = Fleet::start(DAY).await;
@@ -437,11 +467,16 @@
 
 /// Lets a VM hear that an innocent request is held back, whose trial is due.
 fn hold_at(fleet: &Fleet, vm: usize, body: &str) {
+    hold_since(fleet, vm, body, Duration::from_secs(3));
+}
+
+/// Lets a VM hear that an innocent request has been held back for a time.
+fn hold_since(fleet: &Fleet, vm: usize, body: &str, quarantined_for: Duration) {
     let held = ReportedQuarantineEntry {
         fingerprint: mark_of(body),
         version: fingerprint(&[b"v1"]),
         first_crash_age: Duration::from_secs(5),
-        quarantined_for: Duration::from_secs(3),
+        quarantined_for,
         remaining: Duration::from_secs(3600),
         trials: 0,
         last_trial_age: None,
@@ -493,3 +528,34 @@
     assert_eq!(reason(&answer), "503 quarantined");
     assert!(begin.elapsed() < Duration::from_secs(1), "{:?}", begin.elapsed());
 }
+
+/// A trial was claimed before its endpoint was reached. Where the connection was refused the trial was used up, though
+/// nothing had been sent, and the next one was due after ten minutes.
+#[tokio::test(start_paused = true)]
+async fn no_trial_is_used_up_while_no_endpoint_can_be_reached() {
+    let (fleet, endpoints) = Fleet::start(Day { vms: 1, ..DAY }).await;
+    hold_at(&fleet, 0, "same 15");
+    drop(endpoints);
+    let answer = fleet.ask(fleet.host(0).unwrap(), "/read/", "", "same 15").await;
+    assert_eq!(status(&answer), "503", "{answer}");
+    let entries = fleet.routers.lock().unwrap()[0].1.context().shared.quarantine().entries();
+    assert_eq!(entries.iter().map(|entry| entry.trials).collect::<Vec<_>>(), [0]);
+}
+
+/// A request that had waited for nearly all of its time claimed the trial; its caller left with the trial under way, so
+/// that an innocent request was held back for another ten minutes.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_would_be_cut_off_claims_no_trial() {
+    let (fleet, _endpoints) = Fleet::start(Day { vms: 1, ..DAY }).await;
+    hold_since(&fleet, 0, "same 1200", Duration::from_secs(1));
+    let ask = async |id, time_left_ms| {
+        let mut connection = fleet.pipes.network(CALLERS).connect(fleet.pipes.address(1, 0)).await.unwrap();
+        let request = request("POST", "/read/", id, "", "same 1200").replace("ms: 9000", time_left_ms);
+        connection.write_all(request.as_bytes()).await.unwrap();
+        read_all(&mut connection).await
+    };
+    let begin = Instant::now();
+    assert_eq!(reason(&ask("r1", "ms: 1200").await), "503 quarantined");
+    assert!(begin.elapsed() < Duration::from_millis(100), "refused at once: {:?}", begin.elapsed());
+    assert!(is_whole(&ask("r2", "ms: 9000").await), "the trial is left for a caller with more time");
+}
--- a/havengrade_router/src/traffic/quarantine.rs
+++ b/havengrade_router/src/traffic/quarantine.rs
@@ -8,14 +8,14 @@
 use havengrade_core::{
     config::Endpoint,
     fingerprint::{RequestFingerprint, VersionFingerprint, fingerprint},
-    quarantine::{QuarantineEntry, QuarantineStatus, next_trial},
+    quarantine::{QuarantineStatus, next_trial},
 };
 use hyper::StatusCode;
 use tokio::time::{sleep, timeout};
 
 use crate::{
     kernel::Context,
-    quarantine::{ProbeResult, log_changes, log_probe, probe},
+    quarantine::{ProbeResult, format_fingerprint, log_changes, log_probe, probe},
     traffic::{Problem, active_request::ActiveRequest},
 };
 
@@ -32,6 +32,22 @@
 /// Most time that a request waits for a pending quarantine decision.
 const MAX_WAIT: Duration = Duration::from_secs(6);
 
+/// Decision of the quarantine on the next attempt of a request.
+enum Admission {
+    /// The request may be sent.
+    Admitted,
+    /// The decision is pending.
+    Pending {
+        /// Time until the decision.
+        decided_in: Duration,
+    },
+    /// The request must not be sent.
+    Refused {
+        /// Time after which the caller may retry.
+        retry_after: Duration,
+    },
+}
+
 /// A request in execution with the fingerprints by which the quarantine knows it and its version.
 pub(crate) struct RequestQuarantine<'a> {
     request: &'a ActiveRequest,
@@ -50,46 +66,42 @@
 
     /// Waits until the quarantine lets the request be sent; the error says why it doesn't.
     pub(crate) async fn admit(&self) -> Result<(), Problem> {
-        let cx = &self.request.cx;
         let give_up_at = self.request.now() + MAX_WAIT.min(self.request.time_left());
         loop {
             let now = self.request.now();
-            evaluate_suspects(cx, now);
-            let status = cx.shared.quarantine().status(self.fingerprint, now);
-            let retry_after = match status {
-                QuarantineStatus::Free => return Ok(()),
-                QuarantineStatus::Suspected(entry) => return self.claim_trial(&entry, now),
-                QuarantineStatus::TrialDue(entry) => return self.begin_trial(&entry, now),
-                QuarantineStatus::Quarantined { retry_after } => retry_after,
-                QuarantineStatus::Pending { decided_in } => decided_in,
-            };
-            let is_decided_soon = matches!(status, QuarantineStatus::Pending { .. }) && now + retry_after < give_up_at;
-            if !is_decided_soon {
-                return Err(quarantined(retry_after));
+            evaluate_suspects(&self.request.cx, now);
+            match self.decide(now) {
+                Admission::Admitted => return Ok(()),
+                Admission::Pending { decided_in } if now + decided_in < give_up_at => sleep(POLL_INTERVAL).await,
+                Admission::Pending { decided_in } => return Err(quarantined(decided_in)),
+                Admission::Refused { retry_after } => return Err(quarantined(retry_after)),
             }
-            sleep(POLL_INTERVAL).await;
-        }
-    }
-
-    /// Starts a trial of a quarantined request, if it is due.
-    fn begin_trial(&self, entry: &QuarantineEntry, now: SystemTime) -> Result<(), Problem> {
-        let wait = (entry.since + TRIAL_DELAY).duration_since(now).unwrap_or_default();
-        if !wait.is_zero() {
-            return Err(quarantined(wait));
         }
-        self.claim_trial(entry, now)
     }
 
-    /// Records that this VM sends a suspect or a trial, so that other VMs learn of it.
-    fn claim_trial(&self, entry: &QuarantineEntry, now: SystemTime) -> Result<(), Problem> {
-        let claimed = next_trial(&[], entry, now).ok_or_else(|| quarantined(MAX_WAIT))?;
-        self.request.cx.shared.quarantine().record_claim(claimed);
+    /// Decides on the next attempt. The send of a suspect or a trial is recorded at once, so that no other request of
+    /// this VM is sent as well and other VMs learn of it.
+    fn decide(&self, now: SystemTime) -> Admission {
+        let mut quarantine = self.request.cx.shared.quarantine();
+        let entry = match quarantine.status(self.fingerprint, now) {
+            QuarantineStatus::Free => return Admission::Admitted,
+            QuarantineStatus::Pending { decided_in } => return Admission::Pending { decided_in },
+            QuarantineStatus::Quarantined { retry_after } => return Admission::Refused { retry_after },
+            QuarantineStatus::Suspected(entry) => entry,
+            QuarantineStatus::TrialDue(entry) => match (entry.since + TRIAL_DELAY).duration_since(now) {
+                Ok(retry_after) if !retry_after.is_zero() => return Admission::Refused { retry_after },
+                _ => entry,
+            },
+        };
+        let Some(claimed) = next_trial(&[], &entry, now) else { return Admission::Refused { retry_after: MAX_WAIT } };
+        quarantine.record_claim(claimed);
         log::info!(
             request_id = self.request.entry.id.as_str(),
+            mark = format_fingerprint(claimed.fingerprint).as_str(),
             trials = claimed.trials;
             "trial of a quarantined request begins"
         );
-        Ok(())
+        Admission::Admitted
     }
 
     /// Records that an endpoint answered the request completely.
