--- a/havengrade_core/src/crash_attribution.rs
+++ b/havengrade_core/src/crash_attribution.rs
@@ -105,7 +105,7 @@
         let unexplained: Vec<&CrashObservation> = crashes.iter().filter(is_unexplained).copied().collect();
         let is_answered = crashes.iter().any(|observation| is_answered(&(fingerprint, observation.version)));
         let is_certain = crashes.len() >= if is_answered || is_late { MAX_CRASHES_IF_UNLIKELY } else { MAX_CRASHES };
-        let is_cause = is_certain || (!is_answered && unexplained.len() >= MIN_UNEXPLAINED_CRASHES);
+        let is_cause = is_certain || (!is_answered && is_steady && unexplained.len() >= MIN_UNEXPLAINED_CRASHES);
         if is_cause {
             causes.push(CrashCause { fingerprint, crashes: crashes.iter().copied().cloned().collect(), is_steady });
         }
