--- a/havengrade_core/src/published/peers.rs
+++ b/havengrade_core/src/published/peers.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
+    ops::Add,
     time::{Duration, SystemTime},
 };
 
@@ -50,6 +51,20 @@
     pub requests: u32,
     /// Prompt tokens that are still to be processed, counted as tokens of the largest model.
     pub tokens: u32,
+    /// Tokens that the requests occupy, or will occupy, in the endpoint's memory.
+    pub memory_tokens: u32,
+}
+
+impl Add for Work {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_add(other.requests),
+            tokens: self.tokens.saturating_add(other.tokens),
+            memory_tokens: self.memory_tokens.saturating_add(other.memory_tokens),
+        }
+    }
 }
 
 /// A VM's report on its work in progress.
@@ -147,8 +162,7 @@
         for known in self.by_vm.values().filter(|known| now < known.last_report + REPORT_LIFETIME) {
             for (endpoint, work) in &known.work {
                 let sum = self.sums.entry(endpoint.clone()).or_default();
-                sum.requests += work.requests;
-                sum.tokens = sum.tokens.saturating_add(work.tokens);
+                *sum = *sum + *work;
             }
         }
     }
--- a/havengrade_core/src/published/placement.rs
+++ b/havengrade_core/src/published/placement.rs
@@ -59,6 +59,11 @@
     pub work: Work,
     /// Shared tokens of the prompt that this VM recently sent there, in tokens of the largest model.
     pub cached_tokens: u32,
+    /// How much longer work takes at the endpoint now than at an average one of its service; 1 if it is not known.
+    pub slowness: f64,
+    /// Tokens that fit into the endpoint's memory in addition to those of the known work; none if the memory is not
+    /// known.
+    pub free_tokens: Option<u32>,
 }
 
 impl Candidate<'_> {
--- a/havengrade_core/src/published/route.rs
+++ b/havengrade_core/src/published/route.rs
@@ -113,6 +113,9 @@
     /// Requests per second that a cold endpoint accepts from all VMs together; 0 if it has no special limit.
     #[serde(default)]
     pub cold_per_s: f64,
+    /// Tokens that fit into the memory of one of its endpoints; 0 if it is not known.
+    #[serde(default)]
+    pub memory_tokens: u32,
 }
 
 impl PublishedService {
--- a/havengrade_core/tests/published.rs
+++ b/havengrade_core/tests/published.rs
@@ -186,7 +186,8 @@
 }
 
 fn candidate(endpoint: &ListedEndpoint, requests: u32, tokens: u32) -> Candidate<'_> {
-    Candidate { endpoint, state: EndpointState::default(), work: Work { requests, tokens }, cached_tokens: 0 }
+    let work = Work { requests, tokens, memory_tokens: 0 };
+    Candidate { endpoint, state: EndpointState::default(), work, cached_tokens: 0, slowness: 1.0, free_tokens: None }
 }
 
 /// A prompt with a shared prefix, for a model whose work per token is `weight` times that of the largest model.
--- a/havengrade_core/tests/published_fleet.rs
+++ b/havengrade_core/tests/published_fleet.rs
@@ -25,7 +25,7 @@
 
 fn report(incarnation: u64, seq: u64, requests: u32) -> WorkReport {
     let peer = Peer { incarnation, ..peer("vm-2", 2, "d1") };
-    WorkReport { peer, seq, work: vec![("a".into(), Work { requests, tokens: 10 })] }
+    WorkReport { peer, seq, work: vec![("a".into(), Work { requests, tokens: 10, memory_tokens: 0 })] }
 }
 
 #[test]
--- a/havengrade_router/src/endpoints.rs
+++ b/havengrade_router/src/endpoints.rs
@@ -13,7 +13,7 @@
 use havengrade_core::{
     endpoint_selection::{EndpointState, EndpointStates},
     ids::EndpointId,
-    published::signals::MAX_BACKOFF,
+    published::{peers::Work, signals::MAX_BACKOFF},
 };
 
 /// Time without new requests after an endpoint rejects one; its queue shrinks by several requests in this time.
@@ -41,6 +41,8 @@
     in_flight: AtomicU32,
     /// Prompt tokens of this VM's requests that the endpoint has not read yet.
     pending_prompt_tokens: AtomicU32,
+    /// Tokens that this VM's requests occupy, or will occupy, in the endpoint's memory.
+    memory_tokens: AtomicU32,
     reported: AtomicU32,
     own_in_report: AtomicU32,
     is_shutting_down: AtomicBool,
@@ -63,6 +65,7 @@
         Self {
             in_flight: AtomicU32::default(),
             pending_prompt_tokens: AtomicU32::default(),
+            memory_tokens: AtomicU32::default(),
             reported: AtomicU32::default(),
             own_in_report: AtomicU32::default(),
             is_shutting_down: AtomicBool::default(),
@@ -146,6 +149,16 @@
         self.pending_prompt_tokens.load(Ordering::Relaxed)
     }
 
+    /// Tokens that this VM's requests occupy, or will occupy, in the endpoint's memory.
+    pub fn memory_tokens(&self) -> u32 {
+        self.memory_tokens.load(Ordering::Relaxed)
+    }
+
+    /// This VM's work in progress at the endpoint.
+    pub fn work(&self) -> Work {
+        Work { requests: self.in_flight(), tokens: self.pending_prompt_tokens(), memory_tokens: self.memory_tokens() }
+    }
+
     /// Records that the endpoint asks this VM to send no requests for a time.
     pub fn back_off(&self, backoff: Duration, now: SystemTime) {
         self.backoff_until.fetch_max(to_millis(now + backoff.min(MAX_BACKOFF)), Ordering::Relaxed);
@@ -187,19 +200,29 @@
 #[derive(Debug)]
 pub struct InFlightGuard {
     slot: Arc<EndpointSlot>,
-    pending_prompt_tokens: u32,
+    tokens: RequestTokens,
+}
+
+/// Tokens of a request at an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestTokens {
+    /// Prompt tokens that the endpoint has to read, in tokens of the largest model.
+    pub pending_prompt: u32,
+    /// Tokens that the request occupies, or will occupy, in the endpoint's memory.
+    pub memory: u32,
 }
 
 impl InFlightGuard {
     /// Records that the endpoint has read the request's prompt.
     pub fn record_prompt_read(&mut self) {
-        self.slot.pending_prompt_tokens.fetch_sub(std::mem::take(&mut self.pending_prompt_tokens), Ordering::Relaxed);
+        self.slot.pending_prompt_tokens.fetch_sub(std::mem::take(&mut self.tokens.pending_prompt), Ordering::Relaxed);
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.record_prompt_read();
+        self.slot.memory_tokens.fetch_sub(self.tokens.memory, Ordering::Relaxed);
         self.slot.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
@@ -225,15 +248,16 @@
 
     /// Counts a request as in flight at an endpoint.
     pub fn begin_request(&self, endpoint: &str) -> InFlightGuard {
-        self.begin_request_with_prompt(endpoint, 0)
+        self.begin_generation(endpoint, RequestTokens::default())
     }
 
-    /// Counts a request as in flight at an endpoint, with the prompt tokens that the endpoint has to read for it.
-    pub fn begin_request_with_prompt(&self, endpoint: &str, pending_prompt_tokens: u32) -> InFlightGuard {
+    /// Counts a request as in flight at an endpoint, with its tokens there.
+    pub fn begin_generation(&self, endpoint: &str, tokens: RequestTokens) -> InFlightGuard {
         let slot = self.slot(endpoint).unwrap_or_default();
         slot.in_flight.fetch_add(1, Ordering::Relaxed);
-        slot.pending_prompt_tokens.fetch_add(pending_prompt_tokens, Ordering::Relaxed);
-        InFlightGuard { slot, pending_prompt_tokens }
+        slot.pending_prompt_tokens.fetch_add(tokens.pending_prompt, Ordering::Relaxed);
+        slot.memory_tokens.fetch_add(tokens.memory, Ordering::Relaxed);
+        InFlightGuard { slot, tokens }
     }
 
     /// Calls `visit` with every endpoint.
--- a/havengrade_router/src/published/attempt.rs
+++ b/havengrade_router/src/published/attempt.rs
@@ -73,7 +73,7 @@
     resume_after: Option<&str>,
 ) -> Result<AnsweredAttempt, RunState> {
     let endpoint = &chosen.endpoint;
-    let in_flight = cx.shared.endpoint_states.begin_request_with_prompt(&endpoint.id, chosen.prompt_tokens);
+    let in_flight = cx.shared.endpoint_states.begin_generation(&endpoint.id, chosen.tokens);
     let begun = cx.shared.clock.now();
     let max_idle = max_idle(request);
     let (mut connection, response, mut attempt) = match exchange(cx, request, &chosen, resume_after, max_idle).await {
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -16,6 +16,7 @@
         directory::ListedEndpoint,
         emptied_domains::EmptiedDomains,
         peers::{Peer, Peers},
+        read_rate::ReadRates,
         rollout::{RolloutBounds, Rollouts},
         route::RouteTable,
         send_limits::SendLimits,
@@ -108,6 +109,7 @@
     /// When an endpoint last answered this VM, in milliseconds since the Unix epoch; 0 for never.
     last_answer_ms: AtomicU64,
     sent_prefixes: Mutex<SentPrefixes>,
+    read_rates: Mutex<ReadRates>,
     send_limits: Mutex<SendLimits>,
     rng: Mutex<ChaCha8Rng>,
 }
@@ -154,6 +156,7 @@
             quarantine_changed: Notify::new(),
             last_answer_ms: AtomicU64::new(0),
             sent_prefixes: Mutex::default(),
+            read_rates: Mutex::default(),
             send_limits: Mutex::default(),
             rng: Mutex::new(rng),
             published_settings: ArcSwap::from_pointee(settings.published.clone()),
@@ -352,6 +355,11 @@
         lock(&self.sent_prefixes)
     }
 
+    /// Locks the rates at which endpoints read prompts; hold the guard only briefly.
+    pub fn read_rates(&self) -> MutexGuard<'_, ReadRates> {
+        lock(&self.read_rates)
+    }
+
     /// Locks the send limits of endpoints; hold the guard only briefly.
     pub fn send_limits(&self) -> MutexGuard<'_, SendLimits> {
         lock(&self.send_limits)
--- a/havengrade_router/src/published/dialect.rs
+++ b/havengrade_router/src/published/dialect.rs
@@ -89,7 +89,7 @@
             run: if is_not_run { RunState::NotRun } else { RunState::Ran },
             request: parse_text(headers, &REQUEST),
             is_authentic: headers.contains_key(&REQUEST) && (!status.is_success() || headers.contains_key(&SIGNATURE)),
-            load: running.map(|running| ReportedLoad { running, waiting: 0 }),
+            load: running.map(|running| ReportedLoad { running, ..ReportedLoad::default() }),
             signal: Signal {
                 limit_per_s: parse_decimal(headers, &LIMIT_PER_S),
                 is_leaving: headers.contains_key(&LEAVING),
--- a/havengrade_router/src/published/endpoint_choice.rs
+++ b/havengrade_router/src/published/endpoint_choice.rs
@@ -15,9 +15,12 @@
     },
 };
 
-use crate::published::{
-    active_request::ActiveRequest, context::PublishedContext, ports::PromptPart, refusal::Refusal,
-    send_limits::ServiceSendLimits,
+use crate::{
+    endpoints::RequestTokens,
+    published::{
+        active_request::ActiveRequest, context::PublishedContext, ports::PromptPart, refusal::Refusal,
+        send_limits::ServiceSendLimits,
+    },
 };
 
 /// An endpoint chosen for an attempt.
@@ -25,8 +28,8 @@
 pub(super) struct ChosenEndpoint {
     /// Chosen endpoint.
     pub(super) endpoint: ListedEndpoint,
-    /// Prompt tokens that the endpoint has to process, weighted by the work of the model.
-    pub(super) prompt_tokens: u32,
+    /// Tokens of the request at the endpoint.
+    pub(super) tokens: RequestTokens,
     /// Load of the endpoint.
     pub(super) load: Load,
 }
@@ -76,7 +79,8 @@
     cx.shared.sent_prefixes().record(&prefixes, &placed.endpoint.id, now);
     let endpoint = placed.endpoint.clone();
     let load = Load::of(known_work(cx, &endpoint).requests, endpoint.slots);
-    Some(ChosenEndpoint { endpoint, prompt_tokens: placed.tokens, load })
+    let tokens = RequestTokens { pending_prompt: placed.tokens, memory: 0 };
+    Some(ChosenEndpoint { endpoint, tokens, load })
 }
 
 /// Returns the endpoints outside emptied failure domains.
@@ -184,15 +188,15 @@
 
 fn candidate<'a>(cx: &PublishedContext, endpoint: &'a ListedEndpoint) -> Candidate<'a> {
     let work = known_work(cx, endpoint);
-    Candidate { endpoint, state: cx.shared.endpoint_states.state(&endpoint.id), work, cached_tokens: 0 }
+    let state = cx.shared.endpoint_states.state(&endpoint.id);
+    Candidate { endpoint, state, work, cached_tokens: 0, slowness: 1.0, free_tokens: None }
 }
 
 /// Work in progress at an endpoint: that of this VM and that reported by other VMs.
 pub(super) fn known_work(cx: &PublishedContext, endpoint: &ListedEndpoint) -> Work {
     let own = cx.shared.endpoint_states.slot(&endpoint.id);
-    let (requests, tokens) = own.map_or((0, 0), |slot| (slot.in_flight(), slot.pending_prompt_tokens()));
-    let others = cx.shared.peers().work(&endpoint.id);
-    Work { requests: requests + others.requests, tokens: tokens.saturating_add(others.tokens) }
+    let own = own.map_or_else(Work::default, |slot| slot.work());
+    own + cx.shared.peers().work(&endpoint.id)
 }
 
 /// Returns the prompt of a generation, weighted by the work of its model, and the prefixes that others may share.
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -255,7 +255,10 @@
     cx.shared.endpoint_states.for_each(|endpoint, slot| {
         let requests = slot.in_flight();
         if requests > 0 {
-            work.push((endpoint.clone(), Work { requests, tokens: slot.pending_prompt_tokens() }));
+            work.push((
+                endpoint.clone(),
+                Work { requests, tokens: slot.pending_prompt_tokens(), memory_tokens: slot.memory_tokens() },
+            ));
         }
     });
     work.sort_by(|a, b| b.1.tokens.cmp(&a.1.tokens).then_with(|| a.0.cmp(&b.0)));
@@ -268,7 +271,13 @@
     let rollouts = cx.shared.rollouts().next_report(cx.shared.rollout_bounds(), cx.shared.incarnation, now);
     let quarantine = cx.shared.quarantine().next_report(now);
     let signals = cx.shared.send_limits().signals.next_report(now);
-    PeerReport { work: WorkReport { peer: cx.own_peer(), seq, work: work.to_vec() }, rollouts, quarantine, signals }
+    PeerReport {
+        work: WorkReport { peer: cx.own_peer(), seq, work: work.to_vec() },
+        rollouts,
+        quarantine,
+        signals,
+        speeds: Vec::new(),
+    }
 }
 
 /// Receives and handles datagrams of other VMs.
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -83,12 +83,16 @@
 }
 
 /// Load that an endpoint reports in an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ReportedLoad {
     /// Running requests.
     pub running: u32,
     /// Queued requests.
     pub waiting: u32,
+    /// Number of requests that the endpoint processes concurrently, if it reports it.
+    pub slots: Option<u32>,
+    /// How much longer work takes at the endpoint's machine at this moment than usual, if the endpoint reports it.
+    pub slowness: Option<f64>,
 }
 
 /// Attributes of an endpoint's answer, decoded from its status and headers.
--- a/havengrade_router/src/published/wire.rs
+++ b/havengrade_router/src/published/wire.rs
@@ -7,6 +7,7 @@
     published::{
         answer_window::{AnswerCounts, RecentAnswerCounts},
         directory::{DirectoryEvent, ListedEndpoint},
+        endpoint_speed::ReportedSpeed,
         peers::{Peer, Work, WorkReport},
         rollout::{
             AttemptStats, HaltReason, ReportedAnswerCounts, ReportedHalt, ReportedRollout, RolloutOutcome,
@@ -18,11 +19,14 @@
     quarantine::{QuarantineReport, ReportedAnswer, ReportedCrash, ReportedQuarantineEntry},
 };
 use havengrade_rpc::reports::{
-    AnsweredRequest, EndpointAnswers, EndpointChange, EndpointCrash, EndpointEntry, EndpointSignal, EndpointWork,
-    HeldRequest, KeptSession as WireSession, Quarantine as WireQuarantine, RecentAnswers, RolloutHalt, RolloutState,
-    RouteEvidence as WireEvidence, VmReport,
+    AnsweredRequest, EndpointAnswers, EndpointChange, EndpointCrash, EndpointEntry, EndpointSignal, EndpointSpeed,
+    EndpointWork, HeldRequest, KeptSession as WireSession, Quarantine as WireQuarantine, RecentAnswers, RolloutHalt,
+    RolloutState, RouteEvidence as WireEvidence, VmReport,
 };
 
+/// Hundredths in a whole.
+const PERCENT: f64 = 100.0;
+
 const RUNNING: &str = "running";
 const SUCCEEDED: &str = "succeeded";
 const ROLLED_BACK: &str = "rolled_back";
@@ -41,19 +45,23 @@
     pub(super) quarantine: QuarantineReport,
     /// Signals of endpoints.
     pub(super) signals: Vec<ReportedSignal>,
+    /// Measured speeds of endpoints.
+    pub(super) speeds: Vec<ReportedSpeed>,
 }
 
 pub(super) fn encode_report(report: PeerReport) -> VmReport {
     let WorkReport { peer, seq, work } = report.work;
-    let work = work
-        .into_iter()
-        .map(|(endpoint, work)| EndpointWork::new(endpoint, to_i32(work.requests), to_i32(work.tokens)));
+    let work = work.into_iter().map(|(endpoint, work)| {
+        let memory_tokens = (work.memory_tokens > 0).then(|| to_i32(work.memory_tokens));
+        EndpointWork::new(endpoint, to_i32(work.requests), to_i32(work.tokens), memory_tokens)
+    });
     let RolloutReport { evidence, states, halts, recent, sessions } = report.rollouts;
     let evidence: Vec<_> = evidence.into_iter().map(encode_evidence).collect();
     let rollouts: Vec<_> = states.into_iter().map(|rollout| encode_rollout(rollout, Vec::new())).collect();
     let halts: Vec<_> = halts.into_iter().map(encode_halt).collect();
     let recent: Vec<_> = recent.into_iter().map(encode_recent).collect();
     let sessions: Vec<_> = sessions.into_iter().map(encode_session).collect();
+    let speeds: Vec<_> = report.speeds.into_iter().map(encode_speed).collect();
     VmReport::new(
         peer.vm,
         to_i64(peer.incarnation),
@@ -68,6 +76,7 @@
         (report.quarantine != QuarantineReport::default()).then(|| encode_quarantine(report.quarantine)),
         (!report.signals.is_empty()).then(|| encode_signals(report.signals)),
         (!sessions.is_empty()).then_some(sessions),
+        (!speeds.is_empty()).then_some(speeds),
     )
 }
 
@@ -75,7 +84,8 @@
 pub(super) fn decode_report(report: VmReport) -> Option<PeerReport> {
     let address: SocketAddr = report.address.parse().ok()?;
     let work = report.work.into_iter().map(|entry| {
-        let work = Work { requests: from_i32(entry.requests), tokens: from_i32(entry.tokens) };
+        let memory_tokens = entry.memory_tokens.map_or(0, from_i32);
+        let work = Work { requests: from_i32(entry.requests), tokens: from_i32(entry.tokens), memory_tokens };
         (entry.endpoint, work)
     });
     let evidence = report.evidence.unwrap_or_default().into_iter().map(decode_evidence);
@@ -97,9 +107,21 @@
         rollouts,
         quarantine: report.quarantine.map(decode_quarantine).unwrap_or_default(),
         signals: decode_signals(report.signals.unwrap_or_default()),
+        speeds: report.speeds.unwrap_or_default().into_iter().filter_map(decode_speed).collect(),
     })
 }
 
+/// Encodes the speed of an endpoint.
+fn encode_speed(speed: ReportedSpeed) -> EndpointSpeed {
+    EndpointSpeed::new(speed.endpoint, (speed.slowness * PERCENT).round() as i32, to_i32(speed.samples))
+}
+
+/// Decodes the speed of an endpoint. Returns `None` if the ratio is not positive.
+fn decode_speed(speed: EndpointSpeed) -> Option<ReportedSpeed> {
+    let slowness = f64::from(speed.slowness_percent) / PERCENT;
+    (slowness > 0.0).then(|| ReportedSpeed { endpoint: speed.endpoint, slowness, samples: from_i32(speed.samples) })
+}
+
 /// Encodes the affinity of a session. The session's fingerprint is 64 opaque bits, which the schema carries as a signed
 /// integer.
 fn encode_session(affinity: SessionAffinity) -> WireSession {
--- a/schema/reports.thrift
+++ b/schema/reports.thrift
@@ -9,6 +9,17 @@
   2: required i32 requests,
   /** Prompt tokens that still have to be read, in those of the largest model. */
   3: required i32 tokens,
+  /** Tokens that the requests occupy, or will occupy, in the endpoint's memory. */
+  4: optional i32 memory_tokens,
+}
+
+/** How much longer work takes at an endpoint than at an average one of its service, as the sender measured it. */
+struct EndpointSpeed {
+  1: required string endpoint,
+  /** Ratio of the times, in hundredths. */
+  2: required i32 slowness_percent,
+  /** Number of measurements. */
+  3: required i32 samples,
 }
 
 /** Counters for a version of a service on a route, since the roll-out was ordered. */
@@ -155,6 +166,7 @@
   12: optional Quarantine quarantine,
   13: optional list<EndpointSignal> signals,
   14: optional list<KeptSession> sessions,
+  15: optional list<EndpointSpeed> speeds,
 }
 
 /** An entry of the list of endpoints. */
