--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -8,6 +8,7 @@
 mod attempt_outcome;
 mod attempt_stats;
 pub mod cold;
+pub mod congestion;
 pub mod directory;
 pub mod emptied_domains;
 pub mod endpoint_speed;
--- a/havengrade_core/src/published/peers.rs
+++ b/havengrade_core/src/published/peers.rs
@@ -186,6 +186,27 @@
         self.len() > MIN_TARGETS
     }
 
+    /// Share of the work of the other VMs in `domain` that reports to a VM in it are expected to cover, if each VM
+    /// reports once in `interval`.
+    ///
+    /// In a large fleet a report goes to a few VMs only, so that some VMs have not reported to this one within the
+    /// lifetime of a report. Lost reports don't change the share.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use havengrade_core::published::peers::Peers;
+    ///
+    /// assert_eq!(Peers::default().report_coverage("d1", Duration::from_millis(400)), 1.0);
+    /// ```
+    pub fn report_coverage(&self, domain: &str, interval: Duration) -> f64 {
+        let near = self.all().filter(|peer| peer.failure_domain == domain).count();
+        if near <= MAX_NEAR_TARGETS {
+            return 1.0;
+        }
+        let missed = 1.0 - MAX_NEAR_TARGETS as f64 / near as f64;
+        1.0 - missed.powf(REPORT_LIFETIME.div_duration_f64(interval))
+    }
+
     /// All known VMs.
     pub fn all(&self) -> impl Iterator<Item = &Peer> + Clone {
         self.by_vm.values().map(|known| &known.peer)
