--- a/havengrade_router/src/published/endpoint_choice.rs
+++ b/havengrade_router/src/published/endpoint_choice.rs
@@ -63,7 +63,7 @@
     } else {
         eligible
     };
-    let (prompt, prefixes) = weighted_prompt(cx, request).unzip();
+    let (prompt, prefixes) = weighted_prompt(cx, request, request.model.as_deref()).unzip();
     let prefixes = prefixes.unwrap_or_default();
     let candidates = candidates(cx, eligible.into_iter().filter(has_room), &prefixes, now);
     let domain = &cx.shared.settings.vm.failure_domain;
@@ -84,7 +84,10 @@
 }
 
 /// Returns the endpoints outside emptied failure domains.
-fn outside_emptied_domains<'a>(cx: &PublishedContext, endpoints: &'a [ListedEndpoint]) -> Vec<&'a ListedEndpoint> {
+pub(super) fn outside_emptied_domains<'a>(
+    cx: &PublishedContext,
+    endpoints: &'a [ListedEndpoint],
+) -> Vec<&'a ListedEndpoint> {
     let emptied = cx.shared.emptied_domains.load();
     endpoints.iter().filter(|endpoint| !emptied.is_emptied(&endpoint.failure_domain)).collect()
 }
@@ -200,15 +203,18 @@
 }
 
 /// Returns the prompt of a generation, weighted by the work of its model, and the prefixes that others may share.
-fn weighted_prompt(cx: &PublishedContext, request: &ActiveRequest) -> Option<(Prompt, Vec<Prefix>)> {
+pub(super) fn weighted_prompt(
+    cx: &PublishedContext,
+    request: &ActiveRequest,
+    model: Option<&str>,
+) -> Option<(Prompt, Vec<Prefix>)> {
     let total = request.attributes.tokens?.prompt;
     let routes = cx.shared.routes.load();
-    let weight =
-        routes.service(&request.service).map_or(1.0, |service| service.relative_work(request.model.as_deref()));
+    let weight = routes.service(&request.service).map_or(1.0, |service| service.relative_work(model));
     let weighted = |tokens: u32| (f64::from(tokens) * weight) as u32;
     let shared = request.attributes.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
     // Prompt caches are separate for each model.
-    let model = request.model.as_deref().unwrap_or_default();
+    let model = model.unwrap_or_default();
     let mut shared_tokens = 0u32;
     let prefix = |part: &PromptPart| {
         shared_tokens = shared_tokens.saturating_add(part.tokens).min(total);
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -4,7 +4,11 @@
 
 use havengrade_core::{
     ids::ModelId,
-    published::{attempt::RunState, model_choice, route::AnswerShape},
+    published::{
+        attempt::RunState,
+        model_choice::{self, Escalation},
+        route::AnswerShape,
+    },
 };
 use http_body_util::{BodyExt as _, Limited};
 use hyper::{
@@ -22,6 +26,7 @@
     },
     context::PublishedContext,
     endpoint_choice::{ChosenEndpoint, choose_endpoint, refusal_without_endpoint},
+    escalation::EscalationSituation,
     event_stream,
     outcomes::{
         FirstByteTimer, InProgressGuard, log_answered_request, record_broken_outcome, record_first_byte_time,
@@ -254,17 +259,15 @@
     read_whole_answer(cx, request, answered).await
 }
 
-/// Returns the stronger model to use instead, if the answering model has low confidence and the request may run again.
+/// Returns the stronger model to use instead, if the answering model has low confidence, the load allows another run,
+/// and the request may run again.
 fn escalation_model(cx: &PublishedContext, request: &ActiveRequest, answered: &AnsweredAttempt) -> Option<ModelId> {
     let stronger =
         model_choice::escalation_model(&request.route.models, request.model.as_deref()?, answered.confidence)?;
-    let mut attempts = request.attempts.clone();
-    attempts.record(RunState::Ran);
     let now = cx.shared.clock.now();
-    if !attempts.may_try_again()
-        || request.trial != Trial::None
-        || !cx.shared.retry_budgets.try_acquire_spare(&request.service)
-    {
+    let situation = EscalationSituation::assess(cx, request, answered.confidence?, stronger, now);
+    if let Err(reason) = reserve_escalation(cx, request, &situation) {
+        situation.record_kept(request, reason);
         return None;
     }
     let took = now.duration_since(answered.attempt.sent_at).unwrap_or_default();
@@ -272,15 +275,34 @@
     record_outcome(cx, request, &answered.attempt.endpoint, None);
     record_abandoned_attempt(cx, request, &answered.attempt.endpoint, answered.attempt.sent_at);
     record_success(cx, &answered.attempt.endpoint);
-    log::info!(
-        request = request.id.as_str(),
-        confidence = answered.confidence.unwrap_or_default(),
-        stronger = stronger.as_str();
-        "low confidence of the model; sending the request to a stronger one"
-    );
+    situation.record_replaced(request, stronger);
     Some(stronger.clone())
 }
 
+/// Reserves a run of the stronger model.
+///
+/// # Errors
+///
+/// The reason for which the answer is kept.
+fn reserve_escalation(
+    cx: &PublishedContext,
+    request: &ActiveRequest,
+    situation: &EscalationSituation,
+) -> Result<(), &'static str> {
+    let mut attempts = request.attempts.clone();
+    attempts.record(RunState::Ran);
+    if !attempts.may_try_again() || request.trial != Trial::None {
+        return Err("no_attempt_left");
+    }
+    if let Escalation::Keep(reason) = model_choice::decide_escalation(&situation.input) {
+        return Err(reason.name());
+    }
+    if !cx.shared.retry_budgets.try_acquire_spare(&request.service) {
+        return Err("retry_budget");
+    }
+    Ok(())
+}
+
 /// Reads a whole answer; a truncated one counts as a failed attempt.
 async fn read_whole_answer(cx: &PublishedContext, request: &ActiveRequest, answered: AnsweredAttempt) -> AttemptResult {
     let AnsweredAttempt { attempt, connection, head, body, in_flight, .. } = answered;
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -10,6 +10,7 @@
 pub mod context;
 pub mod dialect;
 mod endpoint_choice;
+mod escalation;
 pub mod event_stream;
 mod event_timer;
 mod feed_consumers;
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -46,7 +46,7 @@
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest interval between two reports in a fleet that is larger than the targets of a report, because the traffic
 /// grows with the fleet.
-const LARGE_FLEET_INTERVAL: Duration = Duration::from_millis(400);
+pub(super) const LARGE_FLEET_INTERVAL: Duration = Duration::from_millis(400);
 /// Largest datagram that is read, in bytes. The limits on their entries keep reports within one packet; an answer with
 /// many changes of the endpoint list may be this large.
 const MAX_DATAGRAM_BYTES: usize = 32 << 10;
--- a/havengrade_router/src/published/server.rs
+++ b/havengrade_router/src/published/server.rs
@@ -17,6 +17,7 @@
     net::{BoxConnection, Listener},
     published::{
         context::PublishedContext,
+        escalation::record_congestion,
         forward::forward,
         framing::FramingCheckedConnection,
         refusal::{AnswerBody, Refusal, full_body},
@@ -160,5 +161,6 @@
     metrics::gauge!("configuration_age_seconds").set(cx.shared.config_age(now).unwrap_or_default().as_secs_f64());
     metrics::gauge!("endpoints_age_seconds").set(endpoints_age.as_secs_f64());
     metrics::gauge!("vms_known").set(cx.shared.peers().len() as f64);
+    record_congestion(cx, now);
     Response::new(full_body(Bytes::from(crate::metrics::render())))
 }
