--- a/havengrade_core/src/published/peers.rs
+++ b/havengrade_core/src/published/peers.rs
@@ -136,19 +136,21 @@
         }
     }
 
-    /// Applies a report; one that is older than another from the same incarnation has no effect.
-    pub fn apply_report(&mut self, report: WorkReport, now: SystemTime) {
+    /// Applies a report, and returns whether it is new; one that is not newer than another from the same incarnation has
+    /// no effect.
+    pub fn apply_report(&mut self, report: WorkReport, now: SystemTime) -> bool {
         let known = self.by_vm.get(&report.peer.vm);
         let is_outdated = known.is_some_and(|known| {
             known.peer.incarnation == report.peer.incarnation && known.has_reported && known.seq >= report.seq
         });
         if is_outdated {
-            return;
+            return false;
         }
         self.revision += u64::from(known.is_none_or(|known| known.peer != report.peer));
         let WorkReport { peer, seq, work } = report;
         self.by_vm.insert(peer.vm.clone(), PeerState { peer, seq, last_report: now, has_reported: true, work });
         self.update_sums(now);
+        true
     }
 
     /// Removes silent VMs, and work that is no longer reported.
--- a/havengrade_core/src/published/placement.rs
+++ b/havengrade_core/src/published/placement.rs
@@ -2,10 +2,11 @@
 //!
 //! A generation goes to the endpoint with the lowest cost in prompt tokens of the largest model. The cost is the sum of
 //! the prompts that the endpoint still has to read, of all VMs; of the request's own prompt without the tokens that the
-//! endpoint has cached; and of the distance, by the bytes that cross it. A small model, which reads quickly, is
-//! therefore asked nearby, and each failure domain caches the shared prefixes for it; the large model is asked where
-//! the prefix is cached. A plain request goes to the endpoint with the smallest share of occupied slots, among all
-//! endpoints or, in a large fleet, among two random ones.
+//! endpoint has cached; and of the distance, by the bytes that cross it. The first two are multiplied by the slowness of
+//! the endpoint. A small model, which reads quickly, is therefore asked nearby, and each failure domain caches the shared
+//! prefixes for it; the large model is asked where the prefix is cached. A plain request goes to the endpoint with the
+//! smallest share of occupied slots, multiplied by its slowness, among all endpoints or, in a large fleet, among two
+//! random ones.
 
 use std::time::SystemTime;
 
@@ -67,9 +68,13 @@
 }
 
 impl Candidate<'_> {
-    /// Share of occupied slots, plus a surcharge if the endpoint isn't in `domain`.
+    /// Share of occupied slots, multiplied by the slowness, plus a surcharge if the endpoint isn't in `domain`.
+    ///
+    /// The request itself counts as well, so that an idle slow endpoint costs more than an idle fast one. The slot that
+    /// it takes at an average endpoint is left out, since it is no reason to prefer an endpoint with more slots.
     fn occupancy(&self, domain: &str) -> f64 {
-        let occupied = f64::from(self.work.requests) / f64::from(self.endpoint.slots.max(1));
+        let requests = f64::from(self.work.requests) * self.slowness + (self.slowness - 1.0);
+        let occupied = requests / f64::from(self.endpoint.slots.max(1));
         occupied + if self.endpoint.failure_domain == domain { 0.0 } else { FAR_OCCUPANCY }
     }
 
@@ -85,7 +90,7 @@
         let read = f64::from(prompt.own_tokens) + f64::from(self.uncached_tokens(prompt, preferred)) * UNCACHED_WEIGHT;
         let is_near = self.endpoint.failure_domain == domain;
         let distance = if is_near { 0.0 } else { FAR_ANSWER_COST + f64::from(prompt.sent_tokens) * FAR_COST_PER_TOKEN };
-        queue + read + distance
+        (queue + read) * self.slowness + distance
     }
 }
 
--- a/havengrade_router/src/published/endpoint_choice.rs
+++ b/havengrade_router/src/published/endpoint_choice.rs
@@ -32,6 +32,9 @@
     pub(super) tokens: RequestTokens,
     /// Load of the endpoint.
     pub(super) load: Load,
+    /// Prompt tokens that the endpoint has to read before the first event: those that are pending there and those of the
+    /// request.
+    pub(super) tokens_to_read: u32,
 }
 
 /// Chooses the endpoint for the next attempt and reserves a send there.
@@ -78,9 +81,11 @@
     let placed = place(&candidates, placement, &mut *cx.shared.rng())?;
     cx.shared.sent_prefixes().record(&prefixes, &placed.endpoint.id, now);
     let endpoint = placed.endpoint.clone();
-    let load = Load::of(known_work(cx, &endpoint).requests, endpoint.slots);
+    let work = known_work(cx, &endpoint);
+    let load = Load::of(work.requests, endpoint.slots);
+    let tokens_to_read = work.tokens.saturating_add(placed.tokens);
     let tokens = RequestTokens { pending_prompt: placed.tokens, memory: 0 };
-    Some(ChosenEndpoint { endpoint, tokens, load })
+    Some(ChosenEndpoint { endpoint, tokens, load, tokens_to_read })
 }
 
 /// Returns the endpoints outside emptied failure domains.
@@ -173,7 +178,7 @@
     cx.shared.endpoint_states.slot(&endpoint.id).map_or(0, |slot| slot.in_flight())
 }
 
-/// Adds to each endpoint its known load and the prompt tokens that it has cached.
+/// Adds to each endpoint its known load, its speed and the prompt tokens that it has cached.
 fn candidates<'a>(
     cx: &PublishedContext,
     endpoints: impl Iterator<Item = &'a ListedEndpoint>,
@@ -183,7 +188,13 @@
     let sent = cx.shared.sent_prefixes();
     let cached = sent.cached_tokens(prefixes, now);
     let cached_at = |endpoint: &ListedEndpoint| cached.get(endpoint.id.as_str()).copied().unwrap_or_default();
-    endpoints.map(|endpoint| Candidate { cached_tokens: cached_at(endpoint), ..candidate(cx, endpoint) }).collect()
+    let speeds = cx.shared.endpoint_speeds();
+    let with_speed = |endpoint: &'a ListedEndpoint| Candidate {
+        cached_tokens: cached_at(endpoint),
+        slowness: speeds.slowness(endpoint, now),
+        ..candidate(cx, endpoint)
+    };
+    endpoints.map(with_speed).collect()
 }
 
 fn candidate<'a>(cx: &PublishedContext, endpoint: &'a ListedEndpoint) -> Candidate<'a> {
--- a/havengrade_router/src/published/event_stream.rs
+++ b/havengrade_router/src/published/event_stream.rs
@@ -32,6 +32,7 @@
         quarantine::{log_send_after_crashes, record_abandoned_attempt, record_answer, record_broken_attempt},
         refusal::{AnswerBody, BodyError},
         rewrite::encode_answer_head,
+        speeds,
     },
 };
 
@@ -185,6 +186,9 @@
     let now = cx.shared.clock.now();
     let first_after = now.duration_since(sent_at).unwrap_or_default();
     record_first_byte_time(cx, request, &attempt, first_after);
+    if first.is_some() {
+        speeds::record_first_event(cx, request, &attempt, first_after);
+    }
     let status = head.status;
     record_answer_metrics(request, status, now);
     let head = encode_answer_head(cx, head);
--- a/havengrade_router/src/published/feed_consumers.rs
+++ b/havengrade_router/src/published/feed_consumers.rs
@@ -215,6 +215,7 @@
         cx.shared.send_limits().cold.set(self.directory.cold(now));
         let used = || self.directory.all().filter(|endpoint| self.subset.includes(endpoint));
         cx.shared.endpoint_states.update_endpoints(used().map(|endpoint| &endpoint.id));
+        cx.shared.endpoint_speeds().retain_listed(used(), now);
         let mut usable: EndpointsByService = HashMap::new();
         for endpoint in used().filter(|endpoint| !endpoint.is_leaving) {
             if let Some(slot) = cx.shared.endpoint_states.slot(&endpoint.id) {
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -33,6 +33,7 @@
     },
     refusal::{AnswerBody, Refusal, full_body},
     rewrite::encode_answer_head,
+    speeds,
 };
 
 /// Largest answer that is buffered and forwarded whole, in bytes.
@@ -269,6 +270,7 @@
     }
     let took = now.duration_since(answered.attempt.sent_at).unwrap_or_default();
     record_first_byte_time(cx, request, &answered.attempt, took);
+    speeds::record_first_event(cx, request, &answered.attempt, took);
     record_outcome(cx, request, &answered.attempt.endpoint, None);
     record_abandoned_attempt(cx, request, &answered.attempt.endpoint, answered.attempt.sent_at);
     record_success(cx, &answered.attempt.endpoint);
@@ -307,6 +309,7 @@
     }
     record_outcome(cx, request, endpoint, failure);
     if head.status.is_success() {
+        speeds::record_whole_answer(cx, request, &attempt, took);
         record_whole_answer(cx, request, &attempt, &head, now);
     }
     if is_failure {
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -32,6 +32,7 @@
 pub mod server;
 mod shutdown;
 mod signals;
+mod speeds;
 mod startup;
 mod state_fetch;
 mod state_parts;
--- a/havengrade_router/src/published/outcomes.rs
+++ b/havengrade_router/src/published/outcomes.rs
@@ -13,6 +13,7 @@
 
 use crate::published::{
     active_request::ActiveRequest, attempt::Attempt, context::PublishedContext, quarantine::record_abandoned_attempt,
+    speeds,
 };
 
 /// Counts a request as in progress at this VM until it is dropped.
@@ -114,6 +115,7 @@
 /// Records the time per event of a stream.
 pub(super) fn record_event_time(cx: &PublishedContext, request: &ActiveRequest, attempt: &Attempt, pause: Duration) {
     record_time(cx, request, attempt, TimeKind::PerEvent, pause);
+    speeds::record_event_time(cx, request, attempt, pause);
 }
 
 fn record_time(cx: &PublishedContext, request: &ActiveRequest, attempt: &Attempt, of: TimeKind, time: Duration) {
@@ -166,6 +168,7 @@
         if !self.is_stopped {
             let waited = self.cx.shared.clock.now().duration_since(self.attempt.sent_at).unwrap_or_default();
             record_first_byte_time(self.cx, self.request, self.attempt, waited);
+            speeds::record_wait(self.cx, self.request, self.attempt, waited);
             record_abandoned_attempt(self.cx, self.request, &self.attempt.endpoint, self.attempt.sent_at);
         }
     }
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -27,6 +27,7 @@
         context::PublishedContext,
         quarantine::announce_changes,
         signals::merge_reported_signals,
+        speeds::{merge_reported_speeds, next_speed_report},
         store_queries::{StoreQueries, answer_query, change_hint},
         wire::{PeerReport, decode_report, encode_report},
     },
@@ -271,12 +272,13 @@
     let rollouts = cx.shared.rollouts().next_report(cx.shared.rollout_bounds(), cx.shared.incarnation, now);
     let quarantine = cx.shared.quarantine().next_report(now);
     let signals = cx.shared.send_limits().signals.next_report(now);
+    let speeds = next_speed_report(cx, now);
     PeerReport {
         work: WorkReport { peer: cx.own_peer(), seq, work: work.to_vec() },
         rollouts,
         quarantine,
         signals,
-        speeds: Vec::new(),
+        speeds,
     }
 }
 
@@ -335,7 +337,10 @@
     let changes = cx.shared.quarantine().merge_report(report.quarantine, now);
     announce_changes(cx, &changes);
     merge_reported_signals(cx, report.signals, now);
-    cx.shared.peers().apply_report(report.work, now);
+    let is_new = cx.shared.peers().apply_report(report.work, now);
+    if is_new {
+        merge_reported_speeds(cx, report.speeds, now);
+    }
     cx.shared.notify_peer_known();
 }
 
--- a/havengrade_router/src/published/signals.rs
+++ b/havengrade_router/src/published/signals.rs
@@ -31,10 +31,13 @@
     {
         slot.record_load(load.running + load.waiting, slot.in_flight());
     }
+    let now = cx.shared.clock.now();
+    if let Some(slowness) = answer_head.load.and_then(|load| load.slowness) {
+        cx.shared.endpoint_speeds().record_reported(endpoint, slowness, now);
+    }
     let is_for_request = answer_head.request.as_ref() == Some(&request.id);
     let is_valid_answer = is_for_request && answer_head.is_authentic && status.is_success();
     let Signal { limit_per_s, is_leaving, .. } = answer_head.signal;
-    let now = cx.shared.clock.now();
     let changes = cx.shared.send_limits().record_signal(endpoint, answer_head.signal, is_valid_answer, now);
     for change in changes {
         log_change(&endpoint.id, change, OWN_ANSWER);
