--- a/havengrade_dev/tests/published.rs
+++ b/havengrade_dev/tests/published.rs
@@ -468,3 +468,22 @@
         assert!(answer.contains(name), "{name}: {answer}");
     }
 }
+
+/// Load: plain requests one after the other, so that the slow endpoint is idle as often as the fast one. Guards against an
+/// idle slow endpoint that looks as good as an idle fast one.
+#[tokio::test(start_paused = true)]
+async fn plain_requests_go_to_the_faster_of_two_idle_endpoints() {
+    let replies = |millis| (0..120).map(|_| signed_late("ok", Duration::from_millis(millis))).collect::<Vec<_>>();
+    let bench = Bench::start(vec![replies(300), replies(50)]).await;
+    let ask = async |name: &str, count: u32| {
+        for id in 0..count {
+            assert_eq!(status(&bench.ask(&get("/read/", &format!("{name}-{id}"))).await), "200");
+        }
+    };
+    ask("first", 80).await;
+    // The measurements are compared with those of all endpoints with each report.
+    sleep(Duration::from_secs(2)).await;
+    let before = bench.log_of(0).len();
+    ask("later", 20).await;
+    assert!(bench.log_of(0).len() <= before + 2, "{before} requests before, {} after", bench.log_of(0).len());
+}
