--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -16,6 +16,7 @@
         congestion::CongestionTracker,
         directory::ListedEndpoint,
         emptied_domains::EmptiedDomains,
+        endpoint_speed::EndpointSpeeds,
         peers::{Peer, Peers},
         read_rate::ReadRates,
         rollout::{RolloutBounds, Rollouts},
@@ -112,6 +113,7 @@
     sent_prefixes: Mutex<SentPrefixes>,
     read_rates: Mutex<ReadRates>,
     congestion: Mutex<CongestionTracker>,
+    endpoint_speeds: Mutex<EndpointSpeeds>,
     send_limits: Mutex<SendLimits>,
     rng: Mutex<ChaCha8Rng>,
 }
@@ -160,6 +162,7 @@
             sent_prefixes: Mutex::default(),
             read_rates: Mutex::default(),
             congestion: Mutex::default(),
+            endpoint_speeds: Mutex::default(),
             send_limits: Mutex::default(),
             rng: Mutex::new(rng),
             published_settings: ArcSwap::from_pointee(settings.published.clone()),
@@ -368,6 +371,11 @@
         lock(&self.congestion)
     }
 
+    /// Locks the speeds of endpoints; hold the guard only briefly.
+    pub fn endpoint_speeds(&self) -> MutexGuard<'_, EndpointSpeeds> {
+        lock(&self.endpoint_speeds)
+    }
+
     /// Locks the send limits of endpoints; hold the guard only briefly.
     pub fn send_limits(&self) -> MutexGuard<'_, SendLimits> {
         lock(&self.send_limits)
