--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -10,6 +10,7 @@
 pub mod cold;
 pub mod directory;
 pub mod emptied_domains;
+pub mod endpoint_memory;
 pub mod endpoint_speed;
 pub mod endpoint_subset;
 pub mod evidence_summary;
--- a/havengrade_core/src/published/peers.rs
+++ b/havengrade_core/src/published/peers.rs
@@ -30,6 +30,9 @@
 const MAX_NEAR_TARGETS: usize = 20;
 /// Number of VMs in other failure domains that receive a report as well.
 const FAR_TARGETS: usize = 3;
+/// Largest number of VMs that one stands for in the sums of memory, so that a single long prompt, heard of by chance,
+/// does not fill an endpoint.
+const MAX_EXTRAPOLATION: f64 = 4.0;
 
 /// Another VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,6 +90,13 @@
     work: Vec<(EndpointId, Work)>,
 }
 
+impl PeerState {
+    /// Whether the work in the last report of the VM counts.
+    fn is_heard(&self, now: SystemTime) -> bool {
+        self.has_reported && now < self.last_report + REPORT_LIFETIME
+    }
+}
+
 /// The other VMs that are known, and their work.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
@@ -159,15 +169,34 @@
 
     fn update_sums(&mut self, now: SystemTime) {
         self.sums.clear();
-        for known in self.by_vm.values().filter(|known| now < known.last_report + REPORT_LIFETIME) {
+        let factors = self.extrapolation_factors(now);
+        for known in self.by_vm.values().filter(|known| known.is_heard(now)) {
+            let factor = factors.get(known.peer.failure_domain.as_str()).copied().unwrap_or(1.0);
             for (endpoint, work) in &known.work {
+                let memory_tokens = (f64::from(work.memory_tokens) * factor) as u32;
                 let sum = self.sums.entry(endpoint.clone()).or_default();
-                *sum = *sum + *work;
+                *sum = *sum + Work { memory_tokens, ..*work };
             }
         }
     }
 
-    /// The work that other VMs have in progress at an endpoint.
+    /// For each failure domain, the number of its VMs by the number of those whose last report counts, in a large fleet.
+    ///
+    /// In a large fleet most reports of a VM don't reach this one. Memory fills up by the sum of all requests, so the VMs
+    /// that are heard stand for the others of their failure domain.
+    fn extrapolation_factors(&self, now: SystemTime) -> HashMap<DomainId, f64> {
+        let mut counts: HashMap<&str, (u32, u32)> = HashMap::new();
+        for known in self.by_vm.values().filter(|_| self.is_large()) {
+            let (all, heard) = counts.entry(known.peer.failure_domain.as_str()).or_default();
+            *all += 1;
+            *heard += u32::from(known.is_heard(now));
+        }
+        let factor = |all: u32, heard: u32| (f64::from(all) / f64::from(heard.max(1))).min(MAX_EXTRAPOLATION);
+        counts.into_iter().map(|(domain, (all, heard))| (domain.to_owned(), factor(all, heard))).collect()
+    }
+
+    /// The work that other VMs have in progress at an endpoint. In a large fleet, the memory of the VMs that are heard
+    /// also stands for that of the others.
     pub fn work(&self, endpoint: &str) -> Work {
         self.sums.get(endpoint).copied().unwrap_or_default()
     }
--- a/havengrade_core/src/published/placement.rs
+++ b/havengrade_core/src/published/placement.rs
@@ -14,7 +14,9 @@
 use crate::{
     endpoint_selection::EndpointState,
     ids::EndpointId,
-    published::{directory::ListedEndpoint, peers::Work, sent_prefixes::PrefixKey},
+    published::{
+        directory::ListedEndpoint, endpoint_memory::added_prompt_tokens, peers::Work, sent_prefixes::PrefixKey,
+    },
     ranking::rank,
 };
 
@@ -61,8 +63,8 @@
     pub cached_tokens: u32,
     /// How much longer work takes at the endpoint now than at an average one of its service; 1 if it is not known.
     pub slowness: f64,
-    /// Tokens that fit into the endpoint's memory in addition to those of the known work; none if the memory is not
-    /// known.
+    /// Prompt tokens, whatever the model, that fit into the endpoint's memory beside the known work and the expected
+    /// output of the request; none if the memory is not known.
     pub free_tokens: Option<u32>,
 }
 
@@ -79,6 +81,14 @@
         if is_preferred { 0 } else { prompt.shared_tokens.saturating_sub(self.cached_tokens) }
     }
 
+    /// Whether a prompt fits into the endpoint's memory, as far as it is known. A prefix that the endpoint is expected to
+    /// have cached needs no room.
+    fn has_room(&self, prompt: &Prompt, preferred: Option<&str>) -> bool {
+        let Some(free) = self.free_tokens else { return true };
+        let read_tokens = prompt.own_tokens + self.uncached_tokens(prompt, preferred);
+        free > 0 && added_prompt_tokens(prompt, read_tokens) <= free
+    }
+
     /// The cost of a generation at this endpoint for a VM in `domain`, in prompt tokens.
     fn cost(&self, prompt: &Prompt, preferred: Option<&str>, domain: &str) -> f64 {
         let queue = f64::from(self.work.tokens) + f64::from(self.work.requests) * RUNNING_COST;
@@ -127,8 +137,8 @@
     pub tokens: u32,
 }
 
-/// Chooses an endpoint for a request; endpoints that are ejected after failures are considered only if no other is
-/// left.
+/// Chooses an endpoint for a request; endpoints into whose memory it doesn't fit, and those that are ejected after
+/// failures, are considered only if no other is left.
 pub fn place<'a>(
     candidates: &[Candidate<'a>],
     placement: PlacementContext<'_>,
@@ -142,7 +152,11 @@
     // accepts requests again; retries, of which a request has few, don't.
     let is_accepting = |c: &&Candidate<'a>| placement.tried.is_empty() || !c.state.last_rejected;
     let accepting: Vec<&Candidate<'a>> = usable.iter().copied().filter(is_accepting).collect();
-    let choices = [accepting, usable, untried].into_iter().find(|some| !some.is_empty())?;
+    // An ejected endpoint is no better than one without room, where the request waits or replaces another.
+    let choices =
+        [with_room(&accepting, placement.prompt), with_room(&usable, placement.prompt), accepting, usable, untried]
+            .into_iter()
+            .find(|some| !some.is_empty())?;
     let other_domains = in_other_domains(candidates, &choices, placement.tried);
     let choices = if other_domains.is_empty() { choices } else { other_domains };
     match placement.prompt {
@@ -159,6 +173,16 @@
     }
 }
 
+/// The endpoints into whose memory a prompt fits, or is not known not to fit.
+fn with_room<'a, 'b>(choices: &[&'b Candidate<'a>], prompt: Option<&Prompt>) -> Vec<&'b Candidate<'a>> {
+    let Some(prompt) = prompt.filter(|_| choices.iter().any(|c| c.free_tokens.is_some())) else {
+        return choices.to_vec();
+    };
+    let preferred = prompt.shared_prefix.as_deref().and_then(|prefix| highest_ranked(choices, prefix));
+    let preferred = preferred.map(|c| c.endpoint.id.as_str());
+    choices.iter().copied().filter(|c| c.has_room(prompt, preferred)).collect()
+}
+
 /// The endpoints in failure domains where the request wasn't tried: the failure of one endpoint may concern others
 /// beside it.
 ///
--- a/havengrade_router/src/endpoints.rs
+++ b/havengrade_router/src/endpoints.rs
@@ -13,7 +13,7 @@
 use havengrade_core::{
     endpoint_selection::{EndpointState, EndpointStates},
     ids::EndpointId,
-    published::{peers::Work, signals::MAX_BACKOFF},
+    published::{endpoint_memory::ReportedOccupancy, peers::Work, signals::MAX_BACKOFF},
 };
 
 /// Time without new requests after an endpoint rejects one; its queue shrinks by several requests in this time.
@@ -45,6 +45,10 @@
     memory_tokens: AtomicU32,
     reported: AtomicU32,
     own_in_report: AtomicU32,
+    /// Slots that the endpoint stated with its last answer; 0 if it stated none.
+    reported_slots: AtomicU32,
+    /// Time of the last answer with a load in milliseconds since the Unix epoch; 0 if there was none.
+    load_answered_at: AtomicU64,
     is_shutting_down: AtomicBool,
     is_unresponsive: AtomicBool,
     failures: AtomicU32,
@@ -68,6 +72,8 @@
             memory_tokens: AtomicU32::default(),
             reported: AtomicU32::default(),
             own_in_report: AtomicU32::default(),
+            reported_slots: AtomicU32::default(),
+            load_answered_at: AtomicU64::default(),
             is_shutting_down: AtomicBool::default(),
             is_unresponsive: AtomicBool::new(true),
             failures: AtomicU32::default(),
@@ -110,6 +116,25 @@
         self.own_in_report.store(own.min(load), Ordering::Relaxed);
     }
 
+    /// Records the load in the head of an answer, with the slots if the endpoint stated them.
+    pub fn record_answer_load(&self, load: u32, slots: Option<u32>, now: SystemTime) {
+        self.record_load(load, self.in_flight());
+        self.reported_slots.store(slots.unwrap_or_default(), Ordering::Relaxed);
+        self.load_answered_at.store(to_millis(now), Ordering::Relaxed);
+    }
+
+    /// What the endpoint last said of its requests in an answer; `listed_slots` counts where it stated no slots.
+    pub fn reported_occupancy(&self, listed_slots: u32) -> Option<ReportedOccupancy> {
+        let at = from_millis(self.load_answered_at.load(Ordering::Relaxed))?;
+        let stated_slots = self.reported_slots.load(Ordering::Relaxed);
+        Some(ReportedOccupancy {
+            requests: self.reported.load(Ordering::Relaxed),
+            slots: if stated_slots > 0 { stated_slots } else { listed_slots },
+            sent_since: self.in_flight().saturating_sub(self.own_in_report.load(Ordering::Relaxed)),
+            at,
+        })
+    }
+
     /// Records a sign of life.
     pub fn record_activity(&self, now: SystemTime) {
         self.last_activity.fetch_max(to_millis(now), Ordering::Relaxed);
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -15,6 +15,7 @@
     published::{
         directory::ListedEndpoint,
         emptied_domains::EmptiedDomains,
+        endpoint_memory::OutputLengths,
         peers::{Peer, Peers},
         read_rate::ReadRates,
         rollout::{RolloutBounds, Rollouts},
@@ -110,6 +111,7 @@
     last_answer_ms: AtomicU64,
     sent_prefixes: Mutex<SentPrefixes>,
     read_rates: Mutex<ReadRates>,
+    output_lengths: Mutex<OutputLengths>,
     send_limits: Mutex<SendLimits>,
     rng: Mutex<ChaCha8Rng>,
 }
@@ -157,6 +159,7 @@
             last_answer_ms: AtomicU64::new(0),
             sent_prefixes: Mutex::default(),
             read_rates: Mutex::default(),
+            output_lengths: Mutex::default(),
             send_limits: Mutex::default(),
             rng: Mutex::new(rng),
             published_settings: ArcSwap::from_pointee(settings.published.clone()),
@@ -360,6 +363,11 @@
         lock(&self.read_rates)
     }
 
+    /// Locks the lengths of recent streams; hold the guard only briefly.
+    pub fn output_lengths(&self) -> MutexGuard<'_, OutputLengths> {
+        lock(&self.output_lengths)
+    }
+
     /// Locks the send limits of endpoints; hold the guard only briefly.
     pub fn send_limits(&self) -> MutexGuard<'_, SendLimits> {
         lock(&self.send_limits)
--- a/havengrade_router/src/published/endpoint_choice.rs
+++ b/havengrade_router/src/published/endpoint_choice.rs
@@ -6,6 +6,7 @@
     endpoint_selection::EndpointStates as _,
     published::{
         directory::ListedEndpoint,
+        endpoint_memory::{added_prompt_tokens, free_tokens},
         peers::Work,
         placement::{Candidate, PlacementContext, Prompt, place},
         rollout::AllowedVersions,
@@ -65,7 +66,8 @@
     };
     let (prompt, prefixes) = weighted_prompt(cx, request).unzip();
     let prefixes = prefixes.unwrap_or_default();
-    let candidates = candidates(cx, eligible.into_iter().filter(has_room), &prefixes, now);
+    let memory = MemoryDemand::of(cx, request);
+    let candidates = candidates(cx, eligible.into_iter().filter(has_room), &prefixes, memory, now);
     let domain = &cx.shared.settings.vm.failure_domain;
     let sees_all_work = !cx.shared.peers().is_large();
     let placement = PlacementContext {
@@ -79,10 +81,67 @@
     cx.shared.sent_prefixes().record(&prefixes, &placed.endpoint.id, now);
     let endpoint = placed.endpoint.clone();
     let load = Load::of(known_work(cx, &endpoint).requests, endpoint.slots);
-    let tokens = RequestTokens { pending_prompt: placed.tokens, memory: 0 };
+    let memory_tokens = memory.zip(prompt.as_ref()).map_or(0, |(memory, prompt)| {
+        added_prompt_tokens(prompt, placed.tokens).saturating_add(memory.expected_output)
+    });
+    if let Some(memory) = memory {
+        record_memory_use(request, &candidates, memory, &endpoint, memory_tokens);
+    }
+    let tokens = RequestTokens { pending_prompt: placed.tokens, memory: memory_tokens };
     Some(ChosenEndpoint { endpoint, tokens, load })
 }
 
+/// The memory of the endpoints of a request's service, and what the request is expected to generate there.
+#[derive(Clone, Copy, Debug)]
+struct MemoryDemand {
+    /// Tokens that fit into the memory of one endpoint.
+    memory_tokens: u32,
+    /// Tokens that the request is expected to generate.
+    expected_output: u32,
+}
+
+impl MemoryDemand {
+    /// None if the memory is not configured, the request is no generation, or its route chooses no models.
+    fn of(cx: &PublishedContext, request: &ActiveRequest) -> Option<Self> {
+        let memory_tokens = endpoint_memory_tokens(cx, request)?;
+        let limit = request.attributes.tokens?.max_generated;
+        let expected_output = cx.shared.output_lengths().expected(&request.route.name, limit);
+        Some(Self { memory_tokens, expected_output })
+    }
+}
+
+/// Tokens that fit into the memory of an endpoint of the request's service; none if it is not configured or the route
+/// chooses no models.
+pub(super) fn endpoint_memory_tokens(cx: &PublishedContext, request: &ActiveRequest) -> Option<u32> {
+    let routes = cx.shared.routes.load();
+    let memory_tokens = routes.service(&request.service)?.memory_tokens;
+    (memory_tokens > 0 && !request.route.models.is_empty()).then_some(memory_tokens)
+}
+
+/// Counts and logs a request that is sent to an endpoint whose free memory is known to be too small for it.
+fn record_memory_use(
+    request: &ActiveRequest,
+    candidates: &[Candidate<'_>],
+    memory: MemoryDemand,
+    endpoint: &ListedEndpoint,
+    memory_tokens: u32,
+) {
+    let chosen = candidates.iter().find(|candidate| candidate.endpoint.id == endpoint.id);
+    let free = chosen.and_then(|candidate| candidate.free_tokens).unwrap_or_default();
+    if free > 0 && memory_tokens <= free.saturating_add(memory.expected_output) {
+        return;
+    }
+    metrics::counter!("requests_beyond_memory", "service" => request.service.clone()).increment(1);
+    log::debug!(
+        request = request.id.as_str(),
+        endpoint = endpoint.id.as_str(),
+        free_tokens = free,
+        memory_tokens = memory_tokens,
+        expected_output = memory.expected_output;
+        "sent to an endpoint without room"
+    );
+}
+
 /// Returns the endpoints outside emptied failure domains.
 fn outside_emptied_domains<'a>(cx: &PublishedContext, endpoints: &'a [ListedEndpoint]) -> Vec<&'a ListedEndpoint> {
     let emptied = cx.shared.emptied_domains.load();
@@ -178,18 +237,40 @@
     cx: &PublishedContext,
     endpoints: impl Iterator<Item = &'a ListedEndpoint>,
     prefixes: &[Prefix],
+    memory: Option<MemoryDemand>,
     now: SystemTime,
 ) -> Vec<Candidate<'a>> {
     let sent = cx.shared.sent_prefixes();
     let cached = sent.cached_tokens(prefixes, now);
     let cached_at = |endpoint: &ListedEndpoint| cached.get(endpoint.id.as_str()).copied().unwrap_or_default();
-    endpoints.map(|endpoint| Candidate { cached_tokens: cached_at(endpoint), ..candidate(cx, endpoint) }).collect()
+    endpoints
+        .map(|endpoint| Candidate { cached_tokens: cached_at(endpoint), ..candidate(cx, endpoint, memory, now) })
+        .collect()
 }
 
-fn candidate<'a>(cx: &PublishedContext, endpoint: &'a ListedEndpoint) -> Candidate<'a> {
+fn candidate<'a>(
+    cx: &PublishedContext,
+    endpoint: &'a ListedEndpoint,
+    memory: Option<MemoryDemand>,
+    now: SystemTime,
+) -> Candidate<'a> {
     let work = known_work(cx, endpoint);
     let state = cx.shared.endpoint_states.state(&endpoint.id);
-    Candidate { endpoint, state, work, cached_tokens: 0, slowness: 1.0, free_tokens: None }
+    let free_tokens = memory.map(|memory| free_tokens_at(cx, endpoint, work, memory, now));
+    Candidate { endpoint, state, work, cached_tokens: 0, slowness: 1.0, free_tokens }
+}
+
+/// Prompt tokens for which an endpoint has room.
+fn free_tokens_at(
+    cx: &PublishedContext,
+    endpoint: &ListedEndpoint,
+    work: Work,
+    memory: MemoryDemand,
+    now: SystemTime,
+) -> u32 {
+    let slot = cx.shared.endpoint_states.slot(&endpoint.id);
+    let reported = slot.and_then(|slot| slot.reported_occupancy(endpoint.slots));
+    free_tokens(memory.memory_tokens, work, reported, memory.expected_output, now)
 }
 
 /// Work in progress at an endpoint: that of this VM and that reported by other VMs.
--- a/havengrade_router/src/published/event_stream.rs
+++ b/havengrade_router/src/published/event_stream.rs
@@ -22,6 +22,7 @@
         attempt::{AnsweredAttempt, Attempt, log_failed_attempt, record_failure, send_attempt},
         connection_pool::EndpointConnection,
         context::PublishedContext,
+        endpoint_choice::endpoint_memory_tokens,
         event_timer::EventTimer,
         forward::next_endpoint,
         outcomes::{
@@ -189,7 +190,7 @@
     record_answer_metrics(request, status, now);
     let head = encode_answer_head(cx, head);
     let (caller, chunks) = mpsc::channel(MAX_WAITING_CHUNKS);
-    let relay = StreamRelay { cx: cx.clone(), last_id: None, first_after, resumed: 0, caller };
+    let relay = StreamRelay { cx: cx.clone(), last_id: None, events: 0, first_after, resumed: 0, caller };
     let guard = guard.take();
     let request = request.clone();
     let forced_shutdown = cx.forced_shutdown.clone();
@@ -205,6 +206,8 @@
 struct StreamRelay {
     cx: PublishedContext,
     last_id: Option<String>,
+    /// Number of events, of all attempts.
+    events: u32,
     first_after: Duration,
     resumed: u32,
     caller: Sender<Result<Frame<Bytes>, BodyError>>,
@@ -274,6 +277,7 @@
         loop {
             if let Some(chunk) = next.take() {
                 upstream.record_events(&self.cx, request, chunk.events);
+                self.events = self.events.saturating_add(chunk.events);
                 if !self.send_to_caller(chunk).await {
                     return RelayEnd::CallerLeft;
                 }
@@ -379,10 +383,22 @@
         extend_session(&self.cx, request, &endpoint.version);
         record_success(&self.cx, &endpoint);
         record_answer(&self.cx, request, &endpoint.version, self.cx.shared.clock.now());
+        self.record_output_length(request);
         self.record_end(request, Some(&endpoint), "complete");
         self.cx.shared.connection_pool.release(&endpoint.id, connection, self.cx.shared.clock.now());
     }
 
+    /// Records the length of a complete stream, by which the memory that others of its route take is expected.
+    fn record_output_length(&self, request: &ActiveRequest) {
+        let is_whole = request.attributes.last_event.is_none();
+        if let Some(tokens) = request.attributes.tokens
+            && is_whole
+            && endpoint_memory_tokens(&self.cx, request).is_some()
+        {
+            self.cx.shared.output_lengths().record(&request.route.name, self.events, tokens.max_generated);
+        }
+    }
+
     /// Aborts the body of the answer, so that the caller sees that the stream is incomplete.
     async fn abort(self, reason: &'static str) {
         metrics::counter!("streams_broken_off", "reason" => reason).increment(1);
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -253,15 +253,13 @@
 fn own_work_in_progress(cx: &PublishedContext) -> Vec<(EndpointId, Work)> {
     let mut work = Vec::new();
     cx.shared.endpoint_states.for_each(|endpoint, slot| {
-        let requests = slot.in_flight();
-        if requests > 0 {
-            work.push((
-                endpoint.clone(),
-                Work { requests, tokens: slot.pending_prompt_tokens(), memory_tokens: slot.memory_tokens() },
-            ));
+        let own = slot.work();
+        if own.requests > 0 {
+            work.push((endpoint.clone(), own));
         }
     });
-    work.sort_by(|a, b| b.1.tokens.cmp(&a.1.tokens).then_with(|| a.0.cmp(&b.0)));
+    let size = |work: &Work| (work.tokens, work.memory_tokens);
+    work.sort_by(|a, b| size(&b.1).cmp(&size(&a.1)).then_with(|| a.0.cmp(&b.0)));
     work.truncate(MAX_REPORTED_ENDPOINTS);
     work
 }
--- a/havengrade_router/src/published/signals.rs
+++ b/havengrade_router/src/published/signals.rs
@@ -29,7 +29,7 @@
     if let Some(load) = answer_head.load
         && let Some(slot) = cx.shared.endpoint_states.slot(&endpoint.id)
     {
-        slot.record_load(load.running + load.waiting, slot.in_flight());
+        slot.record_answer_load(load.running.saturating_add(load.waiting), load.slots, cx.shared.clock.now());
     }
     let is_for_request = answer_head.request.as_ref() == Some(&request.id);
     let is_valid_answer = is_for_request && answer_head.is_authentic && status.is_success();
