--- a/havengrade_dev/tests/published_streams.rs
+++ b/havengrade_dev/tests/published_streams.rs
@@ -27,6 +27,25 @@
     assert_eq!(after, ["3"]);
 }
 
+/// Guards against streams whose lines end with CRLF, which were never forwarded: only two line feeds ended an event.
+#[tokio::test(start_paused = true)]
+async fn events_with_crlf_line_ends_are_passed_on_and_resumed_like_others() {
+    let crlf = |events: std::ops::RangeInclusive<u32>| -> String {
+        events.map(|id| chunk(&format!("id: {id}\r\ndata: piece {id}\r\n\r\n"))).collect()
+    };
+    // An end of an event may be divided between two chunks.
+    let half = chunk("id: 3\r\ndata: piece 3\r\n\r") + &chunk("\nid: 4\r\ndata: pie");
+    let first = Reply::Close(format!("{STREAM_HEAD}{}{half}", crlf(1..=2)));
+    let rest = Reply::Write(format!("{STREAM_HEAD}{}{LAST_CHUNK}", crlf(4..=6)));
+    let bench = Bench::start_shared(2, vec![first, rest]).await;
+    let answer = bench.ask(&get("/stream/", "r1")).await;
+    assert_eq!(event_ids(&answer), [1, 2, 3, 4, 5, 6], "{answer}");
+    assert!(answer.ends_with(LAST_CHUNK));
+    let resumed = bench.endpoints.iter().flat_map(ScriptedEndpoint::seen);
+    let after: Vec<_> = resumed.filter_map(|seen| seen.header("last-event-id").map(str::to_owned)).collect();
+    assert_eq!(after, ["3"]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn endpoints_that_refuse_connections_cost_no_retries() {
     let broken = Reply::Close(stream(1..=2, ""));
--- a/havengrade_router/src/published/connection_pool.rs
+++ b/havengrade_router/src/published/connection_pool.rs
@@ -33,6 +33,9 @@
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 /// Largest number of idle connections to one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 6;
+/// Largest number of bytes that are read from an endpoint before they are used, which bounds the head of an answer and
+/// the memory of a stream whose caller reads slowly.
+const MAX_READ_BYTES: usize = 64 << 10;
 /// Time in which an idle connection must become ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(30);
 
@@ -93,10 +96,11 @@
 /// Prepares a new connection for HTTP/1.1 requests.
 async fn handshake(connection: BoxConnection, address: SocketAddr) -> Result<EndpointConnection, ConnectionError> {
     metrics::counter!("endpoint_connections_opened").increment(1);
-    let (sender, driver) = match http1::handshake(TokioIo::new(connection)).await {
-        Ok(parts) => parts,
-        Err(error) => return NotSentSnafu { reason: error.to_string() }.fail(),
-    };
+    let (sender, driver) =
+        match http1::Builder::new().max_buf_size(MAX_READ_BYTES).handshake(TokioIo::new(connection)).await {
+            Ok(parts) => parts,
+            Err(error) => return NotSentSnafu { reason: error.to_string() }.fail(),
+        };
     let driver = AbortOnDropHandle::new(tokio::spawn(async move {
         if let Err(error) = driver.await {
             log::debug!("connection to {address} ended: {error}");
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -44,6 +44,7 @@
         retry_budgets::RetryBudgets,
         state_fetch::PendingFetch,
         store_access::StoreAccess,
+        stream_buffer::StreamBuffers,
     },
     settings::{PublishedSettings, Settings},
     shared::lock,
@@ -76,6 +77,8 @@
     pub store: StoreAccess,
     /// Load, failures and availability of each endpoint.
     pub endpoint_states: EndpointTable,
+    /// Bytes of streams that wait for callers.
+    pub stream_buffers: Arc<StreamBuffers>,
     /// Persistent connections to endpoints.
     pub connection_pool: ConnectionPool,
     /// Whether another VM has transferred the active state to this VM at least once.
@@ -138,6 +141,7 @@
             emptied_domains: ArcSwap::default(),
             store: StoreAccess::default(),
             endpoint_states: EndpointTable::default(),
+            stream_buffers: Arc::default(),
             connection_pool: ConnectionPool::new(network, connect_timeout),
             has_received_state: AtomicBool::new(false),
             is_receiving_state: AtomicBool::new(false),
--- a/havengrade_router/src/published/event_stream.rs
+++ b/havengrade_router/src/published/event_stream.rs
@@ -1,19 +1,12 @@
 //! Streams of events: forwards whole events in order and resumes a broken stream at another endpoint.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use futures::stream;
 use havengrade_core::published::{attempt::RunState, directory::ListedEndpoint, route::AnswerShape};
 use http_body_util::{BodyExt as _, StreamBody};
-use hyper::{
-    Response,
-    body::{Frame, Incoming},
-};
-use tokio::{
-    sync::mpsc::{self, Sender},
-    time::timeout,
-};
+use hyper::{Response, body::Incoming};
+use tokio::{sync::OwnedSemaphorePermit, time::timeout};
 
 use crate::{
     endpoints::InFlightGuard,
@@ -31,21 +24,23 @@
             release_session, version_failure,
         },
         quarantine::{log_send_after_crashes, record_abandoned_attempt, record_answer, record_broken_attempt},
-        refusal::{AnswerBody, BodyError},
+        refusal::AnswerBody,
         rewrite::encode_answer_head,
+        stream_buffer::{CallerConnection, CountedBytes, FrameQueue, MAX_STREAM_BYTES, QueueError, StreamBuffers},
     },
 };
 
-/// Chunks of a stream that are buffered for a caller who reads slowly.
-const MAX_WAITING_CHUNKS: usize = 4;
 /// Pause between events after which a stream is resumed at another endpoint, as a multiple of the target of its route.
 const STALL_TIMEOUT_FACTOR: u32 = 2;
 /// Pause between events after which a stream is resumed at another endpoint if its route sets no target.
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_secs(2);
-/// Empty line that ends an event.
-const EVENT_END: &[u8] = b"\n\n";
+/// Longest end of an event, in bytes: a line feed, and an empty line that ends with CRLF.
+const MAX_EVENT_END_BYTES: usize = 3;
 /// Largest event that is buffered, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Bytes of an incomplete event above which the rest is read only with a reservation. Usual events have some hundred
+/// bytes.
+const MAX_UNRESERVED_BYTES: usize = 64 << 10;
 
 /// Complete events, byte for byte as the endpoint sent them.
 struct EventChunk {
@@ -61,6 +56,8 @@
     CutOff,
     /// No event came within the stall timeout.
     Stalled,
+    /// The rest of a large event could not be read, because large events of other streams have taken all room.
+    NoRoom,
 }
 
 impl StreamFault {
@@ -69,6 +66,7 @@
         match self {
             Self::CutOff => "the stream broke off",
             Self::Stalled => "the stream stalled",
+            Self::NoRoom => "too many bytes wait for callers",
         }
     }
 }
@@ -78,15 +76,34 @@
     attempt: Attempt,
     connection: EndpointConnection,
     body: Incoming,
+    buffers: Arc<StreamBuffers>,
     buf: BytesMut,
+    /// Bytes at the start of the buffer that contain no end of an event.
+    searched: usize,
+    /// Bytes of the buffer, and of the chunk that was split off it last.
+    counted: CountedBytes,
+    /// Room for a large event.
+    reservation: Option<OwnedSemaphorePermit>,
     in_flight: InFlightGuard,
     event_timer: EventTimer,
 }
 
 impl EndpointStream {
-    fn new(answered: AnsweredAttempt) -> Self {
+    fn new(cx: &PublishedContext, answered: AnsweredAttempt) -> Self {
         let AnsweredAttempt { attempt, connection, body, in_flight, .. } = answered;
-        Self { attempt, connection, body, buf: BytesMut::new(), in_flight, event_timer: EventTimer::default() }
+        let buffers = cx.shared.stream_buffers.clone();
+        Self {
+            attempt,
+            connection,
+            body,
+            buf: BytesMut::new(),
+            searched: 0,
+            counted: buffers.count(0),
+            reservation: None,
+            buffers,
+            in_flight,
+            event_timer: EventTimer::default(),
+        }
     }
 
     /// Records the time per event.
@@ -103,25 +120,43 @@
         }
     }
 
-    /// Reads the next complete events; none at the end of the stream.
-    async fn next(&mut self, limit: Duration) -> Result<Option<EventChunk>, StreamFault> {
-        timeout(limit, self.read()).await.unwrap_or(Err(StreamFault::Stalled))
+    /// Reads the next complete events; none at the end of the stream. Waits up to `limit` for the endpoint, and up to
+    /// `room_limit` for the room that a large event needs.
+    async fn next(&mut self, limit: Duration, room_limit: Duration) -> Result<Option<EventChunk>, StreamFault> {
+        self.counted.set(self.buf.len());
+        if self.buf.len() <= MAX_UNRESERVED_BYTES {
+            self.reservation = None;
+        }
+        loop {
+            match timeout(limit, self.read()).await.unwrap_or(Err(StreamFault::Stalled))? {
+                ReadResult::Events(chunk) => return Ok(Some(chunk)),
+                ReadResult::End => return Ok(None),
+                ReadResult::NeedsRoom => {
+                    let reserved = self.buffers.reserve_large_event(MAX_EVENT_BYTES, room_limit).await;
+                    self.reservation = Some(reserved.ok_or(StreamFault::NoRoom)?);
+                },
+            }
+        }
     }
 
-    async fn read(&mut self) -> Result<Option<EventChunk>, StreamFault> {
+    async fn read(&mut self) -> Result<ReadResult, StreamFault> {
         loop {
-            if let Some(chunk) = split_complete_events(&mut self.buf) {
+            if let Some(chunk) = split_complete_events(&mut self.buf, &mut self.searched) {
                 self.in_flight.record_prompt_read();
-                return Ok(Some(chunk));
+                return Ok(ReadResult::Events(chunk));
+            }
+            if self.buf.len() > MAX_UNRESERVED_BYTES && self.reservation.is_none() {
+                return Ok(ReadResult::NeedsRoom);
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.buf.extend_from_slice(&data);
+                        self.counted.set(self.buf.len());
                     }
                 },
                 Some(Err(_)) => return Err(StreamFault::CutOff),
-                None if self.buf.is_empty() => return Ok(None),
+                None if self.buf.is_empty() => return Ok(ReadResult::End),
                 None => return Err(StreamFault::CutOff),
             }
             if self.buf.len() > MAX_EVENT_BYTES {
@@ -131,15 +166,56 @@
     }
 }
 
-/// Splits all complete events off a buffer; an event ends with an empty line.
-fn split_complete_events(buf: &mut BytesMut) -> Option<EventChunk> {
-    let end = buf.windows(EVENT_END.len()).rposition(|end| end == EVENT_END)? + EVENT_END.len();
+/// What was read of a stream.
+enum ReadResult {
+    /// Complete events.
+    Events(EventChunk),
+    /// The end of the stream.
+    End,
+    /// A part of an event that is so large that the rest needs a reservation.
+    NeedsRoom,
+}
+
+/// Splits complete events off a buffer, as many as fit into one frame for the caller, and at least one.
+///
+/// `searched` is the number of bytes that are known to contain no end of an event.
+fn split_complete_events(buf: &mut BytesMut, searched: &mut usize) -> Option<EventChunk> {
+    let Some(mut end) = event_end(buf, *searched) else {
+        *searched = buf.len().saturating_sub(MAX_EVENT_END_BYTES - 1);
+        return None;
+    };
+    let mut events = 1;
+    while let Some(next) = event_end(buf, end).filter(|next| *next <= MAX_STREAM_BYTES) {
+        end = next;
+        events += 1;
+    }
+    *searched = 0;
     let bytes = buf.split_to(end).freeze();
     let last_id = last_event_id(&bytes);
-    let events = bytes.windows(EVENT_END.len()).filter(|end| *end == EVENT_END).count() as u32;
     Some(EventChunk { bytes, events, last_id })
 }
 
+/// Finds the end of the first event that ends after `from`: the end of an empty line, and of those that follow it. Lines
+/// end with a line feed, with or without a carriage return before it.
+fn event_end(buf: &[u8], from: usize) -> Option<usize> {
+    let rest = buf.get(from..)?;
+    let starts = rest.iter().enumerate().filter(|(_, byte)| **byte == b'\n').map(|(index, _)| from + index + 1);
+    let mut end = starts.filter_map(|start| empty_line_end(buf, start)).next()?;
+    while let Some(next) = empty_line_end(buf, end) {
+        end = next;
+    }
+    Some(end)
+}
+
+/// The end of the line that starts at `start` if it is empty.
+fn empty_line_end(buf: &[u8], start: usize) -> Option<usize> {
+    match buf.get(start..)? {
+        [b'\n', ..] => Some(start + 1),
+        [b'\r', b'\n', ..] => Some(start + 2),
+        _ => None,
+    }
+}
+
 /// Returns the id of the last event that has one.
 fn last_event_id(bytes: &[u8]) -> Option<String> {
     let mut lines = bytes.rsplit(|byte| *byte == b'\n');
@@ -163,13 +239,13 @@
     guard: &mut Option<InProgressGuard>,
 ) -> Result<Response<AnswerBody>, RunState> {
     let (sent_at, head) = (answered.attempt.sent_at, answered.head.clone());
-    let mut upstream = EndpointStream::new(answered);
+    let mut upstream = EndpointStream::new(cx, answered);
     let now = cx.shared.clock.now();
     let waited = now.duration_since(sent_at).unwrap_or_default();
     let first_event_timeout = request.attempt_timeout(now).saturating_sub(waited);
     let attempt = upstream.attempt.clone();
     let first_byte_timer = FirstByteTimer::new(cx, request, &attempt);
-    let first = match upstream.next(first_event_timeout).await {
+    let first = match upstream.next(first_event_timeout, first_event_timeout).await {
         Ok(first) => first,
         Err(fault) => {
             log_failed_attempt(request, &upstream.attempt.endpoint, fault.reason());
@@ -178,7 +254,9 @@
                 record_broken_outcome(cx, request, &upstream.attempt.endpoint);
             }
             record_broken_attempt(cx, request, &upstream.attempt.endpoint, sent_at);
-            record_failure(cx, &upstream.attempt.endpoint);
+            if fault != StreamFault::NoRoom {
+                record_failure(cx, &upstream.attempt.endpoint);
+            }
             return Err(RunState::MayHaveRun);
         },
     };
@@ -189,8 +267,9 @@
     let status = head.status;
     record_answer_metrics(request, status, now);
     let head = encode_answer_head(cx, head);
-    let (caller, chunks) = mpsc::channel(MAX_WAITING_CHUNKS);
-    let relay = StreamRelay { cx: cx.clone(), last_id: None, events: 0, first_after, resumed: 0, caller };
+    let (caller, body) = cx.shared.stream_buffers.queue();
+    let connection = request.head.extensions.get::<CallerConnection>().cloned().unwrap_or_default();
+    let relay = StreamRelay { cx: cx.clone(), last_id: None, events: 0, first_after, resumed: 0, caller, connection };
     let guard = guard.take();
     let request = request.clone();
     let forced_shutdown = cx.forced_shutdown.clone();
@@ -198,7 +277,6 @@
         let _guard = guard;
         forced_shutdown.run_until_cancelled(relay.run(request, upstream, first)).await;
     });
-    let body = stream::unfold(chunks, |mut chunks| async move { chunks.recv().await.map(|chunk| (chunk, chunks)) });
     Ok(Response::from_parts(head, StreamBody::new(body).boxed_unsync()))
 }
 
@@ -210,7 +288,8 @@
     events: u32,
     first_after: Duration,
     resumed: u32,
-    caller: Sender<Result<Frame<Bytes>, BodyError>>,
+    caller: FrameQueue,
+    connection: CallerConnection,
 }
 
 /// How the stream of one attempt ended.
@@ -219,12 +298,24 @@
     Complete,
     /// The caller has left.
     CallerLeft,
+    /// The caller has read nothing for the time limit of the route, or there was no room for what waits for him.
+    NotTaken(&'static str),
     /// The deadline of the request has passed.
     TimeOver,
     /// The stream broke.
     Broken(StreamFault),
 }
 
+impl From<QueueError> for RelayEnd {
+    fn from(error: QueueError) -> Self {
+        match error {
+            QueueError::CallerLeft => Self::CallerLeft,
+            QueueError::CallerStalled => Self::NotTaken("the caller stopped reading"),
+            QueueError::NoRoom => Self::NotTaken(StreamFault::NoRoom.reason()),
+        }
+    }
+}
+
 impl StreamRelay {
     /// Relays the stream until it is complete or can't be resumed.
     async fn run(mut self, mut request: ActiveRequest, mut upstream: EndpointStream, first: Option<EventChunk>) {
@@ -239,10 +330,13 @@
                     record_abandoned_attempt(&self.cx, &request, &upstream.attempt.endpoint, upstream.attempt.sent_at);
                     return self.record_end(&request, Some(&upstream.attempt.endpoint), "the caller left");
                 },
-                RelayEnd::TimeOver => {
-                    record_abandoned_attempt(&self.cx, &request, &upstream.attempt.endpoint, upstream.attempt.sent_at);
-                    self.record_end(&request, Some(&upstream.attempt.endpoint), "the time limit was reached");
-                    return self.abort("the time limit was reached").await;
+                RelayEnd::NotTaken(reason) => {
+                    self.connection.close();
+                    return self.give_up(&request, &upstream.attempt, reason);
+                },
+                RelayEnd::TimeOver => return self.give_up(&request, &upstream.attempt, "the time limit was reached"),
+                RelayEnd::Broken(StreamFault::NoRoom) => {
+                    return self.give_up(&request, &upstream.attempt, StreamFault::NoRoom.reason());
                 },
                 RelayEnd::Broken(fault) => fault,
             };
@@ -258,7 +352,7 @@
                 Some(resumed) => upstream = resumed,
                 None => {
                     self.record_end(&request, None, fault.reason());
-                    return self.abort(fault.reason()).await;
+                    return self.abort(&request, fault.reason());
                 },
             }
         }
@@ -278,8 +372,8 @@
             if let Some(chunk) = next.take() {
                 upstream.record_events(&self.cx, request, chunk.events);
                 self.events = self.events.saturating_add(chunk.events);
-                if !self.send_to_caller(chunk).await {
-                    return RelayEnd::CallerLeft;
+                if let Err(error) = self.send_to_caller(chunk, request.route.time_limit).await {
+                    return RelayEnd::from(error);
                 }
             }
             let left = request.time_left(self.cx.shared.clock.now());
@@ -289,7 +383,7 @@
             let read = tokio::select! {
                 biased;
                 () = self.caller.closed() => return RelayEnd::CallerLeft,
-                read = upstream.next(stall_timeout.min(left)) => read,
+                read = upstream.next(stall_timeout.min(left), left) => read,
             };
             match read {
                 Ok(Some(chunk)) => next = Some(chunk),
@@ -300,12 +394,12 @@
         }
     }
 
-    /// Sends events to the caller; returns whether the caller is still connected.
-    async fn send_to_caller(&mut self, chunk: EventChunk) -> bool {
+    /// Sends events to the caller, who may read nothing for `limit` at most.
+    async fn send_to_caller(&mut self, chunk: EventChunk, limit: Duration) -> Result<(), QueueError> {
         if chunk.last_id.is_some() {
             self.last_id = chunk.last_id;
         }
-        self.caller.send(Ok(Frame::data(chunk.bytes))).await.is_ok()
+        self.caller.send(chunk.bytes, limit).await
     }
 
     /// Resumes the stream at another endpoint, after the last event that the caller got.
@@ -373,7 +467,7 @@
             after_event = self.last_id.as_deref().unwrap_or_default();
             "stream resumed"
         );
-        EndpointStream::new(answered)
+        EndpointStream::new(&self.cx, answered)
     }
 
     /// Records a complete stream and returns its connection to the pool.
@@ -386,6 +480,14 @@
         self.record_output_length(request);
         self.record_end(request, Some(&endpoint), "complete");
         self.cx.shared.connection_pool.release(&endpoint.id, connection, self.cx.shared.clock.now());
+        self.caller.close_if_not_taken(self.connection, request.route.time_limit);
+    }
+
+    /// Ends a stream whose attempt did not fail before it is complete.
+    fn give_up(self, request: &ActiveRequest, attempt: &Attempt, reason: &'static str) {
+        record_abandoned_attempt(&self.cx, request, &attempt.endpoint, attempt.sent_at);
+        self.record_end(request, Some(&attempt.endpoint), reason);
+        self.abort(request, reason);
     }
 
     /// Records the length of a complete stream, by which the memory that others of its route take is expected.
@@ -400,11 +502,10 @@
     }
 
     /// Aborts the body of the answer, so that the caller sees that the stream is incomplete.
-    async fn abort(self, reason: &'static str) {
+    fn abort(self, request: &ActiveRequest, reason: &'static str) {
         metrics::counter!("streams_broken_off", "reason" => reason).increment(1);
-        let error: BodyError = reason.into();
-        // Sending fails only if the caller has left, who needs no error then.
-        drop(self.caller.send(Err(error)).await);
+        self.caller.abort(reason.into());
+        self.caller.close_if_not_taken(self.connection, request.route.time_limit);
     }
 
     /// Releases the session and logs the end of the stream.
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -38,4 +38,5 @@
 mod state_server;
 mod store_access;
 mod store_queries;
+pub mod stream_buffer;
 pub(crate) mod wire;
--- a/havengrade_router/src/published/server.rs
+++ b/havengrade_router/src/published/server.rs
@@ -20,6 +20,7 @@
         forward::forward,
         framing::FramingCheckedConnection,
         refusal::{AnswerBody, Refusal, full_body},
+        stream_buffer::CallerConnection,
     },
     services::ACCEPT_RETRY_DELAY,
 };
@@ -71,8 +72,10 @@
 async fn serve_caller(cx: PublishedContext, connection: BoxConnection) {
     let limits = cx.shared.routes.load().limits();
     let (connection, framing) = FramingCheckedConnection::new(connection, limits.header_bytes.max(MIN_BUFFER_BYTES));
-    let service = service_fn(|request: Request<Incoming>| {
+    let caller = CallerConnection::default();
+    let service = service_fn(|mut request: Request<Incoming>| {
         let (cx, framing) = (cx.clone(), framing.clone());
+        request.extensions_mut().insert(caller.clone());
         async move {
             if framing.is_ambiguous() {
                 log::warn!("refusing a request with ambiguous framing");
@@ -98,9 +101,14 @@
     let served = tokio::select! {
         biased;
         served = connection.as_mut() => served,
+        () = caller.closed() => return log::debug!("closing the connection of a caller who does not read"),
         () = cx.graceful_shutdown.cancelled() => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                biased;
+                served = connection.as_mut() => served,
+                () = caller.closed() => return log::debug!("closing the connection of a caller who does not read"),
+            }
         },
     };
     if let Err(error) = served {
@@ -159,6 +167,7 @@
     let endpoints_age = now.duration_since(cx.shared.store.view().endpoints_confirmed_at).unwrap_or_default();
     metrics::gauge!("configuration_age_seconds").set(cx.shared.config_age(now).unwrap_or_default().as_secs_f64());
     metrics::gauge!("endpoints_age_seconds").set(endpoints_age.as_secs_f64());
+    metrics::gauge!("stream_bytes_buffered").set(cx.shared.stream_buffers.buffered_bytes() as f64);
     metrics::gauge!("vms_known").set(cx.shared.peers().len() as f64);
     Response::new(full_body(Bytes::from(crate::metrics::render())))
 }
--- /dev/null
+++ b/havengrade_router/src/published/stream_buffer.rs
@@ -0,0 +1,204 @@
+//! Buffers of streams: bounds the bytes that wait for callers who read slowly, and counts them.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::{Stream, stream};
+use hyper::body::Frame;
+use tokio::{
+    sync::{
+        OwnedSemaphorePermit, Semaphore,
+        mpsc::{self, UnboundedReceiver, UnboundedSender},
+    },
+    time::timeout,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::published::refusal::BodyError;
+
+/// Bytes of one stream that wait for its caller: some ten events of the largest usual size, while a thousand callers who
+/// don't read hold 16 MB.
+pub(super) const MAX_STREAM_BYTES: usize = 16 << 10;
+/// Bytes of all streams that wait for callers, an eighth of the memory of a VM with 120 MB.
+const MAX_WAITING_BYTES: usize = 16 << 20;
+/// Bytes of all events that are too large to be read without a reservation, another eighth.
+const MAX_LARGE_EVENT_BYTES: usize = 16 << 20;
+/// Bytes that a shorter frame counts as, for the memory of its entry in the queue.
+const MIN_FRAME_BYTES: usize = 256;
+
+/// The bytes of streams that a VM buffers.
+#[derive(Debug)]
+pub struct StreamBuffers {
+    buffered: Arc<AtomicUsize>,
+    waiting: Arc<Semaphore>,
+    large_events: Arc<Semaphore>,
+}
+
+impl Default for StreamBuffers {
+    fn default() -> Self {
+        Self {
+            buffered: Arc::default(),
+            waiting: Arc::new(Semaphore::new(MAX_WAITING_BYTES)),
+            large_events: Arc::new(Semaphore::new(MAX_LARGE_EVENT_BYTES)),
+        }
+    }
+}
+
+impl StreamBuffers {
+    /// Bytes of all streams that are buffered now: events that are being read, and those that wait for callers.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered.load(Ordering::Relaxed)
+    }
+
+    /// Counts bytes as buffered until the result is dropped.
+    pub(super) fn count(&self, bytes: usize) -> CountedBytes {
+        let mut counted = CountedBytes { total: self.buffered.clone(), bytes: 0 };
+        counted.set(bytes);
+        counted
+    }
+
+    /// Reserves room for a large event, in the order of the calls; none if there is no room within `limit`.
+    pub(super) async fn reserve_large_event(&self, bytes: usize, limit: Duration) -> Option<OwnedSemaphorePermit> {
+        acquire(&self.large_events, bytes, limit).await
+    }
+
+    /// Creates the queue of one stream, and the stream of its frames for the caller.
+    pub(super) fn queue(
+        self: &Arc<Self>,
+    ) -> (FrameQueue, impl Stream<Item = Result<Frame<Bytes>, BodyError>> + Send + 'static) {
+        let (frames, taken) = mpsc::unbounded_channel();
+        let queue = FrameQueue { buffers: self.clone(), room: Arc::new(Semaphore::new(MAX_STREAM_BYTES)), frames };
+        (queue, stream::unfold(taken, next_frame))
+    }
+}
+
+async fn next_frame(
+    mut frames: UnboundedReceiver<QueuedFrame>,
+) -> Option<(Result<Frame<Bytes>, BodyError>, UnboundedReceiver<QueuedFrame>)> {
+    let queued = frames.recv().await?;
+    Some((queued.frame, frames))
+}
+
+async fn acquire(semaphore: &Arc<Semaphore>, bytes: usize, limit: Duration) -> Option<OwnedSemaphorePermit> {
+    let permits = u32::try_from(bytes).unwrap_or(u32::MAX);
+    // The semaphores are never closed.
+    timeout(limit, semaphore.clone().acquire_many_owned(permits)).await.ok()?.ok()
+}
+
+/// Bytes that are counted as buffered until they are dropped.
+#[derive(Debug)]
+pub(super) struct CountedBytes {
+    total: Arc<AtomicUsize>,
+    bytes: usize,
+}
+
+impl CountedBytes {
+    /// Changes the number of bytes.
+    pub(super) fn set(&mut self, bytes: usize) {
+        self.total.fetch_add(bytes, Ordering::Relaxed);
+        self.total.fetch_sub(std::mem::replace(&mut self.bytes, bytes), Ordering::Relaxed);
+    }
+}
+
+impl Drop for CountedBytes {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
+/// A frame that waits for the caller, with the room that it takes.
+struct QueuedFrame {
+    frame: Result<Frame<Bytes>, BodyError>,
+    _room: Option<[OwnedSemaphorePermit; 2]>,
+    _counted: CountedBytes,
+}
+
+/// Why bytes could not be queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum QueueError {
+    /// The caller has left.
+    CallerLeft,
+    /// The caller has read nothing within the limit.
+    CallerStalled,
+    /// Other streams have taken all room of the VM.
+    NoRoom,
+}
+
+/// The frames of one stream that wait for its caller.
+pub(super) struct FrameQueue {
+    buffers: Arc<StreamBuffers>,
+    room: Arc<Semaphore>,
+    frames: UnboundedSender<QueuedFrame>,
+}
+
+impl FrameQueue {
+    /// Queues bytes in frames of limited size; waits up to `limit` for room for each of them.
+    pub(super) async fn send(&self, mut bytes: Bytes, limit: Duration) -> Result<(), QueueError> {
+        while !bytes.is_empty() {
+            let piece = bytes.split_to(bytes.len().min(MAX_STREAM_BYTES));
+            tokio::select! {
+                biased;
+                () = self.frames.closed() => return Err(QueueError::CallerLeft),
+                sent = self.send_piece(piece, limit) => sent?,
+            }
+        }
+        Ok(())
+    }
+
+    async fn send_piece(&self, piece: Bytes, limit: Duration) -> Result<(), QueueError> {
+        let size = piece.len().max(MIN_FRAME_BYTES);
+        let own = acquire(&self.room, size, limit).await.ok_or(QueueError::CallerStalled)?;
+        let shared = acquire(&self.buffers.waiting, size, limit).await.ok_or(QueueError::NoRoom)?;
+        let counted = self.buffers.count(piece.len());
+        let frame = QueuedFrame { frame: Ok(Frame::data(piece)), _room: Some([own, shared]), _counted: counted };
+        self.frames.send(frame).map_err(|_| QueueError::CallerLeft)
+    }
+
+    /// Ends the stream with an error, after the frames that wait.
+    pub(super) fn abort(&self, error: BodyError) {
+        let frame = QueuedFrame { frame: Err(error), _room: None, _counted: self.buffers.count(0) };
+        // Sending fails only if the caller has left, who needs no error then.
+        drop(self.frames.send(frame));
+    }
+
+    /// Waits until the caller has left.
+    pub(super) async fn closed(&self) {
+        self.frames.closed().await;
+    }
+
+    /// Closes the caller's connection if the caller doesn't take the frames that wait after the end of the stream
+    /// within `limit`.
+    pub(super) fn close_if_not_taken(&self, connection: CallerConnection, limit: Duration) {
+        let room = self.room.clone();
+        if room.available_permits() == MAX_STREAM_BYTES {
+            return;
+        }
+        tokio::spawn(async move {
+            if acquire(&room, MAX_STREAM_BYTES, limit).await.is_none() {
+                connection.close();
+            }
+        });
+    }
+}
+
+/// Closes the connection of a caller who doesn't read; an answer on it can't be ended in another way.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CallerConnection(CancellationToken);
+
+impl CallerConnection {
+    /// Closes the connection.
+    pub(super) fn close(&self) {
+        self.0.cancel();
+    }
+
+    /// Waits until the connection is to be closed.
+    pub(super) async fn closed(&self) {
+        self.0.cancelled().await;
+    }
+}
