--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -11,6 +11,7 @@
 pub mod congestion;
 pub mod directory;
 pub mod emptied_domains;
+pub mod endpoint_memory;
 pub mod endpoint_speed;
 pub mod endpoint_subset;
 pub mod evidence_summary;
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -16,6 +16,7 @@
         congestion::CongestionTracker,
         directory::ListedEndpoint,
         emptied_domains::EmptiedDomains,
+        endpoint_memory::OutputLengths,
         endpoint_speed::EndpointSpeeds,
         peers::{Peer, Peers},
         read_rate::ReadRates,
@@ -45,6 +46,7 @@
         retry_budgets::RetryBudgets,
         state_fetch::PendingFetch,
         store_access::StoreAccess,
+        stream_buffer::StreamBuffers,
     },
     settings::{PublishedSettings, Settings},
     shared::lock,
@@ -77,6 +79,8 @@
     pub store: StoreAccess,
     /// Load, failures and availability of each endpoint.
     pub endpoint_states: EndpointTable,
+    /// Bytes of streams that wait for callers.
+    pub stream_buffers: Arc<StreamBuffers>,
     /// Persistent connections to endpoints.
     pub connection_pool: ConnectionPool,
     /// Whether another VM has transferred the active state to this VM at least once.
@@ -114,6 +118,7 @@
     read_rates: Mutex<ReadRates>,
     congestion: Mutex<CongestionTracker>,
     endpoint_speeds: Mutex<EndpointSpeeds>,
+    output_lengths: Mutex<OutputLengths>,
     send_limits: Mutex<SendLimits>,
     rng: Mutex<ChaCha8Rng>,
 }
@@ -140,6 +145,7 @@
             emptied_domains: ArcSwap::default(),
             store: StoreAccess::default(),
             endpoint_states: EndpointTable::default(),
+            stream_buffers: Arc::default(),
             connection_pool: ConnectionPool::new(network, connect_timeout),
             has_received_state: AtomicBool::new(false),
             is_receiving_state: AtomicBool::new(false),
@@ -163,6 +169,7 @@
             read_rates: Mutex::default(),
             congestion: Mutex::default(),
             endpoint_speeds: Mutex::default(),
+            output_lengths: Mutex::default(),
             send_limits: Mutex::default(),
             rng: Mutex::new(rng),
             published_settings: ArcSwap::from_pointee(settings.published.clone()),
@@ -376,6 +383,11 @@
         lock(&self.endpoint_speeds)
     }
 
+    /// Locks the lengths of recent streams; hold the guard only briefly.
+    pub fn output_lengths(&self) -> MutexGuard<'_, OutputLengths> {
+        lock(&self.output_lengths)
+    }
+
     /// Locks the send limits of endpoints; hold the guard only briefly.
     pub fn send_limits(&self) -> MutexGuard<'_, SendLimits> {
         lock(&self.send_limits)
