--- a/havengrade_core/src/gossip.rs
+++ b/havengrade_core/src/gossip.rs
@@ -22,7 +22,7 @@
 
 /// Upper bound on the one-way delay of a report, so that an observation that comes back by way of other VMs never looks
 /// newer than it was.
-const MAX_ONE_WAY_DELAY: Duration = Duration::from_millis(50);
+pub(crate) const MAX_ONE_WAY_DELAY: Duration = Duration::from_millis(50);
 
 /// The time of an observation that another VM reports with its age; the Unix epoch if the age is out of range.
 pub(crate) fn time_from_age(age: Duration, now: SystemTime) -> SystemTime {
--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -32,6 +32,7 @@
 pub mod sent_prefixes;
 mod service_rollout;
 mod session_affinity;
+pub mod session_set;
 pub mod signals;
 pub mod startup;
 pub mod state_transfer;
--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -29,8 +29,6 @@
 /// Highest number of counters in a report, each of a version and a kind of request. The others follow in the next
 /// report.
 const MAX_EVIDENCE: usize = 16;
-/// Highest number of sessions in a report.
-const MAX_SESSIONS: usize = 48;
 /// Highest number of written statuses in a report.
 const MAX_STATES: usize = 4;
 
@@ -315,15 +313,20 @@
         if mixed.is_empty() {
             return Vec::new();
         }
-        let is_relevant = |session: &SessionId, version: &SoftwareVersion| {
-            mixed.iter().any(|rollout| rollout.would_move_session(session, version, bounds, now))
+        let is_relevant = |session: &SessionId, version: &SoftwareVersion, last_used: SystemTime| {
+            mixed.iter().any(|rollout| rollout.must_report_session(session, version, last_used, bounds, now))
         };
-        self.affinities.next_report(is_relevant, MAX_SESSIONS, bounds.session_idle_timeout, now)
+        self.affinities.next_report(is_relevant, bounds.session_idle_timeout, now)
     }
 
     /// Merges the affinity of a session that another VM reported.
     pub fn merge_session(&mut self, affinity: SessionAffinity, now: SystemTime) {
-        self.affinities.merge(affinity, now);
+        self.affinities.merge(None, affinity, now);
+    }
+
+    /// Records that a VM sent a report, and whether it is in the failure domain of this VM, before the report is merged.
+    pub fn record_sender(&mut self, from: Incarnation, is_near: bool, now: SystemTime) {
+        self.affinities.record_sender(from, is_near, now);
     }
 
     /// Counts the outcome of an attempt at a service that this VM, of incarnation `own`, made.
@@ -403,11 +406,12 @@
 
     /// Merges a report of the VM incarnation `from`. Returns the changes to the known roll-outs.
     pub fn merge_report(&mut self, from: Incarnation, report: RolloutReport, now: SystemTime) -> Vec<RolloutUpdate> {
+        self.affinities.record_report(from, now);
         for evidence in &report.evidence {
             self.merge_evidence(from, evidence);
         }
         for affinity in report.sessions {
-            self.merge_session(affinity, now);
+            self.affinities.merge(Some(from), affinity, now);
         }
         for reported in report.recent {
             if let Some(rollout) = self.by_service.get_mut(&reported.service) {
--- a/havengrade_core/src/published/service_rollout.rs
+++ b/havengrade_core/src/published/service_rollout.rs
@@ -45,6 +45,9 @@
 /// Time from an order until sessions try the new version, in which VMs report to each other which sessions keep to the
 /// old one.
 const SESSION_TRIAL_DELAY: Duration = Duration::from_secs(2);
+/// Time before full traffic from which all sessions of the old version are reported, so that their reports need not all
+/// be sent at once when it begins.
+const FULL_TRAFFIC_LEAD: Duration = Duration::from_secs(2);
 /// Number of slots among which requests and sessions are evenly distributed, as the resolution of a share.
 const SLOTS: u64 = 10_000;
 
@@ -213,6 +216,23 @@
         }
     }
 
+    /// Whether other VMs must know of a session that `version` served at `last_used`: they would move it now, or once
+    /// full traffic begins. Another order may follow then, so that the session keeps to its version after all.
+    pub(super) fn must_report_session(
+        &self,
+        session: &str,
+        version: &str,
+        last_used: SystemTime,
+        bounds: RolloutBounds,
+        now: SystemTime,
+    ) -> bool {
+        if self.would_move_session(session, version, bounds, now) {
+            return true;
+        }
+        let is_near_full_traffic = self.full_traffic_at(bounds).is_some_and(|at| last_used + FULL_TRAFFIC_LEAD >= at);
+        is_near_full_traffic && version != self.order.version && !self.is_halted()
+    }
+
     /// Length of the full-traffic phase before the deadline, as a fraction of the order's duration.
     fn full_traffic_time_fraction(&self, bounds: RolloutBounds) -> f64 {
         let duration = self.order.duration.as_secs_f64().max(f64::MIN_POSITIVE);
--- a/havengrade_core/src/published/session_affinity.rs
+++ b/havengrade_core/src/published/session_affinity.rs
@@ -1,13 +1,13 @@
 //! Session affinity: which version each session keeps to, as known to this VM and as reported by others.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, SystemTime},
 };
 
 use crate::{
-    gossip::{REPORTS_PER_ENTRY, time_from_age},
-    ids::SessionId,
+    gossip::{MAX_ONE_WAY_DELAY, REPORTS_PER_ENTRY, time_from_age},
+    ids::{Incarnation, SessionId},
     published::directory::SoftwareVersion,
     secret::uniform_hash,
 };
@@ -15,8 +15,32 @@
 /// Identifies a session between VMs.
 pub type SessionFingerprint = u64;
 
-/// Highest number of other VMs' sessions that a report relays; in a small fleet each VM learns of them directly.
-const MAX_RELAYED_SESSIONS: usize = 12;
+/// Highest number of sessions in a report: at most 1,600 bytes. With 48, reports were full for seconds at the end of a
+/// roll-out in a fleet that served 4,000 sessions.
+const MAX_SESSIONS: usize = 128;
+/// Number of other VMs up to which a report reaches all of them.
+const MAX_DIRECT_VMS: usize = 23;
+/// Reports that carry a session of this VM in a larger fleet. Each goes to 20 VMs of the sender's failure domain: of 28
+/// VMs, three reports miss one in 57, and four miss one in 220.
+const REPORTS_IN_LARGE_FLEET: u32 = 4;
+/// Highest number of other VMs' sessions that a report relays while each VM learns of them directly.
+const MAX_RELAYED_IN_SMALL_FLEET: usize = 12;
+/// Reports in which a VM of a large fleet relays a session of another failure domain, from which few VMs learn of it
+/// directly.
+const RELAYS_FROM_FAR: u32 = 2;
+/// Number of reports of a session after which a VM does not relay it, since other VMs of its failure domain do.
+const MAX_RECEIVED_FROM_FAR: u32 = 4;
+/// The same for a session of the own failure domain, which its VM reports to most others itself.
+const MAX_RECEIVED_FROM_NEAR: u32 = 2;
+/// Time for which a VM waits for a second report of a session of its own failure domain before it relays the session:
+/// the interval between two reports of a VM.
+const NEAR_RELAY_DELAY: Duration = Duration::from_millis(400);
+/// Largest difference between two times of the same use of a session, of which one was relayed: each report makes a use
+/// look up to 50 ms older than it is.
+const MAX_USE_TIME_ERROR: Duration = Duration::from_millis(500);
+/// Time after which a VM that was not heard of is not counted any more. A report goes to 3 of some 50 VMs in other
+/// failure domains, every 0.4 s: within this time, it reaches each of them with a probability of 0.98.
+const SENDER_TIMEOUT: Duration = Duration::from_secs(25);
 
 /// A session and the version that served it last, as an entry of a report.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,6 +59,16 @@
     local: HashMap<SessionId, Affinity>,
     /// The latest affinities that other VMs reported.
     reported: HashMap<SessionFingerprint, Affinity>,
+    /// The VMs that sent reports, and when each was last heard of.
+    senders: HashMap<Incarnation, Sender>,
+}
+
+/// Another VM that sent reports.
+#[derive(Clone, Copy, Debug)]
+struct Sender {
+    heard_at: SystemTime,
+    /// Whether the VM is in the failure domain of this one.
+    is_near: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -48,6 +82,12 @@
     has_moved: bool,
     /// Number of reports that carried the affinity as it is.
     report_count: u32,
+    /// Number of reports of other VMs that carried the affinity as it is.
+    received_count: u32,
+    /// When the first of them arrived.
+    received_at: SystemTime,
+    /// Whether that one came from a VM in the failure domain of this one.
+    is_from_near: bool,
 }
 
 impl Affinity {
@@ -55,6 +95,23 @@
         now < self.last_used_at(now) + session_idle_timeout
     }
 
+    /// Number of reports that carried the affinity, as far as this VM knows.
+    fn known_count(&self) -> u32 {
+        self.report_count + self.received_count
+    }
+
+    /// Whether an affinity of another VM goes into the next report, for VMs that missed the original one.
+    fn must_relay(&self, is_large_fleet: bool, now: SystemTime) -> bool {
+        if !is_large_fleet {
+            return self.report_count == 0;
+        }
+        if !self.is_from_near {
+            return self.report_count < RELAYS_FROM_FAR && self.received_count < MAX_RECEIVED_FROM_FAR;
+        }
+        let is_missed = self.received_count < MAX_RECEIVED_FROM_NEAR && now >= self.received_at + NEAR_RELAY_DELAY;
+        self.report_count == 0 && is_missed
+    }
+
     /// When the session was last used; `now` while a request of the session is in flight.
     fn last_used_at(&self, now: SystemTime) -> SystemTime {
         self.last_used.max(self.busy_until.min(now))
@@ -104,8 +161,16 @@
                 affinity.report_count = 0;
             },
             None => {
-                let affinity =
-                    Affinity { version: version.to_owned(), last_used: now, busy_until, has_moved, report_count: 0 };
+                let affinity = Affinity {
+                    version: version.to_owned(),
+                    last_used: now,
+                    busy_until,
+                    has_moved,
+                    report_count: 0,
+                    received_count: 0,
+                    received_at: now,
+                    is_from_near: false,
+                };
                 self.local.insert(session.to_owned(), affinity);
             },
         }
@@ -135,52 +200,80 @@
         self.reported.retain(|_, affinity| affinity.is_live(session_idle_timeout, now));
     }
 
-    /// Merges an affinity that another VM reported, unless a later one is known.
-    pub(super) fn merge(&mut self, entry: SessionAffinity, now: SystemTime) {
+    /// Records that a VM sent a report; its failure domain is another one unless [`Self::record_sender`] told.
+    pub(super) fn record_report(&mut self, from: Incarnation, now: SystemTime) {
+        self.senders.entry(from).or_insert(Sender { heard_at: now, is_near: false }).heard_at = now;
+    }
+
+    /// Records that a VM sent a report, and whether it is in the failure domain of this VM.
+    pub(super) fn record_sender(&mut self, from: Incarnation, is_near: bool, now: SystemTime) {
+        self.senders.insert(from, Sender { heard_at: now, is_near });
+    }
+
+    /// Merges an affinity that the VM `from` reported, unless a later one is known.
+    pub(super) fn merge(&mut self, from: Option<Incarnation>, entry: SessionAffinity, now: SystemTime) {
         let last_used = time_from_age(entry.used_ago, now);
-        if self.reported.get(&entry.session).is_some_and(|known| known.last_used >= last_used) {
-            return;
+        let is_from_near = from.and_then(|from| self.senders.get(&from)).is_some_and(|sender| sender.is_near);
+        if let Some(known) = self.reported.get_mut(&entry.session) {
+            let is_same_use = last_used < known.last_used + MAX_ONE_WAY_DELAY
+                && known.last_used < last_used + MAX_USE_TIME_ERROR
+                && known.version == entry.version;
+            if is_same_use {
+                known.received_count += 1;
+                known.last_used = known.last_used.max(last_used);
+                return;
+            }
+            if known.last_used >= last_used {
+                return;
+            }
         }
-        // Relayed in a single report, for VMs that missed the original one.
         let affinity = Affinity {
             version: entry.version,
             last_used,
             busy_until: last_used,
             has_moved: false,
-            report_count: REPORTS_PER_ENTRY - 1,
+            report_count: 0,
+            received_count: 1,
+            received_at: now,
+            is_from_near,
         };
         self.reported.insert(entry.session, affinity);
     }
 
-    /// The affinities of the next report, at most `max_count`: this VM's own sessions whose versions `is_relevant`
-    /// selects or that have moved, the least reported first, and after them those of other VMs. None goes into more
-    /// than [`REPORTS_PER_ENTRY`] reports.
+    /// The affinities of the next report: this VM's own sessions whose versions `is_relevant` selects or that have
+    /// moved, and after them those of other VMs to relay; of each, the ones that were reported or received least.
     pub(super) fn next_report(
         &mut self,
-        is_relevant: impl Fn(&SessionId, &SoftwareVersion) -> bool,
-        max_count: usize,
+        is_relevant: impl Fn(&SessionId, &SoftwareVersion, SystemTime) -> bool,
         session_idle_timeout: Duration,
         now: SystemTime,
     ) -> Vec<SessionAffinity> {
-        let is_due = |affinity: &Affinity| {
-            affinity.report_count < REPORTS_PER_ENTRY && affinity.is_live(session_idle_timeout, now)
-        };
-        let local =
-            self.local.iter_mut().filter(|(id, affinity)| affinity.has_moved || is_relevant(id, &affinity.version));
-        let local = local.map(|(id, affinity)| (fingerprint(id), affinity)).filter(|(_, affinity)| is_due(affinity));
+        self.senders.retain(|_, sender| now < sender.heard_at + SENDER_TIMEOUT);
+        let is_large = self.senders.len() > MAX_DIRECT_VMS;
+        let reports = if is_large { REPORTS_IN_LARGE_FLEET } else { REPORTS_PER_ENTRY };
+        let max_relayed = if is_large { MAX_SESSIONS } else { MAX_RELAYED_IN_SMALL_FLEET };
+        // A VM does not relay reports of its own sessions that come back to it.
+        let own: HashSet<SessionFingerprint> = self.local.keys().map(|id| fingerprint(id)).collect();
+        let local = self
+            .local
+            .iter_mut()
+            .filter(|(_, affinity)| affinity.report_count < reports && affinity.is_live(session_idle_timeout, now))
+            .filter(|(id, affinity)| affinity.has_moved || is_relevant(id, &affinity.version, affinity.last_used));
+        let mut due: Vec<(SessionFingerprint, &mut Affinity)> =
+            local.map(|(id, affinity)| (fingerprint(id), affinity)).collect();
         let reported = self
             .reported
             .iter_mut()
-            .map(|(session, affinity)| (*session, affinity))
-            .filter(|(_, affinity)| is_due(affinity));
-        let mut due: Vec<(SessionFingerprint, &mut Affinity)> = local.collect();
-        due.sort_by_key(|(session, affinity)| (affinity.report_count, *session));
-        let mut relayed: Vec<(SessionFingerprint, &mut Affinity)> = reported.collect();
-        relayed.sort_by_key(|(session, _)| *session);
-        relayed.truncate(MAX_RELAYED_SESSIONS);
-        // This VM's own sessions come first, since no other VM reports them.
+            .filter(|(session, affinity)| affinity.must_relay(is_large, now) && !own.contains(session))
+            .filter(|(_, affinity)| affinity.is_live(session_idle_timeout, now));
+        let mut relayed: Vec<(SessionFingerprint, &mut Affinity)> =
+            reported.map(|(session, affinity)| (*session, affinity)).collect();
+        relayed.sort_by_key(|(session, affinity)| (affinity.known_count(), *session));
+        relayed.truncate(max_relayed);
+        // This VM's own sessions come first, since others may not know of them.
+        due.sort_by_key(|(session, affinity)| (affinity.known_count(), *session));
         due.extend(relayed);
-        due.truncate(max_count);
+        due.truncate(MAX_SESSIONS);
         let entry = |(session, affinity): (SessionFingerprint, &mut Affinity)| {
             affinity.report_count += 1;
             let used_ago = now.duration_since(affinity.last_used_at(now)).unwrap_or_default();
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -328,6 +328,8 @@
     if peer.vm == cx.shared.settings.vm.id {
         return;
     }
+    let is_near = peer.failure_domain == cx.shared.settings.vm.failure_domain;
+    cx.shared.rollouts().record_sender(peer.incarnation, is_near, now);
     let updates = cx.shared.rollouts().merge_report(peer.incarnation, report.rollouts, now);
     for update in updates {
         log_rollout_update(&update, peer);
--- a/havengrade_router/src/published/wire.rs
+++ b/havengrade_router/src/published/wire.rs
@@ -13,6 +13,7 @@
             AttemptStats, HaltReason, ReportedAnswerCounts, ReportedHalt, ReportedRollout, RolloutOutcome,
             RolloutReport, RolloutStatus, RouteEvidence, SessionAffinity,
         },
+        session_set::{pack_sessions, unpack_sessions},
         signals::{ReportedLimit, ReportedSignal},
         time_histogram::{TimeHistogram, TimeHistogramByLoad},
     },
@@ -21,12 +22,16 @@
 use havengrade_rpc::reports::{
     AnsweredRequest, EndpointAnswers, EndpointChange, EndpointCrash, EndpointEntry, EndpointSignal, EndpointSpeed,
     EndpointWork, HeldRequest, KeptSession as WireSession, Quarantine as WireQuarantine, RecentAnswers, RolloutHalt,
-    RolloutState, RouteEvidence as WireEvidence, VmReport,
+    RolloutState, RouteEvidence as WireEvidence, SessionSet, VmReport,
 };
 
 /// Hundredths in a whole.
 const PERCENT: f64 = 100.0;
 
+/// Number of sessions in a report that VMs of builds without session sets understand as well: the first reports of this
+/// VM's own sessions, which come first.
+const MAX_LISTED_SESSIONS: usize = 16;
+
 const RUNNING: &str = "running";
 const SUCCEEDED: &str = "succeeded";
 const ROLLED_BACK: &str = "rolled_back";
@@ -60,7 +65,10 @@
     let rollouts: Vec<_> = states.into_iter().map(|rollout| encode_rollout(rollout, Vec::new())).collect();
     let halts: Vec<_> = halts.into_iter().map(encode_halt).collect();
     let recent: Vec<_> = recent.into_iter().map(encode_recent).collect();
-    let sessions: Vec<_> = sessions.into_iter().map(encode_session).collect();
+    let (listed, rest) = sessions.split_at(sessions.len().min(MAX_LISTED_SESSIONS));
+    let session_sets: Vec<_> =
+        pack_sessions(rest).into_iter().map(|(version, entries)| SessionSet::new(version, entries)).collect();
+    let sessions: Vec<_> = listed.iter().cloned().map(encode_session).collect();
     let speeds: Vec<_> = report.speeds.into_iter().map(encode_speed).collect();
     VmReport::new(
         peer.vm,
@@ -77,6 +85,7 @@
         (!report.signals.is_empty()).then(|| encode_signals(report.signals)),
         (!sessions.is_empty()).then_some(sessions),
         (!speeds.is_empty()).then_some(speeds),
+        (!session_sets.is_empty()).then_some(session_sets),
     )
 }
 
@@ -93,12 +102,14 @@
     let halts = report.halts.unwrap_or_default().into_iter().filter_map(decode_halt);
     let recent = report.recent_answers.unwrap_or_default().into_iter().map(decode_recent);
     let sessions = report.sessions.unwrap_or_default().into_iter().map(decode_session);
+    let session_sets = report.session_sets.unwrap_or_default().into_iter();
+    let packed_sessions = session_sets.flat_map(|set| unpack_sessions(&set.version, &set.entries));
     let rollouts = RolloutReport {
         evidence: evidence.collect(),
         states: states.collect(),
         halts: halts.collect(),
         recent: recent.collect(),
-        sessions: sessions.collect(),
+        sessions: sessions.chain(packed_sessions).collect(),
     };
     let failure_domain = report.failure_domain.unwrap_or_default();
     let peer = Peer { vm: report.vm, incarnation: from_i64(report.incarnation), address, failure_domain };
--- a/schema/reports.thrift
+++ b/schema/reports.thrift
@@ -71,6 +71,13 @@
   3: required i64 used_ms,
 }
 
+/** Sessions at one version, as `KeptSession`, in fewer bytes. */
+struct SessionSet {
+  1: required string version,
+  /** 11 bytes for each session, big-endian: the session (8) and the milliseconds since it was last served (3). */
+  2: required binary entries,
+}
+
 /** What an endpoint answered lately, as the sender saw it. */
 struct EndpointAnswers {
   1: required string endpoint,
@@ -167,6 +174,8 @@
   13: optional list<EndpointSignal> signals,
   14: optional list<KeptSession> sessions,
   15: optional list<EndpointSpeed> speeds,
+  /** Sessions beside those in `sessions`. */
+  16: optional list<SessionSet> session_sets,
 }
 
 /** An entry of the list of endpoints. */
