--- a/havengrade_core/src/published/answer_window.rs
+++ b/havengrade_core/src/published/answer_window.rs
@@ -158,3 +158,28 @@
     let failing = compared.iter().filter(|part| part.errors >= MIN_ERRORS && part.error_rate() >= min_rate).count();
     failing as f64 >= compared.len() as f64 * MIN_FAILING_FRACTION
 }
+
+/// Highest number of standard deviations by which evenly spread errors may exceed their expected dispersion.
+const MAX_DISPERSION_DEVIATIONS: f64 = 3.0;
+
+/// The recent answers of all VMs, if their errors are spread over the endpoints as evenly as chance spreads those of a
+/// version that fails some of its requests anywhere.
+pub(super) fn evenly_failing(local: &RecentAnswerCounts, remote: &RemoteAnswerCounts) -> Option<AnswerCounts> {
+    let vms = remote.by_vm.values().map(|(_, counts)| counts).chain([local]);
+    let mut by_endpoint: BTreeMap<&EndpointId, AnswerCounts> = BTreeMap::new();
+    for (endpoint, answers) in vms.flat_map(|counts| &counts.by_endpoint) {
+        by_endpoint.entry(endpoint).or_default().add(*answers);
+    }
+    let all = sum(by_endpoint.values().copied());
+    let rate = all.error_rate();
+    let chi_squared: f64 = by_endpoint
+        .values()
+        .map(|part| {
+            let expected = rate * part.answers as f64;
+            (part.errors as f64 - expected).powi(2) / expected.max(f64::MIN_POSITIVE)
+        })
+        .sum();
+    let freedom = by_endpoint.len().saturating_sub(1) as f64;
+    let max = freedom + MAX_DISPERSION_DEVIATIONS * (2.0 * freedom).sqrt();
+    (all.errors > 0 && chi_squared <= max).then_some(all)
+}
--- a/havengrade_core/src/published/halt.rs
+++ b/havengrade_core/src/published/halt.rs
@@ -1,11 +1,11 @@
 //! Decides from the evidence when a version is halted, so that it gets no more requests.
 
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use crate::{
     ids::Incarnation,
     published::{
-        answer_window::{LocalAnswerWindow, RecentAnswerCounts, RemoteAnswerCounts, is_version_faulty},
+        answer_window::{LocalAnswerWindow, RecentAnswerCounts, RemoteAnswerCounts, evenly_failing, is_version_faulty},
         likelihood::{self, DegradationTest},
         rollout_order::RolloutOutcome,
         version_comparison::VersionComparison,
@@ -29,6 +29,18 @@
 const MIN_POST_SUCCESS_ERRORS: u64 = 20;
 /// Number of errors in the answer window from which a VM reports its answers by endpoint.
 const MIN_ERRORS_TO_ATTRIBUTE: u64 = 2;
+/// Time after its success in which a version is halted for errors that are few, but evenly spread over its endpoints.
+/// Later, other causes such as overload are more likely, and the old version is gone.
+const EVEN_ERRORS_TIME: Duration = Duration::from_secs(20);
+/// Number of such errors below which their spread is not known. At 12 errors per second, they take 7 s of the 10 s that
+/// callers allow.
+const MIN_EVEN_ERRORS: u64 = 80;
+/// Number of answers of the baseline below which its error rate is not known well enough.
+const MIN_BASELINE_ANSWERS: f64 = 1_000.0;
+/// Increase of the error rate that is tolerated, and the increase beyond it that is tested.
+const TOLERATED_EVEN_INCREASE: f64 = 0.005;
+const EVEN_INCREASE: f64 = 0.01;
+
 /// Why a version was halted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HaltReason {
@@ -62,6 +74,10 @@
     post_success: DegradationTest,
     local: LocalAnswerWindow,
     remote: RemoteAnswerCounts,
+    /// Whether this VM has evaluated the version before its success.
+    was_running: bool,
+    /// When this VM learned of the success; `None` if the version had succeeded when this VM started.
+    succeeded_at: Option<SystemTime>,
     /// Why the version was halted. A halt is permanent: later good answers don't undo it.
     halt: Option<HaltReason>,
 }
@@ -113,6 +129,10 @@
     pub(super) fn evaluate(&mut self, versions: &mut VersionComparison, outcome: RolloutOutcome, now: SystemTime) {
         self.local.prune(now);
         self.remote.prune(now);
+        self.was_running |= outcome == RolloutOutcome::Running;
+        if outcome == RolloutOutcome::Succeeded && self.was_running {
+            self.succeeded_at.get_or_insert(now);
+        }
         let unevaluated = versions.take_unevaluated();
         if unevaluated.is_empty() || self.halt(outcome).is_some() {
             return;
@@ -123,18 +143,40 @@
             _ => self.post_success.add_errors(compared),
         }
         self.log_odds = likelihood::log_odds(versions.compare_all());
-        self.halt = self.find_halt(outcome, now).or(self.halt);
+        self.halt = self.find_halt(versions, outcome, now).or(self.halt);
     }
 
-    fn find_halt(&self, outcome: RolloutOutcome, now: SystemTime) -> Option<HaltReason> {
+    fn find_halt(&self, versions: &VersionComparison, outcome: RolloutOutcome, now: SystemTime) -> Option<HaltReason> {
         match outcome {
             RolloutOutcome::Running if self.log_odds > HALT_LOG_ODDS => Some(HaltReason::Worse),
             RolloutOutcome::Running if self.degradation.log_odds() > DEGRADATION_LOG_ODDS => Some(HaltReason::Degraded),
             RolloutOutcome::Succeeded if self.post_success.log_odds() > POST_SUCCESS_LOG_ODDS => {
                 let is_faulty = is_version_faulty(&self.local.counts(now), &self.remote, MIN_POST_SUCCESS_ERRORS);
-                is_faulty.then_some(HaltReason::FailedAfterSuccess)
+                (is_faulty || self.fails_evenly(versions, now)).then_some(HaltReason::FailedAfterSuccess)
             },
+            RolloutOutcome::Succeeded => self.fails_evenly(versions, now).then_some(HaltReason::FailedAfterSuccess),
             _ => None,
         }
     }
+
+    /// Whether the version, which has just got all requests, fails more of them than the baseline, at all endpoints alike.
+    fn fails_evenly(&self, versions: &VersionComparison, now: SystemTime) -> bool {
+        if self.succeeded_at.is_none_or(|at| now >= at + EVEN_ERRORS_TIME) {
+            return false;
+        }
+        let Some(recent) = evenly_failing(&self.local.counts(now), &self.remote) else { return false };
+        let (mut errors, mut answers) = (0.0, 0.0);
+        for (_, _, baseline) in versions.compare_all() {
+            errors += baseline.errors as f64;
+            answers += baseline.observed_starts() as f64;
+        }
+        if answers < MIN_BASELINE_ANSWERS || recent.errors < MIN_EVEN_ERRORS {
+            return false;
+        }
+        let rate = (errors + 1.0) / answers;
+        let usual = rate + (rate / answers).sqrt() + TOLERATED_EVEN_INCREASE;
+        let raised = usual + EVEN_INCREASE;
+        let ratio = recent.errors as f64 * (raised / usual).ln() - recent.answers as f64 * (raised - usual);
+        ratio > POST_SUCCESS_LOG_ODDS
+    }
 }
--- a/havengrade_core/tests/published_bad_version.rs
+++ b/havengrade_core/tests/published_bad_version.rs
@@ -170,3 +170,24 @@
         .collect();
     assert!(lost.is_empty(), "{} of {} scenarios:\n{}", lost.len(), scenarios.len(), lost.join("\n"));
 }
+
+/// Guards against a good version that is stopped since some of its endpoints give a few errors right after its success:
+/// as many as the bad version above gives, but at a part of the endpoints.
+#[test]
+fn a_good_version_stays_while_part_of_its_endpoints_give_few_errors() {
+    let mut scenarios = Vec::new();
+    for (share, failing) in [(0.05, 0.4), (0.2, 0.1), (0.4, 0.06)] {
+        for seed in 0..4 {
+            let faults = [Fault::Grey { share, failing, from: 20_000, until: 28_000 }];
+            let scenario = Scenario::new(seed, Badness::None, 0, &faults);
+            let name = format!("{failing} of the requests at {share} of the endpoints, seed {seed}");
+            scenarios.push((name, Scenario { endpoints: 140, rate: 480.0, ..scenario }));
+        }
+    }
+    let lost: Vec<String> = simulate_all(&scenarios)
+        .into_iter()
+        .filter(|(_, result)| result.last_outcome() != Some(RolloutOutcome::Succeeded) || result.refused > 0)
+        .map(|(name, result)| format!("{name}: {:?}, {} refused", result.outcomes, result.refused))
+        .collect();
+    assert!(lost.is_empty(), "{} of {} scenarios:\n{}", lost.len(), scenarios.len(), lost.join("\n"));
+}
