--- a/havengrade_dev/tests/published_cascade.rs
+++ b/havengrade_dev/tests/published_cascade.rs
@@ -50,7 +50,7 @@
     let work = vec![EndpointWork::new("e0".into(), requests, tokens, None)];
     let address = bench.pipes.address(OTHER_VM, 1).to_string();
     let report =
-        VmReport::new("vm-2".into(), 1, 1, address, work, None, None, None, None, None, None, None, None, None);
+        VmReport::new("vm-2".into(), 1, 1, address, work, None, None, None, None, None, None, None, None, None, None);
     let bytes = havengrade_rpc::encode(&Datagram::Report(report)).unwrap();
     socket.send(&bytes, bench.pipes.address(ROUTER, 1)).await.unwrap();
     sleep(Duration::from_millis(20)).await;
--- a/havengrade_rpc/tests/report_size.rs
+++ b/havengrade_rpc/tests/report_size.rs
@@ -1,15 +1,18 @@
-//! A report with work at as many endpoints as it may name fits into one packet, also with the memory that the work takes.
+//! A report with work at as many endpoints as it may name fits into one packet, also with the memory that
+//! the work takes and the measured speeds.
 #![allow(clippy::unwrap_used)]
 
 use havengrade_rpc::{
     encode,
-    reports::{Datagram, EndpointWork, VmReport},
+    reports::{Datagram, EndpointSpeed, EndpointWork, VmReport},
 };
 
 /// Bytes of a datagram that is not split on an Ethernet.
 const PACKET_BYTES: usize = 1400;
 /// Endpoints that a report names at most.
 const ENDPOINTS: i32 = 36;
+/// Measured speeds that a report carries at most.
+const SPEEDS: i32 = 16;
 
 #[test]
 fn a_full_report_of_work_fits_into_a_packet() {
@@ -17,6 +20,8 @@
         let id = format!("i-{:010x}", 0x6b_6e62_46f3_i64 + i64::from(index));
         EndpointWork::new(id, 128, 300_000 + index, Some(330_000 + index))
     });
+    let speeds = (0..SPEEDS)
+        .map(|index| EndpointSpeed::new(format!("i-{:010x}", 0x6b_6e62_46f3_i64 + i64::from(index)), 400, 32));
     let report = VmReport::new(
         "front-kariakoo-3".to_owned(),
         i64::MAX,
@@ -31,6 +36,7 @@
         None,
         None,
         None,
+        Some(speeds.collect::<Vec<_>>()),
         None,
     );
     let bytes = encode(&Datagram::Report(report)).unwrap().len();
