--- a/havengrade_core/src/published/endpoint_speed.rs
+++ b/havengrade_core/src/published/endpoint_speed.rs
@@ -28,6 +28,9 @@
 const HALF_LIFE: Duration = Duration::from_secs(15);
 /// Weight of the assumption that an endpoint is as fast as the others, in measurements.
 const PRIOR_WEIGHT: f64 = 2.0;
+/// Weight of the measurements from which a factor applies. Fewer ones may have been delayed by the same long prompt at
+/// the endpoint.
+const MIN_WEIGHT: f64 = 8.0;
 /// Highest weight of the measurements of an endpoint, so that a change shows although many are known.
 const MAX_WEIGHT: f64 = 150.0;
 /// Variance of the logarithm of a measurement that has weight 1.
@@ -149,6 +152,9 @@
 
     /// The factor; 1 unless it clearly differs from 1.
     fn factor(self) -> f64 {
+        if self.weight < MIN_WEIGHT {
+            return 1.0;
+        }
         let log_factor = self.log_factor();
         let standard_error = (UNIT_VARIANCE * self.weight).sqrt() / (self.weight + PRIOR_WEIGHT);
         if log_factor.abs() <= DEAD_BAND.ln().max(standard_error * SIGNIFICANCE) {
--- a/havengrade_core/src/published/read_rate.rs
+++ b/havengrade_core/src/published/read_rate.rs
@@ -15,6 +15,21 @@
 /// Share by which the smallest known time to a first event grows with each sample, so that it is not kept forever.
 const SMALLEST_TIME_GROWTH: f64 = 1.005;
 
+/// Time in which an endpoint reads prompt tokens of the largest model at the default rate.
+///
+/// Bounds on the waiting work are stated in it: a learned rate contains the delays that this work itself causes, so that
+/// bounds in learned times would count them twice.
+///
+/// ```
+/// use std::time::Duration;
+/// use havengrade_core::published::read_rate::nominal_time_to_read;
+///
+/// assert_eq!(nominal_time_to_read(2000.0), Duration::from_millis(150));
+/// ```
+pub fn nominal_time_to_read(tokens: f64) -> Duration {
+    DEFAULT_TIME_PER_TOKEN.mul_f64(tokens.max(0.0))
+}
+
 /// The learned rate of a service.
 #[derive(Clone, Copy, Debug)]
 struct LearnedRate {
--- a/havengrade_router/src/published/escalation.rs
+++ b/havengrade_router/src/published/escalation.rs
@@ -9,6 +9,7 @@
         directory::ListedEndpoint,
         model_choice::EscalationInput,
         peers::Work,
+        read_rate::nominal_time_to_read,
     },
 };
 
@@ -48,7 +49,7 @@
         let input = EscalationInput {
             confidence,
             priority: request.priority,
-            congestion: congestion(time_to_read(waiting_tokens), route.pause_target, route.target),
+            congestion: congestion(nominal_time_to_read(waiting_tokens), route.pause_target, route.target),
             first_event_in: time_to_read(tokens_to_first_event),
             time_to_target: (request.received_at + route.target).duration_since(now).unwrap_or_default(),
             time_left: request.time_left(now),
@@ -96,7 +97,7 @@
     let routes = cx.shared.routes.load();
     for service in routes.publication().services.iter().filter(|service| service.models.len() > 1) {
         let tokens = waiting_tokens_of_service(cx, &service.name, now);
-        let time = cx.shared.read_rates().time_to_read(&service.name, tokens);
+        let time = nominal_time_to_read(tokens);
         metrics::gauge!("congestion_seconds", "service" => service.name.clone()).set(time.as_secs_f64());
     }
 }
