--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -3,11 +3,14 @@
 //! A published route replaces a home-grown script without a change for its callers: the router chooses account,
 //! endpoint and model for each request, and leaves its body and headers unchanged.
 
+pub mod account_shares;
+pub mod admission;
 pub mod answer_window;
 pub mod attempt;
 mod attempt_outcome;
 mod attempt_stats;
 pub mod cold;
+pub mod decaying_sum;
 pub mod directory;
 pub mod emptied_domains;
 pub mod endpoint_speed;
@@ -21,6 +24,7 @@
 pub mod placement;
 pub mod position;
 pub mod read_rate;
+pub mod recent_refusals;
 pub mod relay;
 pub mod retry_after;
 pub mod rollout;
@@ -32,6 +36,7 @@
 pub mod sent_prefixes;
 mod service_rollout;
 mod session_affinity;
+pub mod shed_control;
 pub mod signals;
 pub mod startup;
 pub mod state_transfer;
--- a/havengrade_core/src/published/retry_after.rs
+++ b/havengrade_core/src/published/retry_after.rs
@@ -38,6 +38,11 @@
         /// Time after which it may be released.
         retry_after: Duration,
     },
+    /// The endpoints are short of capacity, and other requests are served first.
+    Shortage {
+        /// Time after which the request should be retried, with the random part.
+        retry_after: Duration,
+    },
     /// No VM can serve the request until the store is reachable again.
     StoreUnreachable {
         /// Time for which the store is known to have been unreachable.
@@ -95,7 +100,7 @@
         RetryReason::BadVersion => with_jitter(VERSION_DELAY),
         RetryReason::DomainsEmptied { known_for } => with_jitter(known_for.clamp(MIN_EMPTIED, MAX_EMPTIED)),
         RetryReason::SessionVersionGone { left } => left + SESSION_MARGIN,
-        RetryReason::Quarantine { retry_after } => retry_after,
+        RetryReason::Quarantine { retry_after } | RetryReason::Shortage { retry_after } => retry_after,
         RetryReason::StoreUnreachable { known_for } => with_jitter(known_for.clamp(MIN_OUTAGE, MAX_OUTAGE)),
     }
 }
