--- a/havengrade_ctl/src/explain.rs
+++ b/havengrade_ctl/src/explain.rs
@@ -151,6 +151,9 @@
         },
         "endpoints_leave" => "each endpoint that could serve it has said that it leaves; it did not run".into(),
         "session_version_gone" => "the version of its session was replaced; it did not run".to_owned(),
+        "shortage" => {
+            "the endpoints were short of capacity, and other requests were served first; it did not run".into()
+        },
         "no_endpoint" => format!("no endpoint took it within {held} ms; it did not run"),
         "no_time_left" => format!("its time was over after {held} ms before an endpoint took it; it did not run"),
         "lost" => format!("it was sent, and no answer came; given up after {held} ms, it may have run"),
--- a/havengrade_ctl/tests/explain.rs
+++ b/havengrade_ctl/tests/explain.rs
@@ -17,6 +17,7 @@
 {"unix_ms":1800,"vm":"vm-1","level":"WARN","message":"request refused","request":"r6","reason":"endpoints_at_limit","held_ms":0}
 {"unix_ms":1801,"vm":"vm-1","level":"WARN","message":"request refused","request":"r7","reason":"endpoints_leave","held_ms":0}
 {"unix_ms":1802,"vm":"vm-1","level":"WARN","message":"request refused","request":"r8","reason":"domain_emptied","held_ms":0}
+{"unix_ms":1803,"vm":"vm-1","level":"WARN","message":"request refused","request":"r9","reason":"shortage","held_ms":0}
 "#;
 
 fn cause(request: &str) -> String {
@@ -45,4 +46,5 @@
     assert!(explain(LOGS, "r6").contains("believed endpoint names a limit"));
     assert!(cause("r7").contains("has said that it leaves"));
     assert!(cause("r8").contains("operators have emptied"));
+    assert!(cause("r9").contains("short of capacity"));
 }
--- a/havengrade_router/src/published/active_request.rs
+++ b/havengrade_router/src/published/active_request.rs
@@ -70,6 +70,8 @@
     pub(super) has_reserved_retry: bool,
     /// Single send that this VM claimed because endpoints crashed while the request was in progress.
     pub(super) trial: Trial,
+    /// Whether it was decided that the request is sent; it is decided once, before the first send.
+    pub(super) is_admitted: bool,
     /// Cached result of [`Self::fingerprint`].
     fingerprint: OnceLock<RequestFingerprint>,
     /// Attempts so far.
@@ -192,6 +194,7 @@
         received_at,
         has_reserved_retry: false,
         trial: Trial::None,
+        is_admitted: false,
         fingerprint: OnceLock::new(),
         tried_endpoints: Vec::new(),
     })
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -13,6 +13,7 @@
 use havengrade_core::{
     ids::{Incarnation, ServiceId},
     published::{
+        admission::AdmissionControl,
         directory::ListedEndpoint,
         emptied_domains::EmptiedDomains,
         peers::{Peer, Peers},
@@ -110,6 +111,7 @@
     last_answer_ms: AtomicU64,
     sent_prefixes: Mutex<SentPrefixes>,
     read_rates: Mutex<ReadRates>,
+    admission: Mutex<AdmissionControl>,
     send_limits: Mutex<SendLimits>,
     rng: Mutex<ChaCha8Rng>,
 }
@@ -157,6 +159,7 @@
             last_answer_ms: AtomicU64::new(0),
             sent_prefixes: Mutex::default(),
             read_rates: Mutex::default(),
+            admission: Mutex::default(),
             send_limits: Mutex::default(),
             rng: Mutex::new(rng),
             published_settings: ArcSwap::from_pointee(settings.published.clone()),
@@ -360,6 +363,11 @@
         lock(&self.read_rates)
     }
 
+    /// Locks the admission of generations; hold the guard only briefly.
+    pub fn admission(&self) -> MutexGuard<'_, AdmissionControl> {
+        lock(&self.admission)
+    }
+
     /// Locks the send limits of endpoints; hold the guard only briefly.
     pub fn send_limits(&self) -> MutexGuard<'_, SendLimits> {
         lock(&self.send_limits)
--- a/havengrade_router/src/published/endpoint_choice.rs
+++ b/havengrade_router/src/published/endpoint_choice.rs
@@ -5,6 +5,7 @@
 use havengrade_core::{
     endpoint_selection::EndpointStates as _,
     published::{
+        admission::Forecast,
         directory::ListedEndpoint,
         peers::Work,
         placement::{Candidate, PlacementContext, Prompt, place},
@@ -18,7 +19,7 @@
 use crate::{
     endpoints::RequestTokens,
     published::{
-        active_request::ActiveRequest, context::PublishedContext, ports::PromptPart, refusal::Refusal,
+        active_request::ActiveRequest, admission, context::PublishedContext, ports::PromptPart, refusal::Refusal,
         send_limits::ServiceSendLimits,
     },
 };
@@ -35,22 +36,37 @@
 }
 
 /// Chooses the endpoint for the next attempt and reserves a send there.
+///
+/// # Errors
+///
+/// [`Refusal`] if there is no endpoint, or if the endpoints are short of capacity and other requests are served first.
 pub(super) fn choose_endpoint(
     cx: &PublishedContext,
-    request: &ActiveRequest,
+    request: &mut ActiveRequest,
     now: SystemTime,
-) -> Option<ChosenEndpoint> {
+) -> Result<ChosenEndpoint, Refusal> {
     loop {
-        let chosen = choose_ready_endpoint(cx, request, now)?;
+        let Some((chosen, prefixes, forecast)) = choose_ready_endpoint(cx, request, now) else {
+            return Err(request.refusal(refusal_without_endpoint(cx, request, now), Refusal::Lost));
+        };
+        if let Some(forecast) = forecast {
+            admission::decide(cx, request, forecast, now)?;
+        }
+        cx.shared.sent_prefixes().record(&prefixes, &chosen.endpoint.id, now);
         // Another request may have reserved the last send to this endpoint in the meantime.
         if ServiceSendLimits::new(cx, request).try_reserve(&chosen.endpoint, now) {
-            return Some(chosen);
+            return Ok(chosen);
         }
     }
 }
 
-/// Chooses the best endpoint whose send limits allow another request now.
-fn choose_ready_endpoint(cx: &PublishedContext, request: &ActiveRequest, now: SystemTime) -> Option<ChosenEndpoint> {
+/// Chooses the best endpoint whose send limits allow another request now. Returns it with the prefixes that will be
+/// cached there and, for a generation, what is expected at the endpoints.
+fn choose_ready_endpoint(
+    cx: &PublishedContext,
+    request: &ActiveRequest,
+    now: SystemTime,
+) -> Option<(ChosenEndpoint, Vec<Prefix>, Option<Forecast>)> {
     let usable = cx.shared.usable_endpoints.load();
     let endpoints = outside_emptied_domains(cx, usable.get(&request.service)?);
     let session = request.attributes.session.as_deref();
@@ -76,11 +92,11 @@
         now,
     };
     let placed = place(&candidates, placement, &mut *cx.shared.rng())?;
-    cx.shared.sent_prefixes().record(&prefixes, &placed.endpoint.id, now);
+    let forecast = prompt.is_some().then(|| admission::forecast(cx, &request.service, &candidates, placed, now));
     let endpoint = placed.endpoint.clone();
     let load = Load::of(known_work(cx, &endpoint).requests, endpoint.slots);
     let tokens = RequestTokens { pending_prompt: placed.tokens, memory: 0 };
-    Some(ChosenEndpoint { endpoint, tokens, load })
+    Some((ChosenEndpoint { endpoint, tokens, load }, prefixes, forecast))
 }
 
 /// Returns the endpoints outside emptied failure domains.
@@ -134,7 +150,7 @@
 }
 
 /// Determines the refusal for a request for which [`choose_endpoint`] found no endpoint.
-pub(super) fn refusal_without_endpoint(cx: &PublishedContext, request: &ActiveRequest, now: SystemTime) -> Refusal {
+fn refusal_without_endpoint(cx: &PublishedContext, request: &ActiveRequest, now: SystemTime) -> Refusal {
     let usable = cx.shared.usable_endpoints.load();
     let listed = usable.get(&request.service).map(Vec::as_slice).unwrap_or_default();
     let endpoints = outside_emptied_domains(cx, listed);
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -21,7 +21,7 @@
         AnsweredAttempt, Attempt, DEADLINE_SLACK, log_failed_attempt, prepare_attempt, record_failure, send_attempt,
     },
     context::PublishedContext,
-    endpoint_choice::{ChosenEndpoint, choose_endpoint, refusal_without_endpoint},
+    endpoint_choice::{ChosenEndpoint, choose_endpoint},
     event_stream,
     outcomes::{
         FirstByteTimer, InProgressGuard, log_answered_request, record_broken_outcome, record_first_byte_time,
@@ -198,9 +198,7 @@
         if request.requires_key() && !cx.shared.may_use_key(now) {
             return Err(request.refusal(Refusal::StaleConfig, Refusal::Lost));
         }
-        let Some(chosen) = choose_endpoint(cx, request, now) else {
-            return Err(request.refusal(refusal_without_endpoint(cx, request, now), Refusal::Lost));
-        };
+        let chosen = choose_endpoint(cx, request, now)?;
         if !reserve_retry(cx, request) {
             return Err(request.refusal(Refusal::NoEndpoint, Refusal::Lost));
         }
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -4,6 +4,7 @@
 //! the traits in [`ports`].
 
 mod active_request;
+mod admission;
 mod attempt;
 pub mod config_ports;
 pub mod connection_pool;
--- a/havengrade_router/src/published/refusal.rs
+++ b/havengrade_router/src/published/refusal.rs
@@ -60,6 +60,11 @@
         /// Time after which the request may be retried.
         retry_after: Duration,
     },
+    /// The endpoints are short of capacity, and other requests are served first.
+    Shortage {
+        /// Time after which the request should be retried.
+        retry_after: Duration,
+    },
     /// The time limit was reached before the request could be sent.
     NoTimeLeft,
     /// The request may have run, but no answer came.
@@ -86,6 +91,7 @@
             Self::BadVersion => "bad_version",
             Self::SessionVersionGone { .. } => "session_version_gone",
             Self::Quarantined { .. } => "quarantined",
+            Self::Shortage { .. } => "shortage",
             Self::NoTimeLeft => "no_time_left",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
@@ -109,6 +115,7 @@
             | Self::BadVersion
             | Self::SessionVersionGone { .. }
             | Self::Quarantined { .. }
+            | Self::Shortage { .. }
             | Self::NoTimeLeft => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -127,6 +134,7 @@
             Self::BadVersion => Some(RetryReason::BadVersion),
             Self::SessionVersionGone { left } => Some(RetryReason::SessionVersionGone { left }),
             Self::Quarantined { retry_after } => Some(RetryReason::Quarantine { retry_after }),
+            Self::Shortage { retry_after } => Some(RetryReason::Shortage { retry_after }),
             _ => None,
         }
     }
--- a/havengrade_router/src/published/server.rs
+++ b/havengrade_router/src/published/server.rs
@@ -16,6 +16,7 @@
 use crate::{
     net::{BoxConnection, Listener},
     published::{
+        admission,
         context::PublishedContext,
         forward::forward,
         framing::FramingCheckedConnection,
@@ -160,5 +161,6 @@
     metrics::gauge!("configuration_age_seconds").set(cx.shared.config_age(now).unwrap_or_default().as_secs_f64());
     metrics::gauge!("endpoints_age_seconds").set(endpoints_age.as_secs_f64());
     metrics::gauge!("vms_known").set(cx.shared.peers().len() as f64);
+    admission::set_gauges(cx, now);
     Response::new(full_body(Bytes::from(crate::metrics::render())))
 }
