--- a/havengrade_core/src/published/placement.rs
+++ b/havengrade_core/src/published/placement.rs
@@ -2,10 +2,11 @@
 //!
 //! A generation goes to the endpoint with the lowest cost in prompt tokens of the largest model. The cost is the sum of
 //! the prompts that the endpoint still has to read, of all VMs; of the request's own prompt without the tokens that the
-//! endpoint has cached; and of the distance, by the bytes that cross it. A small model, which reads quickly, is
-//! therefore asked nearby, and each failure domain caches the shared prefixes for it; the large model is asked where
-//! the prefix is cached. A plain request goes to the endpoint with the smallest share of occupied slots, among all
-//! endpoints or, in a large fleet, among two random ones.
+//! endpoint has cached; and of the distance, by the bytes that cross it. The first two are multiplied by the slowness of
+//! the endpoint. A small model, which reads quickly, is therefore asked nearby, and each failure domain caches the shared
+//! prefixes for it; the large model is asked where the prefix is cached. A plain request goes to the endpoint with the
+//! smallest share of occupied slots, multiplied by its slowness, among all endpoints or, in a large fleet, among two
+//! random ones.
 
 use std::time::SystemTime;
 
@@ -14,7 +15,9 @@
 use crate::{
     endpoint_selection::EndpointState,
     ids::EndpointId,
-    published::{directory::ListedEndpoint, peers::Work, sent_prefixes::PrefixKey},
+    published::{
+        directory::ListedEndpoint, endpoint_memory::added_prompt_tokens, peers::Work, sent_prefixes::PrefixKey,
+    },
     ranking::rank,
 };
 
@@ -61,15 +64,19 @@
     pub cached_tokens: u32,
     /// How much longer work takes at the endpoint now than at an average one of its service; 1 if it is not known.
     pub slowness: f64,
-    /// Tokens that fit into the endpoint's memory in addition to those of the known work; none if the memory is not
-    /// known.
+    /// Prompt tokens, whatever the model, that fit into the endpoint's memory beside the known work and the expected
+    /// output of the request; none if the memory is not known.
     pub free_tokens: Option<u32>,
 }
 
 impl Candidate<'_> {
-    /// Share of occupied slots, plus a surcharge if the endpoint isn't in `domain`.
+    /// Share of occupied slots, multiplied by the slowness, plus a surcharge if the endpoint isn't in `domain`.
+    ///
+    /// The request itself counts as well, so that an idle slow endpoint costs more than an idle fast one. The slot that
+    /// it takes at an average endpoint is left out, since it is no reason to prefer an endpoint with more slots.
     fn occupancy(&self, domain: &str) -> f64 {
-        let occupied = f64::from(self.work.requests) / f64::from(self.endpoint.slots.max(1));
+        let requests = f64::from(self.work.requests) * self.slowness + (self.slowness - 1.0);
+        let occupied = requests / f64::from(self.endpoint.slots.max(1));
         occupied + if self.endpoint.failure_domain == domain { 0.0 } else { FAR_OCCUPANCY }
     }
 
@@ -79,13 +86,21 @@
         if is_preferred { 0 } else { prompt.shared_tokens.saturating_sub(self.cached_tokens) }
     }
 
+    /// Whether a prompt fits into the endpoint's memory, as far as it is known. A prefix that the endpoint is expected to
+    /// have cached needs no room.
+    fn has_room(&self, prompt: &Prompt, preferred: Option<&str>) -> bool {
+        let Some(free) = self.free_tokens else { return true };
+        let read_tokens = prompt.own_tokens + self.uncached_tokens(prompt, preferred);
+        free > 0 && added_prompt_tokens(prompt, read_tokens) <= free
+    }
+
     /// The cost of a generation at this endpoint for a VM in `domain`, in prompt tokens.
     fn cost(&self, prompt: &Prompt, preferred: Option<&str>, domain: &str) -> f64 {
         let queue = f64::from(self.work.tokens) + f64::from(self.work.requests) * RUNNING_COST;
         let read = f64::from(prompt.own_tokens) + f64::from(self.uncached_tokens(prompt, preferred)) * UNCACHED_WEIGHT;
         let is_near = self.endpoint.failure_domain == domain;
         let distance = if is_near { 0.0 } else { FAR_ANSWER_COST + f64::from(prompt.sent_tokens) * FAR_COST_PER_TOKEN };
-        queue + read + distance
+        (queue + read) * self.slowness + distance
     }
 }
 
@@ -127,8 +142,8 @@
     pub tokens: u32,
 }
 
-/// Chooses an endpoint for a request; endpoints that are ejected after failures are considered only if no other is
-/// left.
+/// Chooses an endpoint for a request; endpoints into whose memory it doesn't fit, and those that are ejected after
+/// failures, are considered only if no other is left.
 pub fn place<'a>(
     candidates: &[Candidate<'a>],
     placement: PlacementContext<'_>,
@@ -142,7 +157,11 @@
     // accepts requests again; retries, of which a request has few, don't.
     let is_accepting = |c: &&Candidate<'a>| placement.tried.is_empty() || !c.state.last_rejected;
     let accepting: Vec<&Candidate<'a>> = usable.iter().copied().filter(is_accepting).collect();
-    let choices = [accepting, usable, untried].into_iter().find(|some| !some.is_empty())?;
+    // An ejected endpoint is no better than one without room, where the request waits or replaces another.
+    let choices =
+        [with_room(&accepting, placement.prompt), with_room(&usable, placement.prompt), accepting, usable, untried]
+            .into_iter()
+            .find(|some| !some.is_empty())?;
     let other_domains = in_other_domains(candidates, &choices, placement.tried);
     let choices = if other_domains.is_empty() { choices } else { other_domains };
     match placement.prompt {
@@ -159,6 +178,16 @@
     }
 }
 
+/// The endpoints into whose memory a prompt fits, or is not known not to fit.
+fn with_room<'a, 'b>(choices: &[&'b Candidate<'a>], prompt: Option<&Prompt>) -> Vec<&'b Candidate<'a>> {
+    let Some(prompt) = prompt.filter(|_| choices.iter().any(|c| c.free_tokens.is_some())) else {
+        return choices.to_vec();
+    };
+    let preferred = prompt.shared_prefix.as_deref().and_then(|prefix| highest_ranked(choices, prefix));
+    let preferred = preferred.map(|c| c.endpoint.id.as_str());
+    choices.iter().copied().filter(|c| c.has_room(prompt, preferred)).collect()
+}
+
 /// The endpoints in failure domains where the request wasn't tried: the failure of one endpoint may concern others
 /// beside it.
 ///
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -14,8 +14,11 @@
     ids::{Incarnation, ServiceId},
     published::{
         admission::AdmissionControl,
+        congestion::CongestionTracker,
         directory::ListedEndpoint,
         emptied_domains::EmptiedDomains,
+        endpoint_memory::OutputLengths,
+        endpoint_speed::EndpointSpeeds,
         peers::{Peer, Peers},
         read_rate::ReadRates,
         rollout::{RolloutBounds, Rollouts},
@@ -44,6 +47,7 @@
         retry_budgets::RetryBudgets,
         state_fetch::PendingFetch,
         store_access::StoreAccess,
+        stream_buffer::StreamBuffers,
     },
     settings::{PublishedSettings, Settings},
     shared::lock,
@@ -76,6 +80,8 @@
     pub store: StoreAccess,
     /// Load, failures and availability of each endpoint.
     pub endpoint_states: EndpointTable,
+    /// Bytes of streams that wait for callers.
+    pub stream_buffers: Arc<StreamBuffers>,
     /// Persistent connections to endpoints.
     pub connection_pool: ConnectionPool,
     /// Whether another VM has transferred the active state to this VM at least once.
@@ -112,6 +118,9 @@
     sent_prefixes: Mutex<SentPrefixes>,
     read_rates: Mutex<ReadRates>,
     admission: Mutex<AdmissionControl>,
+    congestion: Mutex<CongestionTracker>,
+    endpoint_speeds: Mutex<EndpointSpeeds>,
+    output_lengths: Mutex<OutputLengths>,
     send_limits: Mutex<SendLimits>,
     rng: Mutex<ChaCha8Rng>,
 }
@@ -138,6 +147,7 @@
             emptied_domains: ArcSwap::default(),
             store: StoreAccess::default(),
             endpoint_states: EndpointTable::default(),
+            stream_buffers: Arc::default(),
             connection_pool: ConnectionPool::new(network, connect_timeout),
             has_received_state: AtomicBool::new(false),
             is_receiving_state: AtomicBool::new(false),
@@ -160,6 +170,9 @@
             sent_prefixes: Mutex::default(),
             read_rates: Mutex::default(),
             admission: Mutex::default(),
+            congestion: Mutex::default(),
+            endpoint_speeds: Mutex::default(),
+            output_lengths: Mutex::default(),
             send_limits: Mutex::default(),
             rng: Mutex::new(rng),
             published_settings: ArcSwap::from_pointee(settings.published.clone()),
@@ -368,6 +381,21 @@
         lock(&self.admission)
     }
 
+    /// Locks the measured congestion of services; hold the guard only briefly.
+    pub fn congestion(&self) -> MutexGuard<'_, CongestionTracker> {
+        lock(&self.congestion)
+    }
+
+    /// Locks the speeds of endpoints; hold the guard only briefly.
+    pub fn endpoint_speeds(&self) -> MutexGuard<'_, EndpointSpeeds> {
+        lock(&self.endpoint_speeds)
+    }
+
+    /// Locks the lengths of recent streams; hold the guard only briefly.
+    pub fn output_lengths(&self) -> MutexGuard<'_, OutputLengths> {
+        lock(&self.output_lengths)
+    }
+
     /// Locks the send limits of endpoints; hold the guard only briefly.
     pub fn send_limits(&self) -> MutexGuard<'_, SendLimits> {
         lock(&self.send_limits)
--- a/havengrade_router/src/published/endpoint_choice.rs
+++ b/havengrade_router/src/published/endpoint_choice.rs
@@ -7,6 +7,7 @@
     published::{
         admission::Forecast,
         directory::ListedEndpoint,
+        endpoint_memory::{added_prompt_tokens, free_tokens},
         peers::Work,
         placement::{Candidate, PlacementContext, Prompt, place},
         rollout::AllowedVersions,
@@ -33,6 +34,9 @@
     pub(super) tokens: RequestTokens,
     /// Load of the endpoint.
     pub(super) load: Load,
+    /// Prompt tokens that the endpoint has to read before the first event: those that are pending there and those of the
+    /// request.
+    pub(super) tokens_to_read: u32,
 }
 
 /// Chooses the endpoint for the next attempt and reserves a send there.
@@ -79,9 +83,10 @@
     } else {
         eligible
     };
-    let (prompt, prefixes) = weighted_prompt(cx, request).unzip();
+    let (prompt, prefixes) = weighted_prompt(cx, request, request.model.as_deref()).unzip();
     let prefixes = prefixes.unwrap_or_default();
-    let candidates = candidates(cx, eligible.into_iter().filter(has_room), &prefixes, now);
+    let memory = MemoryDemand::of(cx, request);
+    let candidates = candidates(cx, eligible.into_iter().filter(has_room), &prefixes, memory, now);
     let domain = &cx.shared.settings.vm.failure_domain;
     let sees_all_work = !cx.shared.peers().is_large();
     let placement = PlacementContext {
@@ -94,13 +99,75 @@
     let placed = place(&candidates, placement, &mut *cx.shared.rng())?;
     let forecast = prompt.is_some().then(|| admission::forecast(cx, &request.service, &candidates, placed, now));
     let endpoint = placed.endpoint.clone();
-    let load = Load::of(known_work(cx, &endpoint).requests, endpoint.slots);
-    let tokens = RequestTokens { pending_prompt: placed.tokens, memory: 0 };
-    Some((ChosenEndpoint { endpoint, tokens, load }, prefixes, forecast))
+    let work = known_work(cx, &endpoint);
+    let load = Load::of(work.requests, endpoint.slots);
+    let tokens_to_read = work.tokens.saturating_add(placed.tokens);
+    let memory_tokens = memory.zip(prompt.as_ref()).map_or(0, |(memory, prompt)| {
+        added_prompt_tokens(prompt, placed.tokens).saturating_add(memory.expected_output)
+    });
+    if let Some(memory) = memory {
+        record_memory_use(request, &candidates, memory, &endpoint, memory_tokens);
+    }
+    let tokens = RequestTokens { pending_prompt: placed.tokens, memory: memory_tokens };
+    Some((ChosenEndpoint { endpoint, tokens, load, tokens_to_read }, prefixes, forecast))
+}
+
+/// The memory of the endpoints of a request's service, and what the request is expected to generate there.
+#[derive(Clone, Copy, Debug)]
+struct MemoryDemand {
+    /// Tokens that fit into the memory of one endpoint.
+    memory_tokens: u32,
+    /// Tokens that the request is expected to generate.
+    expected_output: u32,
+}
+
+impl MemoryDemand {
+    /// None if the memory is not configured, the request is no generation, or its route chooses no models.
+    fn of(cx: &PublishedContext, request: &ActiveRequest) -> Option<Self> {
+        let memory_tokens = endpoint_memory_tokens(cx, request)?;
+        let limit = request.attributes.tokens?.max_generated;
+        let expected_output = cx.shared.output_lengths().expected(&request.route.name, limit);
+        Some(Self { memory_tokens, expected_output })
+    }
+}
+
+/// Tokens that fit into the memory of an endpoint of the request's service; none if it is not configured or the route
+/// chooses no models.
+pub(super) fn endpoint_memory_tokens(cx: &PublishedContext, request: &ActiveRequest) -> Option<u32> {
+    let routes = cx.shared.routes.load();
+    let memory_tokens = routes.service(&request.service)?.memory_tokens;
+    (memory_tokens > 0 && !request.route.models.is_empty()).then_some(memory_tokens)
+}
+
+/// Counts and logs a request that is sent to an endpoint whose free memory is known to be too small for it.
+fn record_memory_use(
+    request: &ActiveRequest,
+    candidates: &[Candidate<'_>],
+    memory: MemoryDemand,
+    endpoint: &ListedEndpoint,
+    memory_tokens: u32,
+) {
+    let chosen = candidates.iter().find(|candidate| candidate.endpoint.id == endpoint.id);
+    let free = chosen.and_then(|candidate| candidate.free_tokens).unwrap_or_default();
+    if free > 0 && memory_tokens <= free.saturating_add(memory.expected_output) {
+        return;
+    }
+    metrics::counter!("requests_beyond_memory", "service" => request.service.clone()).increment(1);
+    log::debug!(
+        request = request.id.as_str(),
+        endpoint = endpoint.id.as_str(),
+        free_tokens = free,
+        memory_tokens = memory_tokens,
+        expected_output = memory.expected_output;
+        "sent to an endpoint without room"
+    );
 }
 
 /// Returns the endpoints outside emptied failure domains.
-fn outside_emptied_domains<'a>(cx: &PublishedContext, endpoints: &'a [ListedEndpoint]) -> Vec<&'a ListedEndpoint> {
+pub(super) fn outside_emptied_domains<'a>(
+    cx: &PublishedContext,
+    endpoints: &'a [ListedEndpoint],
+) -> Vec<&'a ListedEndpoint> {
     let emptied = cx.shared.emptied_domains.load();
     endpoints.iter().filter(|endpoint| !emptied.is_emptied(&endpoint.failure_domain)).collect()
 }
@@ -189,23 +256,49 @@
     cx.shared.endpoint_states.slot(&endpoint.id).map_or(0, |slot| slot.in_flight())
 }
 
-/// Adds to each endpoint its known load and the prompt tokens that it has cached.
+/// Adds to each endpoint its known load, its speed and the prompt tokens that it has cached.
 fn candidates<'a>(
     cx: &PublishedContext,
     endpoints: impl Iterator<Item = &'a ListedEndpoint>,
     prefixes: &[Prefix],
+    memory: Option<MemoryDemand>,
     now: SystemTime,
 ) -> Vec<Candidate<'a>> {
     let sent = cx.shared.sent_prefixes();
     let cached = sent.cached_tokens(prefixes, now);
     let cached_at = |endpoint: &ListedEndpoint| cached.get(endpoint.id.as_str()).copied().unwrap_or_default();
-    endpoints.map(|endpoint| Candidate { cached_tokens: cached_at(endpoint), ..candidate(cx, endpoint) }).collect()
+    let speeds = cx.shared.endpoint_speeds();
+    let with_speed = |endpoint: &'a ListedEndpoint| Candidate {
+        cached_tokens: cached_at(endpoint),
+        slowness: speeds.slowness(endpoint, now),
+        ..candidate(cx, endpoint, memory, now)
+    };
+    endpoints.map(with_speed).collect()
 }
 
-fn candidate<'a>(cx: &PublishedContext, endpoint: &'a ListedEndpoint) -> Candidate<'a> {
+fn candidate<'a>(
+    cx: &PublishedContext,
+    endpoint: &'a ListedEndpoint,
+    memory: Option<MemoryDemand>,
+    now: SystemTime,
+) -> Candidate<'a> {
     let work = known_work(cx, endpoint);
     let state = cx.shared.endpoint_states.state(&endpoint.id);
-    Candidate { endpoint, state, work, cached_tokens: 0, slowness: 1.0, free_tokens: None }
+    let free_tokens = memory.map(|memory| free_tokens_at(cx, endpoint, work, memory, now));
+    Candidate { endpoint, state, work, cached_tokens: 0, slowness: 1.0, free_tokens }
+}
+
+/// Prompt tokens for which an endpoint has room.
+fn free_tokens_at(
+    cx: &PublishedContext,
+    endpoint: &ListedEndpoint,
+    work: Work,
+    memory: MemoryDemand,
+    now: SystemTime,
+) -> u32 {
+    let slot = cx.shared.endpoint_states.slot(&endpoint.id);
+    let reported = slot.and_then(|slot| slot.reported_occupancy(endpoint.slots));
+    free_tokens(memory.memory_tokens, work, reported, memory.expected_output, now)
 }
 
 /// Work in progress at an endpoint: that of this VM and that reported by other VMs.
@@ -216,15 +309,18 @@
 }
 
 /// Returns the prompt of a generation, weighted by the work of its model, and the prefixes that others may share.
-fn weighted_prompt(cx: &PublishedContext, request: &ActiveRequest) -> Option<(Prompt, Vec<Prefix>)> {
+pub(super) fn weighted_prompt(
+    cx: &PublishedContext,
+    request: &ActiveRequest,
+    model: Option<&str>,
+) -> Option<(Prompt, Vec<Prefix>)> {
     let total = request.attributes.tokens?.prompt;
     let routes = cx.shared.routes.load();
-    let weight =
-        routes.service(&request.service).map_or(1.0, |service| service.relative_work(request.model.as_deref()));
+    let weight = routes.service(&request.service).map_or(1.0, |service| service.relative_work(model));
     let weighted = |tokens: u32| (f64::from(tokens) * weight) as u32;
     let shared = request.attributes.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
     // Prompt caches are separate for each model.
-    let model = request.model.as_deref().unwrap_or_default();
+    let model = model.unwrap_or_default();
     let mut shared_tokens = 0u32;
     let prefix = |part: &PromptPart| {
         shared_tokens = shared_tokens.saturating_add(part.tokens).min(total);
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -27,6 +27,7 @@
         context::PublishedContext,
         quarantine::announce_changes,
         signals::merge_reported_signals,
+        speeds::{merge_reported_speeds, next_speed_report},
         store_queries::{StoreQueries, answer_query, change_hint},
         wire::{PeerReport, decode_report, encode_report},
     },
@@ -46,7 +47,7 @@
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest interval between two reports in a fleet that is larger than the targets of a report, because the traffic
 /// grows with the fleet.
-const LARGE_FLEET_INTERVAL: Duration = Duration::from_millis(400);
+pub(super) const LARGE_FLEET_INTERVAL: Duration = Duration::from_millis(400);
 /// Largest datagram that is read, in bytes. The limits on their entries keep reports within one packet; an answer with
 /// many changes of the endpoint list may be this large.
 const MAX_DATAGRAM_BYTES: usize = 32 << 10;
@@ -253,15 +254,13 @@
 fn own_work_in_progress(cx: &PublishedContext) -> Vec<(EndpointId, Work)> {
     let mut work = Vec::new();
     cx.shared.endpoint_states.for_each(|endpoint, slot| {
-        let requests = slot.in_flight();
-        if requests > 0 {
-            work.push((
-                endpoint.clone(),
-                Work { requests, tokens: slot.pending_prompt_tokens(), memory_tokens: slot.memory_tokens() },
-            ));
+        let own = slot.work();
+        if own.requests > 0 {
+            work.push((endpoint.clone(), own));
         }
     });
-    work.sort_by(|a, b| b.1.tokens.cmp(&a.1.tokens).then_with(|| a.0.cmp(&b.0)));
+    let size = |work: &Work| (work.tokens, work.memory_tokens);
+    work.sort_by(|a, b| size(&b.1).cmp(&size(&a.1)).then_with(|| a.0.cmp(&b.0)));
     work.truncate(MAX_REPORTED_ENDPOINTS);
     work
 }
@@ -271,12 +270,13 @@
     let rollouts = cx.shared.rollouts().next_report(cx.shared.rollout_bounds(), cx.shared.incarnation, now);
     let quarantine = cx.shared.quarantine().next_report(now);
     let signals = cx.shared.send_limits().signals.next_report(now);
+    let speeds = next_speed_report(cx, now);
     PeerReport {
         work: WorkReport { peer: cx.own_peer(), seq, work: work.to_vec() },
         rollouts,
         quarantine,
         signals,
-        speeds: Vec::new(),
+        speeds,
     }
 }
 
@@ -335,7 +335,10 @@
     let changes = cx.shared.quarantine().merge_report(report.quarantine, now);
     announce_changes(cx, &changes);
     merge_reported_signals(cx, report.signals, now);
-    cx.shared.peers().apply_report(report.work, now);
+    let is_new = cx.shared.peers().apply_report(report.work, now);
+    if is_new {
+        merge_reported_speeds(cx, report.speeds, now);
+    }
     cx.shared.notify_peer_known();
 }
 
--- a/havengrade_router/src/published/server.rs
+++ b/havengrade_router/src/published/server.rs
@@ -18,9 +18,11 @@
     published::{
         admission,
         context::PublishedContext,
+        escalation::record_congestion,
         forward::forward,
         framing::FramingCheckedConnection,
         refusal::{AnswerBody, Refusal, full_body},
+        stream_buffer::CallerConnection,
     },
     services::ACCEPT_RETRY_DELAY,
 };
@@ -72,8 +74,10 @@
 async fn serve_caller(cx: PublishedContext, connection: BoxConnection) {
     let limits = cx.shared.routes.load().limits();
     let (connection, framing) = FramingCheckedConnection::new(connection, limits.header_bytes.max(MIN_BUFFER_BYTES));
-    let service = service_fn(|request: Request<Incoming>| {
+    let caller = CallerConnection::default();
+    let service = service_fn(|mut request: Request<Incoming>| {
         let (cx, framing) = (cx.clone(), framing.clone());
+        request.extensions_mut().insert(caller.clone());
         async move {
             if framing.is_ambiguous() {
                 log::warn!("refusing a request with ambiguous framing");
@@ -99,9 +103,14 @@
     let served = tokio::select! {
         biased;
         served = connection.as_mut() => served,
+        () = caller.closed() => return log::debug!("closing the connection of a caller who does not read"),
         () = cx.graceful_shutdown.cancelled() => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                biased;
+                served = connection.as_mut() => served,
+                () = caller.closed() => return log::debug!("closing the connection of a caller who does not read"),
+            }
         },
     };
     if let Err(error) = served {
@@ -160,7 +169,9 @@
     let endpoints_age = now.duration_since(cx.shared.store.view().endpoints_confirmed_at).unwrap_or_default();
     metrics::gauge!("configuration_age_seconds").set(cx.shared.config_age(now).unwrap_or_default().as_secs_f64());
     metrics::gauge!("endpoints_age_seconds").set(endpoints_age.as_secs_f64());
+    metrics::gauge!("stream_bytes_buffered").set(cx.shared.stream_buffers.buffered_bytes() as f64);
     metrics::gauge!("vms_known").set(cx.shared.peers().len() as f64);
     admission::set_gauges(cx, now);
+    record_congestion(cx, now);
     Response::new(full_body(Bytes::from(crate::metrics::render())))
 }
