--- a/havengrade_router/src/published/endpoint_choice.rs
+++ b/havengrade_router/src/published/endpoint_choice.rs
@@ -50,13 +50,17 @@
     now: SystemTime,
 ) -> Result<ChosenEndpoint, Refusal> {
     loop {
-        let Some((chosen, prefixes, forecast)) = choose_ready_endpoint(cx, request, now) else {
+        let Some(ready) = choose_ready_endpoint(cx, request, now) else {
             return Err(request.refusal(refusal_without_endpoint(cx, request, now), Refusal::Lost));
         };
-        if let Some(forecast) = forecast {
+        if let Some(forecast) = ready.forecast {
             admission::decide(cx, request, forecast, now)?;
         }
-        cx.shared.sent_prefixes().record(&prefixes, &chosen.endpoint.id, now);
+        let chosen = ready.chosen;
+        cx.shared.sent_prefixes().record(&ready.prefixes, &chosen.endpoint.id, now);
+        if let Some(memory) = ready.memory {
+            record_memory_use(request, &chosen, memory, ready.free_tokens);
+        }
         // Another request may have reserved the last send to this endpoint in the meantime.
         if ServiceSendLimits::new(cx, request).try_reserve(&chosen.endpoint, now) {
             return Ok(chosen);
@@ -64,13 +68,21 @@
     }
 }
 
-/// Chooses the best endpoint whose send limits allow another request now. Returns it with the prefixes that will be
-/// cached there and, for a generation, what is expected at the endpoints.
-fn choose_ready_endpoint(
-    cx: &PublishedContext,
-    request: &ActiveRequest,
-    now: SystemTime,
-) -> Option<(ChosenEndpoint, Vec<Prefix>, Option<Forecast>)> {
+/// An endpoint that may get a request, before admission is decided.
+struct ReadyEndpoint {
+    chosen: ChosenEndpoint,
+    /// Prefixes that will be cached there.
+    prefixes: Vec<Prefix>,
+    /// What is expected at the endpoints; none for a plain request.
+    forecast: Option<Forecast>,
+    /// What the request needs of its memory; none if the memory is not known.
+    memory: Option<MemoryDemand>,
+    /// Free memory of the endpoint, as in [`Candidate::free_tokens`].
+    free_tokens: Option<u32>,
+}
+
+/// Chooses the best endpoint whose send limits allow another request now.
+fn choose_ready_endpoint(cx: &PublishedContext, request: &ActiveRequest, now: SystemTime) -> Option<ReadyEndpoint> {
     let usable = cx.shared.usable_endpoints.load();
     let endpoints = outside_emptied_domains(cx, usable.get(&request.service)?);
     let session = request.attributes.session.as_deref();
@@ -105,11 +117,10 @@
     let memory_tokens = memory.zip(prompt.as_ref()).map_or(0, |(memory, prompt)| {
         added_prompt_tokens(prompt, placed.tokens).saturating_add(memory.expected_output)
     });
-    if let Some(memory) = memory {
-        record_memory_use(request, &candidates, memory, &endpoint, memory_tokens);
-    }
+    let free_tokens = candidates.iter().find(|c| c.endpoint.id == endpoint.id).and_then(|c| c.free_tokens);
     let tokens = RequestTokens { pending_prompt: placed.tokens, memory: memory_tokens };
-    Some((ChosenEndpoint { endpoint, tokens, load, tokens_to_read }, prefixes, forecast))
+    let chosen = ChosenEndpoint { endpoint, tokens, load, tokens_to_read };
+    Some(ReadyEndpoint { chosen, prefixes, forecast, memory, free_tokens })
 }
 
 /// The memory of the endpoints of a request's service, and what the request is expected to generate there.
@@ -140,22 +151,16 @@
 }
 
 /// Counts and logs a request that is sent to an endpoint whose free memory is known to be too small for it.
-fn record_memory_use(
-    request: &ActiveRequest,
-    candidates: &[Candidate<'_>],
-    memory: MemoryDemand,
-    endpoint: &ListedEndpoint,
-    memory_tokens: u32,
-) {
-    let chosen = candidates.iter().find(|candidate| candidate.endpoint.id == endpoint.id);
-    let free = chosen.and_then(|candidate| candidate.free_tokens).unwrap_or_default();
+fn record_memory_use(request: &ActiveRequest, chosen: &ChosenEndpoint, memory: MemoryDemand, free_tokens: Option<u32>) {
+    let free = free_tokens.unwrap_or_default();
+    let memory_tokens = chosen.tokens.memory;
     if free > 0 && memory_tokens <= free.saturating_add(memory.expected_output) {
         return;
     }
     metrics::counter!("requests_beyond_memory", "service" => request.service.clone()).increment(1);
     log::debug!(
         request = request.id.as_str(),
-        endpoint = endpoint.id.as_str(),
+        endpoint = chosen.endpoint.id.as_str(),
         free_tokens = free,
         memory_tokens = memory_tokens,
         expected_output = memory.expected_output;
