--- a/havengrade_core/src/published/admission.rs
+++ b/havengrade_core/src/published/admission.rs
@@ -1,7 +1,7 @@
 //! Admission under shortage: whether a generation is sent now, or refused at once with a time at which to retry.
 //!
-//! A request whose first event is expected after its time limit is refused. If requests would miss their targets, a
-//! share of the offered requests is refused (see [`ShedControl`]), the least valuable ones first: the least urgent
+//! A request whose first event is expected after its time limit is refused, unless the endpoints are in calm. If requests
+//! would miss their targets, a share of the offered requests is refused (see [`ShedControl`]), the least valuable ones first: the least urgent
 //! ones, then those that were not refused before, then those of the client account with the highest use of the service,
 //! then those with most time left, which can come back later.
 
@@ -25,6 +25,9 @@
 
 /// Share of the slots of the endpoints below which no request is refused unless requests wait at its endpoint.
 const MIN_SLOTS_IN_USE: f64 = 0.5;
+/// Share of the target of a request up to which the mean wait at the endpoints is calm. A request that is expected to be
+/// too late is then sent, since a single busy endpoint or a wrong estimate is no shortage.
+const CALM_WAIT_PART: f64 = 0.25;
 /// Number of recent requests of a priority that a request is compared with.
 const MAX_COMPARED: usize = 128;
 /// Age up to which a request is compared with others; a VM receives about one per second of each priority.
@@ -66,6 +69,11 @@
     fn has_room(&self) -> bool {
         self.wait.is_zero() && self.slots_in_use < MIN_SLOTS_IN_USE
     }
+
+    /// Whether requests hardly wait at the endpoints, compared with a target.
+    fn is_calm(&self, target: Duration) -> bool {
+        self.mean_wait <= target.mul_f64(CALM_WAIT_PART)
+    }
 }
 
 /// A generation before its first send.
@@ -101,7 +109,7 @@
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ShortageReason {
-    /// Its first event is expected after its time limit.
+    /// Its first event is expected after its time limit, and the endpoints are not in calm.
     TimeLimit,
     /// It is among the least valuable requests, which are refused so that the others are in time.
     Shed,
@@ -191,7 +199,7 @@
         let refused = if forecast.has_room() {
             None
         } else if forecast.first_event() > request.time_left() {
-            Some(ShortageReason::TimeLimit)
+            (!forecast.is_calm(request.target)).then_some(ShortageReason::TimeLimit)
         } else {
             (position < refused_share).then_some(ShortageReason::Shed)
         };
@@ -253,7 +261,8 @@
     /// };
     /// let now = SystemTime::UNIX_EPOCH;
     /// assert_eq!(control.decide(request, now, &mut rng).refused, None);
-    /// let late = Forecast { wait: Duration::from_secs(8), ..forecast };
+    /// let long = Duration::from_secs(8);
+    /// let late = Forecast { wait: long, mean_wait: long, ..forecast };
     /// let refused = control.decide(AdmissionRequest { forecast: late, ..request }, now, &mut rng);
     /// assert_eq!(refused.refused, Some(ShortageReason::TimeLimit));
     /// assert!(refused.retry_after <= Duration::from_secs(2));
