--- a/havengrade_core/tests/published_admission.rs
+++ b/havengrade_core/tests/published_admission.rs
@@ -216,14 +216,16 @@
     assert_eq!(run(USUAL, 1).refusals(), 0.0);
 }
 
-/// Guards against urgent requests that are late because all are sent, against refusals beyond the excess, and against
-/// refusals that go on after the shortage, in fleets of all sizes.
+const FLEETS: [usize; 4] = [7, 69, 300, 1000];
+const JUMP: Scenario = Scenario { demand: 1.7, ..USUAL };
+
+/// Guards against urgent requests that are late because all are sent, and against refusals beyond the excess, in fleets
+/// of all sizes.
 #[test]
-fn urgent_requests_are_in_time_while_the_demand_exceeds_the_capacity() {
-    let jump = Scenario { demand: 1.7, ..USUAL };
-    for vms in [7, 69, 300, 1000] {
-        let with = run(Scenario { vms, ..jump }, 2);
-        let without = run(Scenario { vms, has_admission: false, ..jump }, 2);
+fn urgent_requests_are_protected_while_the_demand_exceeds_the_capacity() {
+    for vms in FLEETS {
+        let with = run(Scenario { vms, ..JUMP }, 2);
+        let without = run(Scenario { vms, has_admission: false, ..JUMP }, 2);
         let shares = |outcome: &Outcome| [0, 1, 2].map(|priority| (outcome.share(priority) * 1000.0).round() / 1000.0);
         let last_refusal = with.refused_ms.iter().max().copied().unwrap_or_default();
         println!(
@@ -233,43 +235,93 @@
             with.refusals(),
             with.excess.round()
         );
-        assert!(with.share(0) > 0.75 && with.share(0) > without.share(0) + 0.3);
+        assert!(with.share(0) > without.share(0) + 0.3);
         assert!(with.refusals() < with.excess * 2.0, "each request may be refused twice");
-        assert!(last_refusal < 19_000, "refusals end within 4 s of the shortage");
         assert_eq!(with.unordered, 0);
     }
 }
 
+/// Guards against a start of the controllers that is too late, or a wait that swings above the target.
+///
+/// Target: 0.85 of the requests of priority 0 are in time. Their demand is 0.77 of the capacity, so that all could be;
+/// 1.5 s of the 10 s are left for the start.
+#[test]
+fn in_a_jump_of_the_demand_85_in_100_of_the_most_urgent_requests_are_in_time() {
+    let shares = FLEETS.map(|vms| run(Scenario { vms, ..JUMP }, 2).share(0));
+    assert!(shares.iter().all(|share| *share > 0.85), "{shares:?}");
+}
+
+/// Guards against refusals that go on after the shortage.
+///
+/// Target: no request is refused later than 2.5 s after the jump ends, the target of 2 s in which a wait that is just in
+/// time is read, and the age of reports.
+#[test]
+fn refusals_end_2_5_s_after_a_jump_of_the_demand() {
+    let last_refusal = |vms| run(Scenario { vms, ..JUMP }, 2).refused_ms.iter().max().copied().unwrap_or_default();
+    let last = FLEETS.map(last_refusal);
+    assert!(last.iter().all(|at_ms| *at_ms < 17_500), "{last:?}");
+}
+
+/// Shares in time of the smallest half of the accounts and of the largest one, which sends 7.5 times its usual load.
+fn crowd_shares(priorities: [u8; 4], has_admission: bool) -> (f64, f64) {
+    let outcome = run(Scenario { priorities, has_admission, largest_demand: 7.5, ..USUAL }, 3);
+    (outcome.account_share(ACCOUNTS / 2..ACCOUNTS), outcome.account_share(LARGEST..LARGEST + 1))
+}
+
 /// Guards against an account that sends many times its usual load and displaces the small ones.
+///
+/// Target: 0.8 of the requests of the smallest half of the accounts, which are below an equal share, are in time; 2 s of
+/// the 10 s are left until the excess is known. This is tested where all requests have one priority.
 #[test]
 fn small_accounts_are_served_while_a_large_one_sends_7_5_times_its_usual_load() {
-    let shares = |outcome: &Outcome| (outcome.account_share(ACCOUNTS / 2..ACCOUNTS), outcome.account_share(0..1));
-    // The priority goes first, so that among several priorities small accounts lose their least urgent requests.
-    for (priorities, least_share) in [([1; 4], 0.75), ([0, 0, 1, 2], 0.5)] {
-        let crowd = Scenario { priorities, largest_demand: 7.5, ..USUAL };
-        let with = shares(&run(crowd, 3));
-        let without = shares(&run(Scenario { has_admission: false, ..crowd }, 3));
+    assert!(crowd_shares([1; 4], true).0 > 0.8);
+    for priorities in [[1; 4], [0, 0, 1, 2]] {
+        let with = crowd_shares(priorities, true);
+        let without = crowd_shares(priorities, false);
         println!("{priorities:?}: in time of the smallest half and the largest: with {with:?}, without {without:?}");
-        assert!(with.0 > least_share && with.0 > without.0 + 0.1);
+        assert!(with.0 > without.0 + 0.1);
         assert!(with.1 > 0.15 && with.1 < with.0);
     }
 }
 
+/// Guards against small accounts whose less urgent requests are displaced by urgent ones of a large account.
+///
+/// Target: the same 0.8 of the smallest half of the accounts where the requests have three priorities.
+#[test]
+fn small_accounts_get_80_in_100_in_time_also_among_three_priorities() {
+    let (smallest, largest) = crowd_shares([0, 0, 1, 2], true);
+    assert!(smallest > 0.8, "the smallest half {smallest}, the largest {largest}");
+}
+
 /// Guards against refusals by a VM that knows nothing of the load, and against a collapse when a part of the VMs sends
 /// everything.
+///
+/// Target: with a fifth of the VMs blind, more of priority 0 are in time than where nothing is refused.
 #[test]
 fn vms_without_reports_send_and_the_others_still_protect_urgent_requests() {
-    let blind = run(Scenario { demand: 1.7, blind: 1.0, ..USUAL }, 4);
+    let blind = run(Scenario { blind: 1.0, ..JUMP }, 4);
     assert_eq!(blind.refusals(), 0.0);
-    let partly = run(Scenario { demand: 1.7, blind: 0.2, ..USUAL }, 4);
+    let partly = run(Scenario { blind: 0.2, ..JUMP }, 4);
     println!("a fifth of the VMs without reports: {} of priority 0 in time", partly.share(0));
-    assert!(partly.share(0) > 0.55);
+    assert!(partly.share(0) > blind.share(0));
+}
+
+/// Guards against VMs without reports whose requests use up what the refusals of the others save.
+///
+/// Target: 0.7 of the requests of priority 0 are in time, 0.15 less than where all VMs have reports. The other VMs can
+/// still refuse more than the excess.
+#[test]
+fn with_a_fifth_of_the_vms_blind_70_in_100_of_the_most_urgent_requests_are_in_time() {
+    let share = run(Scenario { blind: 0.2, ..JUMP }, 4).share(0);
+    assert!(share > 0.7, "{share}");
 }
 
 /// Guards against a shortage that returns because all VMs lose their counts at the same time.
+///
+/// Target: 0.75 of the requests of priority 0 are in time, since the start takes one second more of the 10 s.
 #[test]
 fn a_restart_of_all_vms_in_a_shortage_is_survived() {
-    let restarted = run(Scenario { demand: 1.7, restart_ms: Some(9000), ..USUAL }, 5);
+    let restarted = run(Scenario { restart_ms: Some(9000), ..JUMP }, 5);
     println!("all VMs restarted: {} of priority 0 in time", restarted.share(0));
     assert!(restarted.share(0) > 0.75);
 }
