--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -13,6 +13,7 @@
 use havengrade_core::{
     ids::{Incarnation, ServiceId},
     published::{
+        admission::AdmissionControl,
         congestion::CongestionTracker,
         directory::ListedEndpoint,
         emptied_domains::EmptiedDomains,
@@ -116,6 +117,7 @@
     last_answer_ms: AtomicU64,
     sent_prefixes: Mutex<SentPrefixes>,
     read_rates: Mutex<ReadRates>,
+    admission: Mutex<AdmissionControl>,
     congestion: Mutex<CongestionTracker>,
     endpoint_speeds: Mutex<EndpointSpeeds>,
     output_lengths: Mutex<OutputLengths>,
@@ -167,6 +169,7 @@
             last_answer_ms: AtomicU64::new(0),
             sent_prefixes: Mutex::default(),
             read_rates: Mutex::default(),
+            admission: Mutex::default(),
             congestion: Mutex::default(),
             endpoint_speeds: Mutex::default(),
             output_lengths: Mutex::default(),
@@ -373,6 +376,11 @@
         lock(&self.read_rates)
     }
 
+    /// Locks the admission of generations; hold the guard only briefly.
+    pub fn admission(&self) -> MutexGuard<'_, AdmissionControl> {
+        lock(&self.admission)
+    }
+
     /// Locks the measured congestion of services; hold the guard only briefly.
     pub fn congestion(&self) -> MutexGuard<'_, CongestionTracker> {
         lock(&self.congestion)
--- a/havengrade_router/src/published/endpoint_choice.rs
+++ b/havengrade_router/src/published/endpoint_choice.rs
@@ -5,6 +5,7 @@
 use havengrade_core::{
     endpoint_selection::EndpointStates as _,
     published::{
+        admission::Forecast,
         directory::ListedEndpoint,
         endpoint_memory::{added_prompt_tokens, free_tokens},
         peers::Work,
@@ -19,7 +20,7 @@
 use crate::{
     endpoints::RequestTokens,
     published::{
-        active_request::ActiveRequest, context::PublishedContext, ports::PromptPart, refusal::Refusal,
+        active_request::ActiveRequest, admission, context::PublishedContext, ports::PromptPart, refusal::Refusal,
         send_limits::ServiceSendLimits,
     },
 };
@@ -39,22 +40,49 @@
 }
 
 /// Chooses the endpoint for the next attempt and reserves a send there.
+///
+/// # Errors
+///
+/// [`Refusal`] if there is no endpoint, or if the endpoints are short of capacity and other requests are served first.
 pub(super) fn choose_endpoint(
     cx: &PublishedContext,
-    request: &ActiveRequest,
+    request: &mut ActiveRequest,
     now: SystemTime,
-) -> Option<ChosenEndpoint> {
+) -> Result<ChosenEndpoint, Refusal> {
     loop {
-        let chosen = choose_ready_endpoint(cx, request, now)?;
+        let Some(ready) = choose_ready_endpoint(cx, request, now) else {
+            return Err(request.refusal(refusal_without_endpoint(cx, request, now), Refusal::Lost));
+        };
+        if let Some(forecast) = ready.forecast {
+            admission::decide(cx, request, forecast, now)?;
+        }
+        let chosen = ready.chosen;
+        cx.shared.sent_prefixes().record(&ready.prefixes, &chosen.endpoint.id, now);
+        if let Some(memory) = ready.memory {
+            record_memory_use(request, &chosen, memory, ready.free_tokens);
+        }
         // Another request may have reserved the last send to this endpoint in the meantime.
         if ServiceSendLimits::new(cx, request).try_reserve(&chosen.endpoint, now) {
-            return Some(chosen);
+            return Ok(chosen);
         }
     }
 }
 
+/// An endpoint that may get a request, before admission is decided.
+struct ReadyEndpoint {
+    chosen: ChosenEndpoint,
+    /// Prefixes that will be cached there.
+    prefixes: Vec<Prefix>,
+    /// What is expected at the endpoints; none for a plain request.
+    forecast: Option<Forecast>,
+    /// What the request needs of its memory; none if the memory is not known.
+    memory: Option<MemoryDemand>,
+    /// Free memory of the endpoint, as in [`Candidate::free_tokens`].
+    free_tokens: Option<u32>,
+}
+
 /// Chooses the best endpoint whose send limits allow another request now.
-fn choose_ready_endpoint(cx: &PublishedContext, request: &ActiveRequest, now: SystemTime) -> Option<ChosenEndpoint> {
+fn choose_ready_endpoint(cx: &PublishedContext, request: &ActiveRequest, now: SystemTime) -> Option<ReadyEndpoint> {
     let usable = cx.shared.usable_endpoints.load();
     let endpoints = outside_emptied_domains(cx, usable.get(&request.service)?);
     let session = request.attributes.session.as_deref();
@@ -81,7 +109,7 @@
         now,
     };
     let placed = place(&candidates, placement, &mut *cx.shared.rng())?;
-    cx.shared.sent_prefixes().record(&prefixes, &placed.endpoint.id, now);
+    let forecast = prompt.is_some().then(|| admission::forecast(cx, &request.service, &candidates, placed, now));
     let endpoint = placed.endpoint.clone();
     let work = known_work(cx, &endpoint);
     let load = Load::of(work.requests, endpoint.slots);
@@ -89,11 +117,10 @@
     let memory_tokens = memory.zip(prompt.as_ref()).map_or(0, |(memory, prompt)| {
         added_prompt_tokens(prompt, placed.tokens).saturating_add(memory.expected_output)
     });
-    if let Some(memory) = memory {
-        record_memory_use(request, &candidates, memory, &endpoint, memory_tokens);
-    }
+    let free_tokens = candidates.iter().find(|c| c.endpoint.id == endpoint.id).and_then(|c| c.free_tokens);
     let tokens = RequestTokens { pending_prompt: placed.tokens, memory: memory_tokens };
-    Some(ChosenEndpoint { endpoint, tokens, load, tokens_to_read })
+    let chosen = ChosenEndpoint { endpoint, tokens, load, tokens_to_read };
+    Some(ReadyEndpoint { chosen, prefixes, forecast, memory, free_tokens })
 }
 
 /// The memory of the endpoints of a request's service, and what the request is expected to generate there.
@@ -124,22 +151,16 @@
 }
 
 /// Counts and logs a request that is sent to an endpoint whose free memory is known to be too small for it.
-fn record_memory_use(
-    request: &ActiveRequest,
-    candidates: &[Candidate<'_>],
-    memory: MemoryDemand,
-    endpoint: &ListedEndpoint,
-    memory_tokens: u32,
-) {
-    let chosen = candidates.iter().find(|candidate| candidate.endpoint.id == endpoint.id);
-    let free = chosen.and_then(|candidate| candidate.free_tokens).unwrap_or_default();
+fn record_memory_use(request: &ActiveRequest, chosen: &ChosenEndpoint, memory: MemoryDemand, free_tokens: Option<u32>) {
+    let free = free_tokens.unwrap_or_default();
+    let memory_tokens = chosen.tokens.memory;
     if free > 0 && memory_tokens <= free.saturating_add(memory.expected_output) {
         return;
     }
     metrics::counter!("requests_beyond_memory", "service" => request.service.clone()).increment(1);
     log::debug!(
         request = request.id.as_str(),
-        endpoint = endpoint.id.as_str(),
+        endpoint = chosen.endpoint.id.as_str(),
         free_tokens = free,
         memory_tokens = memory_tokens,
         expected_output = memory.expected_output;
@@ -201,7 +222,7 @@
 }
 
 /// Determines the refusal for a request for which [`choose_endpoint`] found no endpoint.
-pub(super) fn refusal_without_endpoint(cx: &PublishedContext, request: &ActiveRequest, now: SystemTime) -> Refusal {
+fn refusal_without_endpoint(cx: &PublishedContext, request: &ActiveRequest, now: SystemTime) -> Refusal {
     let usable = cx.shared.usable_endpoints.load();
     let listed = usable.get(&request.service).map(Vec::as_slice).unwrap_or_default();
     let endpoints = outside_emptied_domains(cx, listed);
--- a/havengrade_router/src/published/server.rs
+++ b/havengrade_router/src/published/server.rs
@@ -16,6 +16,7 @@
 use crate::{
     net::{BoxConnection, Listener},
     published::{
+        admission,
         context::PublishedContext,
         escalation::record_congestion,
         forward::forward,
@@ -170,6 +171,7 @@
     metrics::gauge!("endpoints_age_seconds").set(endpoints_age.as_secs_f64());
     metrics::gauge!("stream_bytes_buffered").set(cx.shared.stream_buffers.buffered_bytes() as f64);
     metrics::gauge!("vms_known").set(cx.shared.peers().len() as f64);
+    admission::set_gauges(cx, now);
     record_congestion(cx, now);
     Response::new(full_body(Bytes::from(crate::metrics::render())))
 }
