--- a/havengrade_core/src/published/congestion.rs
+++ b/havengrade_core/src/published/congestion.rs
@@ -25,6 +25,13 @@
 /// prompt takes, so that it says nothing about congestion.
 const MIN_GRANTED_TIME: Duration = Duration::from_millis(400);
 
+/// Share of the work at an endpoint that VMs of its own failure domain send.
+///
+/// In a large fleet a VM knows little more than this part, and the bounds on congestion are stated for it. Two thirds of
+/// the work come from other failure domains if a service has three of them, since the largest model is asked where the
+/// prompt is cached.
+const NEAR_WORK_SHARE: f64 = 1.0 / 3.0;
+
 /// The known work at a usable endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct EndpointWork<'a> {
@@ -72,6 +79,31 @@
     near.value().or(all.value()).unwrap_or_default()
 }
 
+/// Mean work that waits at an endpoint, for a VM that receives each report and thus knows nearly all work, in prompt
+/// tokens of the largest model; 0 if there is no endpoint.
+///
+/// It is the mean over all endpoints, since a small fleet has few of them in a failure domain, where one busy endpoint
+/// would look like a shortage. Of the work, the part that VMs of a large fleet would know counts.
+///
+/// ```
+/// use havengrade_core::published::{
+///     congestion::{EndpointWork, mean_waiting_tokens_of_all},
+///     peers::Work,
+/// };
+///
+/// let reported = Work { requests: 10, tokens: 2400, memory_tokens: 0 };
+/// let busy = EndpointWork { failure_domain: "d1", own: Work::default(), reported };
+/// let idle = EndpointWork { failure_domain: "d2", reported: Work::default(), ..busy };
+/// assert_eq!(mean_waiting_tokens_of_all([busy, idle]), 500.0);
+/// ```
+pub fn mean_waiting_tokens_of_all<'a>(endpoints: impl IntoIterator<Item = EndpointWork<'a>>) -> f64 {
+    let mut mean = Mean::default();
+    for endpoint in endpoints {
+        mean.add(waiting_tokens(endpoint.own + endpoint.reported));
+    }
+    mean.value().unwrap_or_default() * NEAR_WORK_SHARE
+}
+
 /// The work of all other VMs, from the part of it that is reported.
 fn extrapolated(reported: Work, coverage: f64) -> Work {
     let scaled = |count: u32| (f64::from(count) / coverage.max(MIN_COVERAGE)).round() as u32;
--- a/havengrade_router/src/published/escalation.rs
+++ b/havengrade_router/src/published/escalation.rs
@@ -5,7 +5,7 @@
 use havengrade_core::{
     endpoint_selection::EndpointStates as _,
     published::{
-        congestion::{EndpointWork, congestion, mean_waiting_tokens, waiting_tokens},
+        congestion::{EndpointWork, congestion, mean_waiting_tokens, mean_waiting_tokens_of_all, waiting_tokens},
         directory::ListedEndpoint,
         model_choice::EscalationInput,
         peers::Work,
@@ -109,11 +109,16 @@
     if let Some(tokens) = cx.shared.congestion().current_tokens(service, listed.len(), now) {
         return tokens;
     }
-    let domain = &cx.shared.settings.vm.failure_domain;
-    let coverage = cx.shared.peers().report_coverage(domain, LARGE_FLEET_INTERVAL);
     let is_usable = |endpoint: &&ListedEndpoint| cx.shared.endpoint_states.state(&endpoint.id).is_usable(now);
     let endpoints = outside_emptied_domains(cx, listed).into_iter().filter(is_usable);
-    let measured = mean_waiting_tokens(endpoints.map(|endpoint| endpoint_work(cx, endpoint)), domain, coverage);
+    let work = endpoints.map(|endpoint| endpoint_work(cx, endpoint));
+    let measured = if cx.shared.peers().is_large() {
+        let domain = &cx.shared.settings.vm.failure_domain;
+        let coverage = cx.shared.peers().report_coverage(domain, LARGE_FLEET_INTERVAL);
+        mean_waiting_tokens(work, domain, coverage)
+    } else {
+        mean_waiting_tokens_of_all(work)
+    };
     cx.shared.congestion().record(service, measured, now)
 }
 
