Relay sessions that continued at another VM where they were served before

Cause: a VM did not relay a session that it had served itself, so that reports of its own requests don't go round, even after the session had continued at another VM. It reported its own, outdated request instead. Sessions continue at other VMs most of the time, so that some of the VMs around a session's last one were no help in telling the others of it.

Change: what counts as a VM's own is a session of which it knows no later request. The test fails before.

--- a/havengrade_core/src/published/session_affinity.rs
+++ b/havengrade_core/src/published/session_affinity.rs
@@ -252,15 +252,22 @@
         let is_large = self.senders.len() > MAX_DIRECT_VMS;
         let reports = if is_large { REPORTS_IN_LARGE_FLEET } else { REPORTS_PER_ENTRY };
         let max_relayed = if is_large { MAX_SESSIONS } else { MAX_RELAYED_IN_SMALL_FLEET };
-        // A VM does not relay reports of its own sessions that come back to it.
-        let own: HashSet<SessionFingerprint> = self.local.keys().map(|id| fingerprint(id)).collect();
-        let local = self
-            .local
-            .iter_mut()
-            .filter(|(_, affinity)| affinity.report_count < reports && affinity.is_live(session_idle_timeout, now))
-            .filter(|(id, affinity)| affinity.has_moved || is_relevant(id, &affinity.version, affinity.last_used));
-        let mut due: Vec<(SessionFingerprint, &mut Affinity)> =
-            local.map(|(id, affinity)| (fingerprint(id), affinity)).collect();
+        // A VM does not relay reports of its own sessions that come back to it, and does not report those that continued
+        // at another VM.
+        let reported = &self.reported;
+        let is_latest = |session: SessionFingerprint, affinity: &Affinity| {
+            reported.get(&session).is_none_or(|reported| reported.last_used <= affinity.last_used_at(now))
+        };
+        let local = self.local.iter_mut().map(|(id, affinity)| (id, fingerprint(id), affinity));
+        let latest: Vec<(&SessionId, SessionFingerprint, &mut Affinity)> =
+            local.filter(|(_, session, affinity)| is_latest(*session, affinity)).collect();
+        let own: HashSet<SessionFingerprint> = latest.iter().map(|(_, session, _)| *session).collect();
+        let mut due: Vec<(SessionFingerprint, &mut Affinity)> = latest
+            .into_iter()
+            .filter(|(.., affinity)| affinity.report_count < reports && affinity.is_live(session_idle_timeout, now))
+            .filter(|(id, _, affinity)| affinity.has_moved || is_relevant(id, &affinity.version, affinity.last_used))
+            .map(|(_, session, affinity)| (session, affinity))
+            .collect();
         let reported = self
             .reported
             .iter_mut()
--- /dev/null
+++ b/havengrade_core/tests/published_session_reports.rs
@@ -0,0 +1,50 @@
+//! Which sessions a VM reports during a roll-out, of its own and of other VMs.
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, SystemTime};
+
+use havengrade_core::published::rollout::{RolloutBounds, RolloutOrder, RolloutReport, Rollouts, SessionAffinity};
+
+const BOUNDS: RolloutBounds = RolloutBounds { max_share: 0.15, session_idle_timeout: Duration::from_secs(5) };
+const ORDERED: u64 = 2_000;
+
+fn at(millis: u64) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_millis(millis)
+}
+
+/// A VM that knows of an order for `v2`.
+fn vm() -> Rollouts {
+    let mut rollouts = Rollouts::default();
+    let order = RolloutOrder { service: "models".into(), version: "v2".into(), duration: Duration::from_secs(14) };
+    assert!(rollouts.add_order(order, at(ORDERED)));
+    rollouts
+}
+
+/// A report with one session at `v1`.
+fn report_of(session: u64, used_ms_ago: u64) -> RolloutReport {
+    let used_ago = Duration::from_millis(used_ms_ago);
+    RolloutReport {
+        sessions: vec![SessionAffinity { session, version: "v1".into(), used_ago }],
+        ..RolloutReport::default()
+    }
+}
+
+/// The sessions in the next report of a VM.
+fn reported_sessions(rollouts: &mut Rollouts, own: u64, now: u64) -> Vec<SessionAffinity> {
+    rollouts.next_report(BOUNDS, own, at(now)).sessions
+}
+
+/// Guards against VMs that miss a session because others which served it before do not relay it, and report its earlier
+/// request instead.
+#[test]
+fn a_vm_relays_a_session_that_continued_at_another_one() {
+    let mut here = vm();
+    here.begin_session_request("s", "v1", at(13_500), at(13_500));
+    let own = reported_sessions(&mut here, 0, 13_600);
+    assert_eq!(own.len(), 1);
+    here.merge_report(1, report_of(own[0].session, 100), at(15_000));
+    let relayed = reported_sessions(&mut here, 0, 15_100);
+    assert_eq!(relayed.len(), 1);
+    assert!(relayed[0].used_ago < Duration::from_millis(500), "{relayed:?}");
+    assert_eq!(reported_sessions(&mut here, 0, 15_200), [], "the earlier request is outdated");
+}
