Let as many VMs relay each session as reach all others

What callers saw: in a fleet of 300 VMs 7 requests of a session ran on another version than the one before, and 5 in one of 84 VMs with 4,000 sessions.

Cause, from traces of all 12: exactly one VM of a failure domain had received no report of the session's last request, and the next request came to it. The others (298 or 299 of 300, 83 of 84) had it within 0.4 to 2 s, more than a second before. VMs that had received two reports of a session did not relay it, whether the others had or not: where the first reports reached many, few more followed, and each of them misses a fourth (84 VMs) to four fifths (300 VMs) of its failure domain.

Ruled out: that VMs were told too late, or that the session was left out of full reports (its VM sent all four reports of it in 1.2 s in each case).

Change: the relays of a session follow from its fingerprint and the VMs that are heard of in the failure domain, so that their number is the same for each session and does not depend on chance. It is the number of reports of which all miss a VM with a probability of 1e-4, with a tenth of them lost. A VM that learns of a session first from another failure domain relays it as well.

--- a/havengrade_core/src/published/peers.rs
+++ b/havengrade_core/src/published/peers.rs
@@ -27,7 +27,7 @@
 /// They choose among the same endpoints, since most requests are placed nearby, and traffic between them is free.
 /// With thirty VMs in a failure domain more targets were better, up to all of them; the limit bounds what a VM
 /// receives.
-const MAX_NEAR_TARGETS: usize = 20;
+pub(super) const MAX_NEAR_TARGETS: usize = 20;
 /// Number of VMs in other failure domains that receive a report as well.
 const FAR_TARGETS: usize = 3;
 /// Largest number of VMs that one stands for in the sums of memory, so that a single long prompt, heard of by chance,
--- a/havengrade_core/src/published/rollout.rs
+++ b/havengrade_core/src/published/rollout.rs
@@ -308,6 +308,15 @@
     /// Sessions for the next report, in case their next requests go to other VMs: those that keep to another version
     /// than a new session would be given.
     pub fn next_session_report(&mut self, bounds: RolloutBounds, now: SystemTime) -> Vec<SessionAffinity> {
+        self.next_sessions(bounds, None, now)
+    }
+
+    fn next_sessions(
+        &mut self,
+        bounds: RolloutBounds,
+        own: Option<Incarnation>,
+        now: SystemTime,
+    ) -> Vec<SessionAffinity> {
         let mixed: Vec<&ServiceRollout> =
             self.by_service.values().filter(|rollout| rollout.may_have_mixed_sessions(bounds, now)).collect();
         if mixed.is_empty() {
@@ -316,7 +325,7 @@
         let is_relevant = |session: &SessionId, version: &SoftwareVersion, last_used: SystemTime| {
             mixed.iter().any(|rollout| rollout.must_report_session(session, version, last_used, bounds, now))
         };
-        self.affinities.next_report(is_relevant, bounds.session_idle_timeout, now)
+        self.affinities.next_report(is_relevant, own, bounds.session_idle_timeout, now)
     }
 
     /// Merges the affinity of a session that another VM reported.
@@ -392,7 +401,7 @@
         for rollout in self.by_service.values_mut().filter(|rollout| rollout.is_monitored(now)) {
             evidence.extend(rollout.versions.next_report(own, MAX_EVIDENCE - evidence.len(), now));
         }
-        let sessions = self.next_session_report(bounds, now);
+        let sessions = self.next_sessions(bounds, Some(own), now);
         let states = self.statuses().take(MAX_STATES).map(|status| self.reported_rollout(status, now)).collect();
         let halts = self.by_service.values().filter_map(ServiceRollout::reported_halt).collect();
         let recent = self.by_service.values().filter_map(|rollout| rollout.reported_counts(now)).collect();
--- a/havengrade_core/src/published/session_affinity.rs
+++ b/havengrade_core/src/published/session_affinity.rs
@@ -8,7 +8,7 @@
 use crate::{
     gossip::{MAX_ONE_WAY_DELAY, REPORTS_PER_ENTRY, time_from_age},
     ids::{Incarnation, SessionId},
-    published::directory::SoftwareVersion,
+    published::{directory::SoftwareVersion, peers::MAX_NEAR_TARGETS},
     secret::uniform_hash,
 };
 
@@ -25,16 +25,13 @@
 const REPORTS_IN_LARGE_FLEET: u32 = 4;
 /// Highest number of other VMs' sessions that a report relays while each VM learns of them directly.
 const MAX_RELAYED_IN_SMALL_FLEET: usize = 12;
-/// Reports in which a VM of a large fleet relays a session of another failure domain, from which few VMs learn of it
-/// directly.
-const RELAYS_FROM_FAR: u32 = 2;
-/// Number of reports of a session after which a VM does not relay it, since other VMs of its failure domain do.
-const MAX_RECEIVED_FROM_FAR: u32 = 4;
-/// The same for a session of the own failure domain, which its VM reports to most others itself.
-const MAX_RECEIVED_FROM_NEAR: u32 = 2;
-/// Time for which a VM waits for a second report of a session of its own failure domain before it relays the session:
-/// the interval between two reports of a VM.
-const NEAR_RELAY_DELAY: Duration = Duration::from_millis(400);
+/// Number of reports of a session of another failure domain after which a VM that is not among its relays does not relay
+/// it, since others do.
+const MAX_RECEIVED_FROM_FAR: u32 = 2;
+/// Probability with which all relays of a session miss a VM of their failure domain.
+const MAX_MISSED_SHARE: f64 = 1e-4;
+/// Share of the reports that may be lost.
+const LOST_SHARE: f64 = 0.1;
 /// Largest difference between two times of the same use of a session, of which one was relayed: each report makes a use
 /// look up to 50 ms older than it is.
 const MAX_USE_TIME_ERROR: Duration = Duration::from_millis(500);
@@ -84,9 +81,7 @@
     report_count: u32,
     /// Number of reports of other VMs that carried the affinity as it is.
     received_count: u32,
-    /// When the first of them arrived.
-    received_at: SystemTime,
-    /// Whether that one came from a VM in the failure domain of this one.
+    /// Whether the first of them came from a VM in the failure domain of this one.
     is_from_near: bool,
 }
 
@@ -101,15 +96,10 @@
     }
 
     /// Whether an affinity of another VM goes into the next report, for VMs that missed the original one.
-    fn must_relay(&self, is_large_fleet: bool, now: SystemTime) -> bool {
-        if !is_large_fleet {
-            return self.report_count == 0;
-        }
-        if !self.is_from_near {
-            return self.report_count < RELAYS_FROM_FAR && self.received_count < MAX_RECEIVED_FROM_FAR;
-        }
-        let is_missed = self.received_count < MAX_RECEIVED_FROM_NEAR && now >= self.received_at + NEAR_RELAY_DELAY;
-        self.report_count == 0 && is_missed
+    fn must_relay(&self, session: SessionFingerprint, relays: Option<NearRelays>) -> bool {
+        let Some(relays) = relays else { return self.report_count == 0 };
+        let is_first_from_far = !self.is_from_near && self.received_count < MAX_RECEIVED_FROM_FAR;
+        self.report_count == 0 && (is_first_from_far || relays.includes(session))
     }
 
     /// When the session was last used; `now` while a request of the session is in flight.
@@ -118,6 +108,35 @@
     }
 }
 
+/// The VMs of this VM's failure domain that relay a session, in a large fleet.
+///
+/// The VMs form a ring in the order of their incarnations, and a session is relayed by successive VMs, from one that its
+/// fingerprint selects. All VMs select the same ones, so that their number is the same for each session.
+#[derive(Clone, Copy, Debug)]
+struct NearRelays {
+    /// Number of VMs in the failure domain, with this one.
+    vms: usize,
+    /// Position of this VM.
+    position: usize,
+}
+
+impl NearRelays {
+    /// Number of VMs that relay a session, so that at most [`MAX_MISSED_SHARE`] of the others receive no report of it.
+    fn count(self) -> usize {
+        let others = self.vms.saturating_sub(1).max(1);
+        let reached = MAX_NEAR_TARGETS.min(others) as f64 / others as f64;
+        let missed = 1.0 - reached * (1.0 - LOST_SHARE);
+        let count = MAX_MISSED_SHARE.ln() / missed.ln();
+        (count.ceil() as usize).min(self.vms)
+    }
+
+    /// Whether this VM relays a session.
+    fn includes(self, session: SessionFingerprint) -> bool {
+        let first = (u128::from(session) * self.vms as u128) >> u64::BITS;
+        (self.position + self.vms - first as usize) % self.vms < self.count()
+    }
+}
+
 impl AffinityTable {
     /// The latest affinity of a session, from this VM or another one.
     fn latest(&self, session: &str, now: SystemTime) -> Option<&Affinity> {
@@ -168,7 +187,6 @@
                     has_moved,
                     report_count: 0,
                     received_count: 0,
-                    received_at: now,
                     is_from_near: false,
                 };
                 self.local.insert(session.to_owned(), affinity);
@@ -210,6 +228,13 @@
         self.senders.insert(from, Sender { heard_at: now, is_near });
     }
 
+    /// The relays of the failure domain of this VM, of incarnation `own`.
+    fn near_relays(&self, own: Incarnation) -> NearRelays {
+        let near = self.senders.iter().filter(|(_, sender)| sender.is_near);
+        let (before, after): (Vec<_>, Vec<_>) = near.partition(|(incarnation, _)| **incarnation < own);
+        NearRelays { vms: before.len() + after.len() + 1, position: before.len() }
+    }
+
     /// Merges an affinity that the VM `from` reported, unless a later one is known.
     pub(super) fn merge(&mut self, from: Option<Incarnation>, entry: SessionAffinity, now: SystemTime) {
         let last_used = time_from_age(entry.used_ago, now);
@@ -234,7 +259,6 @@
             has_moved: false,
             report_count: 0,
             received_count: 1,
-            received_at: now,
             is_from_near,
         };
         self.reported.insert(entry.session, affinity);
@@ -245,11 +269,13 @@
     pub(super) fn next_report(
         &mut self,
         is_relevant: impl Fn(&SessionId, &SoftwareVersion, SystemTime) -> bool,
+        own: Option<Incarnation>,
         session_idle_timeout: Duration,
         now: SystemTime,
     ) -> Vec<SessionAffinity> {
         self.senders.retain(|_, sender| now < sender.heard_at + SENDER_TIMEOUT);
         let is_large = self.senders.len() > MAX_DIRECT_VMS;
+        let relays = own.filter(|_| is_large).map(|own| self.near_relays(own));
         let reports = if is_large { REPORTS_IN_LARGE_FLEET } else { REPORTS_PER_ENTRY };
         let max_relayed = if is_large { MAX_SESSIONS } else { MAX_RELAYED_IN_SMALL_FLEET };
         // A VM does not relay reports of its own sessions that come back to it, and does not report those that continued
@@ -261,7 +287,7 @@
         let local = self.local.iter_mut().map(|(id, affinity)| (id, fingerprint(id), affinity));
         let latest: Vec<(&SessionId, SessionFingerprint, &mut Affinity)> =
             local.filter(|(_, session, affinity)| is_latest(*session, affinity)).collect();
-        let own: HashSet<SessionFingerprint> = latest.iter().map(|(_, session, _)| *session).collect();
+        let own_sessions: HashSet<SessionFingerprint> = latest.iter().map(|(_, session, _)| *session).collect();
         let mut due: Vec<(SessionFingerprint, &mut Affinity)> = latest
             .into_iter()
             .filter(|(.., affinity)| affinity.report_count < reports && affinity.is_live(session_idle_timeout, now))
@@ -271,7 +297,7 @@
         let reported = self
             .reported
             .iter_mut()
-            .filter(|(session, affinity)| affinity.must_relay(is_large, now) && !own.contains(session))
+            .filter(|(session, affinity)| affinity.must_relay(**session, relays) && !own_sessions.contains(session))
             .filter(|(_, affinity)| affinity.is_live(session_idle_timeout, now));
         let mut relayed: Vec<(SessionFingerprint, &mut Affinity)> =
             reported.map(|(session, affinity)| (*session, affinity)).collect();
--- a/havengrade_core/tests/published_session_reports.rs
+++ b/havengrade_core/tests/published_session_reports.rs
@@ -48,3 +48,30 @@
     assert!(relayed[0].used_ago < Duration::from_millis(500), "{relayed:?}");
     assert_eq!(reported_sessions(&mut here, 0, 15_200), [], "the earlier request is outdated");
 }
+
+/// Guards against VMs that are told of a session by nobody: a report reaches 20 of 27 VMs of a failure domain, and VMs
+/// that had received two reports of a session did not relay it, whether the others had or not. Nine reports that each miss
+/// a third of the VMs, lost ones included, miss a VM with a probability of 1 in 20,000.
+#[test]
+fn nine_vms_of_a_failure_domain_relay_each_session_however_often_they_received_it() {
+    const VMS: u64 = 28;
+    let mut vms: Vec<Rollouts> = (0..VMS).map(|_| vm()).collect();
+    for (own, rollouts) in (0..).zip(&mut vms) {
+        for from in (0..VMS).filter(|from| *from != own) {
+            rollouts.record_sender(from, true, at(13_000));
+        }
+    }
+    for (index, session) in (0..100).zip((0..u64::MAX).step_by(usize::MAX / 100)) {
+        let now = 14_000 + index * 100;
+        for rollouts in vms.iter_mut().skip(1) {
+            for _ in 0..3 {
+                rollouts.merge_report(0, report_of(session, 0), at(now));
+            }
+        }
+        let is_relayed = |(own, rollouts): (u64, &mut Rollouts)| {
+            reported_sessions(rollouts, own, now + 50).iter().any(|entry| entry.session == session)
+        };
+        let relays = (0..).zip(&mut vms).filter_map(|vm| is_relayed(vm).then_some(())).count();
+        assert!((8..=9).contains(&relays), "{relays} VMs and at most the one that served it relay session {session}");
+    }
+}
