Take a session's use for the same one over however many VMs its report comes

What callers saw: reports full of sessions at the end of a roll-out, so that some of 4,000 sessions were told too late.

Cause: each VM that relays a session makes its last use look up to 50 ms older than it is. A report that came over fewer VMs than the first one stated a later time, which was taken for a later use: the entry was counted, and relayed, anew.

Change: a use counts as the one that was reported first if their times are within 0.5 s, in either direction. The time is that of the first report, so that a session that is used all the time is still relayed. The test fails before. A second request within 0.5 s of the first is not relayed any more; VMs that its report does not reach take the session to end up to 0.5 s early.

--- a/havengrade_core/src/published/session_affinity.rs
+++ b/havengrade_core/src/published/session_affinity.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    gossip::{MAX_ONE_WAY_DELAY, REPORTS_PER_ENTRY, time_from_age},
+    gossip::{REPORTS_PER_ENTRY, time_from_age},
     ids::{Incarnation, SessionId},
     published::{directory::SoftwareVersion, peers::MAX_NEAR_TARGETS},
     secret::uniform_hash,
@@ -73,6 +73,8 @@
     version: SoftwareVersion,
     /// When the session's last request ended, as far as is known.
     last_used: SystemTime,
+    /// When that request ended by the first report of it. Reports that arrive over other VMs state other times.
+    first_use: SystemTime,
     /// Until when a request of the session may be in flight.
     busy_until: SystemTime,
     /// Whether the session had another version before, of which other VMs may know.
@@ -183,6 +185,7 @@
                 let affinity = Affinity {
                     version: version.to_owned(),
                     last_used: now,
+                    first_use: now,
                     busy_until,
                     has_moved,
                     report_count: 0,
@@ -240,10 +243,9 @@
         let last_used = time_from_age(entry.used_ago, now);
         let is_from_near = from.and_then(|from| self.senders.get(&from)).is_some_and(|sender| sender.is_near);
         if let Some(known) = self.reported.get_mut(&entry.session) {
-            let is_same_use = last_used < known.last_used + MAX_ONE_WAY_DELAY
-                && known.last_used < last_used + MAX_USE_TIME_ERROR
-                && known.version == entry.version;
-            if is_same_use {
+            let is_near =
+                last_used < known.first_use + MAX_USE_TIME_ERROR && known.first_use < last_used + MAX_USE_TIME_ERROR;
+            if is_near && known.version == entry.version {
                 known.received_count += 1;
                 known.last_used = known.last_used.max(last_used);
                 return;
@@ -255,6 +257,7 @@
         let affinity = Affinity {
             version: entry.version,
             last_used,
+            first_use: last_used,
             busy_until: last_used,
             has_moved: false,
             report_count: 0,
--- a/havengrade_core/tests/published_session_reports.rs
+++ b/havengrade_core/tests/published_session_reports.rs
@@ -34,6 +34,19 @@
     rollouts.next_report(BOUNDS, own, at(now)).sessions
 }
 
+/// Guards against reports that are full of repeated entries: each VM that relays a session makes its last use look up to
+/// 50 ms older, so that a report that arrived over fewer VMs was taken for one of a later use, and relayed again.
+#[test]
+fn a_use_that_reports_over_fewer_vms_state_as_later_is_not_relayed_again() {
+    let mut here = vm();
+    here.merge_report(1, report_of(7, 500), at(14_000));
+    assert_eq!(reported_sessions(&mut here, 0, 14_100).len(), 1);
+    here.merge_report(2, report_of(7, 580), at(14_200));
+    assert_eq!(reported_sessions(&mut here, 0, 14_300), [], "the same use, 120 ms later");
+    here.merge_report(2, report_of(7, 0), at(14_400));
+    assert_eq!(reported_sessions(&mut here, 0, 14_500).len(), 1, "a later use");
+}
+
 /// Guards against VMs that miss a session because others which served it before do not relay it, and report its earlier
 /// request instead.
 #[test]
