Expect the wait ahead of the reports before a shortage

Cause: refusals began once the wait that reports show was above 1.1 of the time that may be waited. Reports are 0.4 s old and refusals need about a second to stop the growth of the wait, so that all requests of seconds 8.5 to 11 of a jump were late: with 300 VMs the first refusal came after 9 s, and the wait peaked at 2.4 s of 1.9 s.

Change: the controllers compare the wait that is expected 1.4 s ahead, from its present growth. No shortage begins while the present wait is below the goal, so that a short growth from a small wait refuses nothing.

Less urgent work before urgent work is not the cause: all requests of priority 2 were refused from 9.5 s on, and all of priority 1 at 10 s.

--- a/havengrade_core/src/published/shed_control.rs
+++ b/havengrade_core/src/published/shed_control.rs
@@ -1,8 +1,8 @@
 //! The share of the offered work of a service that is refused in a shortage, and its division among priorities.
 //!
-//! For each priority, a controller compares the time that a request waits at its endpoint with the time that it may
-//! wait without missing its target. Once the wait exceeds this time, the controller refuses as much of the offered work
-//! as keeps the wait below it. The least urgent requests are refused first; a request is refused for the sake of its own
+//! For each priority, a controller compares the time that requests are expected to wait at their endpoints soon with the
+//! time that they may wait without missing their target. Once the expected wait exceeds this time, the controller refuses
+//! as much of the offered work as keeps the wait below it. The least urgent requests are refused first; a request is refused for the sake of its own
 //! priority or a more urgent one only. What an endpoint can do is not known beforehand: the share at which the wait
 //! stays constant is the excess of the offered work over the capacity.
 
@@ -12,9 +12,10 @@
 
 /// Number of priorities that are told apart; higher ones count as the last.
 const PRIORITIES: usize = 8;
-/// Relative wait above which a shortage begins; the margin covers the error of the expected time.
+/// Expected relative wait above which a shortage begins; the margin covers the error of the expected time.
 const START_PRESSURE: f64 = 1.1;
-/// Relative wait that the controller aims at, below 1 so that the requests that are sent are in time.
+/// Relative wait that the controller aims at, below 1 so that the requests that are sent are in time. No shortage begins
+/// while the present wait is below it, however fast it grows.
 const GOAL_PRESSURE: f64 = 0.6;
 /// Share of the work that is refused at once for each unit of the relative wait above the goal.
 const PROPORTIONAL_GAIN: f64 = 0.8;
@@ -31,6 +32,13 @@
 const MAX_STEP: Duration = Duration::from_millis(2000);
 /// Time over which the wait is averaged, since it differs between endpoints.
 const SMOOTHING_TIME: Duration = Duration::from_millis(200);
+/// Time over which the growth of the wait is measured.
+const GROWTH_TIME: Duration = Duration::from_millis(1000);
+/// Time ahead for which the wait is expected: the age of reports, and about one second in which refusals stop its growth.
+///
+/// Requests that arrive in this time are sent before a decision shows, so that the present wait tells of a shortage, and of
+/// its end, when it is too late.
+const LOOKAHEAD: Duration = Duration::from_millis(1400);
 /// Weight of the latest request in the mean prompt and target of a priority.
 const LATEST_WEIGHT: f64 = 0.1;
 /// Part of the target that a prompt must leave for waiting; a priority whose prompts take longer can't be helped by
@@ -83,13 +91,14 @@
         (slack > self.target.mul_f64(MIN_SLACK_PART)).then_some(slack)
     }
 
-    fn update(&mut self, wait: Duration, elapsed: Duration) {
+    fn update(&mut self, trend: WaitTrend, elapsed: Duration) {
         let Some(slack) = self.slack() else {
             (self.is_short, self.integral, self.shed) = (false, 0.0, 0.0);
             return;
         };
-        let pressure = (wait.as_secs_f64() / slack.as_secs_f64()).min(MAX_PRESSURE);
-        self.is_short |= pressure > START_PRESSURE;
+        let relative = |wait_s: f64| (wait_s / slack.as_secs_f64()).clamp(0.0, MAX_PRESSURE);
+        let pressure = relative(trend.expected_s());
+        self.is_short |= pressure > START_PRESSURE && relative(trend.wait_s) > GOAL_PRESSURE;
         if !self.is_short {
             return;
         }
@@ -106,11 +115,36 @@
     mean.mul_f64(1.0 - weight) + latest.mul_f64(weight)
 }
 
+/// The wait at the endpoints, and how it changes.
+#[derive(Clone, Copy, Debug, Default)]
+struct WaitTrend {
+    /// Wait in seconds, averaged over [`SMOOTHING_TIME`].
+    wait_s: f64,
+    /// The same, averaged over [`GROWTH_TIME`] in turn; a steady growth keeps it behind by what is added in that time.
+    earlier_s: f64,
+}
+
+impl WaitTrend {
+    /// Records the wait of a request; `elapsed` is none for the first one.
+    fn record(&mut self, wait: Duration, elapsed: Option<Duration>) {
+        let weight =
+            |time: Duration| elapsed.map_or(1.0, |elapsed| 1.0 - (-elapsed.as_secs_f64() / time.as_secs_f64()).exp());
+        self.wait_s += (wait.as_secs_f64() - self.wait_s) * weight(SMOOTHING_TIME);
+        self.earlier_s += (self.wait_s - self.earlier_s) * weight(GROWTH_TIME);
+    }
+
+    /// The wait in seconds after [`LOOKAHEAD`], if it goes on to change as it does.
+    fn expected_s(self) -> f64 {
+        let growth = (self.wait_s - self.earlier_s) / GROWTH_TIME.as_secs_f64();
+        self.wait_s + growth * LOOKAHEAD.as_secs_f64()
+    }
+}
+
 /// The controllers of a service.
 #[derive(Clone, Debug, Default)]
 pub struct ShedControl {
     priorities: [PriorityState; PRIORITIES],
-    wait: Duration,
+    trend: WaitTrend,
     updated_at: Option<SystemTime>,
 }
 
@@ -134,11 +168,10 @@
             state.record(work, now);
         }
         let elapsed = self.updated_at.map(|at| now.duration_since(at).unwrap_or_default());
-        let weight = elapsed.map_or(1.0, |elapsed| 1.0 - (-elapsed.as_secs_f64() / SMOOTHING_TIME.as_secs_f64()).exp());
-        self.wait = mix(self.wait, work.wait, weight);
+        self.trend.record(work.wait, elapsed);
         self.updated_at = Some(now);
         for state in &mut self.priorities {
-            state.update(self.wait, elapsed.unwrap_or_default());
+            state.update(self.trend, elapsed.unwrap_or_default());
         }
     }
 
