State congestion in the unloaded read rate of the endpoints

Cause: the waiting work was turned into time by the fixed nominal rate, 75 us per token of the largest model, while these endpoints need about 40 us, and their longest pause is short. Work for 0.11 s counted as 0.21 s.

Ruled out: a shortage (times and answers in time hardly changed). Using ReadRates, which rises with the waiting itself. Dividing by all tokens to read (cached or already read ones make endpoints look fast). Dividing the times of slow endpoints by their slowness, and samples of endpoints whose speed is not known yet (not measured).

Change: each VM learns the unloaded rate of a service from the time to the first event per own prompt token, a low quantile that falls quickly and rises slowly, never above the nominal rate. Only endpoints of known speed count. The log line has waiting_ms.

--- a/havengrade_core/src/published/endpoint_speed.rs
+++ b/havengrade_core/src/published/endpoint_speed.rs
@@ -28,6 +28,9 @@
 const HALF_LIFE: Duration = Duration::from_secs(15);
 /// Weight of the assumption that an endpoint is as fast as the others, in measurements.
 const PRIOR_WEIGHT: f64 = 2.0;
+/// Weight of the measurements from which it is known whether an endpoint is as fast as the others: a factor of 1.5 nearly
+/// always shows by then.
+const KNOWN_WEIGHT: f64 = 16.0;
 /// Weight of the measurements from which a factor applies. Fewer ones may have been delayed by the same long prompt at
 /// the endpoint.
 const MIN_WEIGHT: f64 = 8.0;
@@ -330,6 +333,40 @@
         learned.factor() * state.reported_slowness(now)
     }
 
+    /// The learned factor of [`slowness`](Self::slowness), without what the endpoint reports about itself; none until there
+    /// are enough measurements to tell whether the endpoint is as fast as the others.
+    ///
+    /// ```
+    /// use std::{net::SocketAddr, time::{Duration, SystemTime}};
+    /// use havengrade_core::published::{
+    ///     directory::ListedEndpoint,
+    ///     endpoint_speed::{EndpointSpeeds, ReportedSpeed},
+    /// };
+    ///
+    /// let now = SystemTime::UNIX_EPOCH;
+    /// let endpoint = ListedEndpoint {
+    ///     id: "e1".into(),
+    ///     service: "models".into(),
+    ///     address: SocketAddr::from(([10, 0, 0, 1], 80)),
+    ///     failure_domain: "d1".into(),
+    ///     version: "v1".into(),
+    ///     slots: 4,
+    ///     is_leaving: false,
+    ///     cold_for: Duration::ZERO,
+    ///     start: None,
+    /// };
+    /// let mut speeds = EndpointSpeeds::default();
+    /// speeds.retain_listed([&endpoint].into_iter(), now);
+    /// assert_eq!(speeds.known_slowness(&endpoint, now), None);
+    /// speeds.merge_reported(vec![ReportedSpeed { endpoint: "e1".into(), slowness: 1.0, samples: 20 }], now);
+    /// assert_eq!(speeds.known_slowness(&endpoint, now), Some(1.0));
+    /// ```
+    pub fn known_slowness(&self, endpoint: &ListedEndpoint, now: SystemTime) -> Option<f64> {
+        let state = self.states.get(&endpoint.id).filter(|state| state.is_of(endpoint))?;
+        let learned = state.learned.at(now);
+        (learned.weight >= KNOWN_WEIGHT).then(|| learned.relative_to(self.median(&state.service)).factor())
+    }
+
     fn median(&self, service: &str) -> f64 {
         self.medians.get(service).copied().unwrap_or_default()
     }
--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -44,5 +44,6 @@
 pub mod startup;
 pub mod state_transfer;
 pub mod time_histogram;
+pub mod unloaded_read_rate;
 mod version_comparison;
 pub mod withdrawal_policy;
--- a/havengrade_core/src/published/read_rate.rs
+++ b/havengrade_core/src/published/read_rate.rs
@@ -17,8 +17,9 @@
 
 /// Time in which an endpoint reads prompt tokens of the largest model at the default rate.
 ///
-/// Bounds on the waiting work are stated in it: a learned rate contains the delays that this work itself causes, so that
-/// bounds in learned times would count them twice.
+/// Bounds on the waiting work are stated in the time of unloaded endpoints
+/// ([`UnloadedReadRates`](crate::published::unloaded_read_rate::UnloadedReadRates)), which is never above this one: a
+/// rate of [`ReadRates`] contains the delays that this work itself causes, so that the bounds would count them twice.
 ///
 /// ```
 /// use std::time::Duration;
--- a/havengrade_router/src/published/attempt.rs
+++ b/havengrade_router/src/published/attempt.rs
@@ -43,6 +43,8 @@
     pub(super) load: Load,
     /// Prompt tokens that the endpoint had to read before the first event, counted as tokens of the largest model.
     pub(super) tokens_to_read: u32,
+    /// Prompt tokens of the request that no other request shares, counted as tokens of the largest model.
+    pub(super) own_tokens: u32,
     /// When the request was sent.
     pub(super) sent_at: SystemTime,
 }
@@ -124,7 +126,7 @@
 async fn exchange(
     cx: &PublishedContext,
     request: &ActiveRequest,
-    ChosenEndpoint { endpoint, load, tokens_to_read, .. }: &ChosenEndpoint,
+    ChosenEndpoint { endpoint, load, tokens_to_read, own_tokens, .. }: &ChosenEndpoint,
     resume_after: Option<&str>,
     max_idle: Duration,
 ) -> Result<(EndpointConnection, Response<Incoming>, Attempt), ConnectionError> {
@@ -132,7 +134,8 @@
     let mut connection = cx.shared.connection_pool.acquire(&endpoint.id, endpoint.address, max_idle, now).await?;
     let sent_at = cx.shared.clock.now();
     let outgoing = encode_request(cx, request, endpoint, resume_after, sent_at);
-    let attempt = Attempt { endpoint: endpoint.clone(), load: *load, tokens_to_read: *tokens_to_read, sent_at };
+    let (load, tokens_to_read, own_tokens) = (*load, *tokens_to_read, *own_tokens);
+    let attempt = Attempt { endpoint: endpoint.clone(), load, tokens_to_read, own_tokens, sent_at };
     let first_byte_timer = FirstByteTimer::new(cx, request, &attempt);
     let Ok(response) = timeout(request.attempt_timeout(sent_at) + DEADLINE_SLACK, connection.send(outgoing)).await
     else {
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -27,6 +27,7 @@
         sent_prefixes::SentPrefixes,
         startup::StoreReadReports,
         state_transfer::TransferLimiter,
+        unloaded_read_rate::UnloadedReadRates,
     },
     quarantine::Quarantine,
 };
@@ -117,6 +118,7 @@
     last_answer_ms: AtomicU64,
     sent_prefixes: Mutex<SentPrefixes>,
     read_rates: Mutex<ReadRates>,
+    unloaded_read_rates: Mutex<UnloadedReadRates>,
     admission: Mutex<AdmissionControl>,
     congestion: Mutex<CongestionTracker>,
     endpoint_speeds: Mutex<EndpointSpeeds>,
@@ -169,6 +171,7 @@
             last_answer_ms: AtomicU64::new(0),
             sent_prefixes: Mutex::default(),
             read_rates: Mutex::default(),
+            unloaded_read_rates: Mutex::default(),
             admission: Mutex::default(),
             congestion: Mutex::default(),
             endpoint_speeds: Mutex::default(),
@@ -376,6 +379,11 @@
         lock(&self.read_rates)
     }
 
+    /// Locks the rates at which endpoints read prompts while no other work delays them; hold the guard only briefly.
+    pub fn unloaded_read_rates(&self) -> MutexGuard<'_, UnloadedReadRates> {
+        lock(&self.unloaded_read_rates)
+    }
+
     /// Locks the admission of generations; hold the guard only briefly.
     pub fn admission(&self) -> MutexGuard<'_, AdmissionControl> {
         lock(&self.admission)
--- a/havengrade_router/src/published/endpoint_choice.rs
+++ b/havengrade_router/src/published/endpoint_choice.rs
@@ -37,6 +37,8 @@
     /// Prompt tokens that the endpoint has to read before the first event: those that are pending there and those of the
     /// request.
     pub(super) tokens_to_read: u32,
+    /// Prompt tokens of the request that no other request shares, counted as tokens of the largest model.
+    pub(super) own_tokens: u32,
 }
 
 /// Chooses the endpoint for the next attempt and reserves a send there.
@@ -119,7 +121,8 @@
     });
     let free_tokens = candidates.iter().find(|c| c.endpoint.id == endpoint.id).and_then(|c| c.free_tokens);
     let tokens = RequestTokens { pending_prompt: placed.tokens, memory: memory_tokens };
-    let chosen = ChosenEndpoint { endpoint, tokens, load, tokens_to_read };
+    let own_tokens = prompt.as_ref().map_or(0, |prompt| prompt.own_tokens);
+    let chosen = ChosenEndpoint { endpoint, tokens, load, tokens_to_read, own_tokens };
     Some(ReadyEndpoint { chosen, prefixes, forecast, memory, free_tokens })
 }
 
--- a/havengrade_router/src/published/escalation.rs
+++ b/havengrade_router/src/published/escalation.rs
@@ -1,6 +1,6 @@
 //! Assesses the load when a model answers with low confidence, and records whether the answer is kept or replaced.
 
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use havengrade_core::{
     endpoint_selection::EndpointStates as _,
@@ -9,7 +9,6 @@
         directory::ListedEndpoint,
         model_choice::EscalationInput,
         peers::Work,
-        read_rate::nominal_time_to_read,
     },
 };
 
@@ -29,6 +28,8 @@
     pub(super) input: EscalationInput,
     /// Mean waiting work of the endpoints, in prompt tokens of the largest model.
     waiting_tokens: f64,
+    /// Time in which the endpoints read the waiting work if nothing else delays them.
+    waiting_time: Duration,
     /// Waiting work and prompt tokens until the first event of the stronger model.
     tokens_to_first_event: f64,
 }
@@ -45,16 +46,17 @@
         let waiting_tokens = waiting_tokens_of_service(cx, &request.service, now);
         let tokens_to_first_event = tokens_to_first_event(cx, request, stronger, waiting_tokens, now);
         let time_to_read = |tokens: f64| cx.shared.read_rates().time_to_read(&request.service, tokens);
+        let waiting_time = cx.shared.unloaded_read_rates().time_to_read(&request.service, waiting_tokens, now);
         let route = &request.route;
         let input = EscalationInput {
             confidence,
             priority: request.priority,
-            congestion: congestion(nominal_time_to_read(waiting_tokens), route.pause_target, route.target),
+            congestion: congestion(waiting_time, route.pause_target, route.target),
             first_event_in: time_to_read(tokens_to_first_event),
             time_to_target: (request.received_at + route.target).duration_since(now).unwrap_or_default(),
             time_left: request.time_left(now),
         };
-        Self { input, waiting_tokens, tokens_to_first_event }
+        Self { input, waiting_tokens, waiting_time, tokens_to_first_event }
     }
 
     /// Logs and counts that the answer is kept.
@@ -79,6 +81,7 @@
             priority = input.priority,
             congestion_percent = (input.congestion * PERCENT) as u64,
             waiting_tokens = self.waiting_tokens as u64,
+            waiting_ms = self.waiting_time.as_millis() as u64,
             tokens_to_first_event = self.tokens_to_first_event as u64,
             first_event_in_ms = input.first_event_in.as_millis() as u64,
             to_target_ms = input.time_to_target.as_millis() as u64,
@@ -97,7 +100,7 @@
     let routes = cx.shared.routes.load();
     for service in routes.publication().services.iter().filter(|service| service.models.len() > 1) {
         let tokens = waiting_tokens_of_service(cx, &service.name, now);
-        let time = nominal_time_to_read(tokens);
+        let time = cx.shared.unloaded_read_rates().time_to_read(&service.name, tokens, now);
         metrics::gauge!("congestion_seconds", "service" => service.name.clone()).set(time.as_secs_f64());
     }
 }
--- a/havengrade_router/src/published/speeds.rs
+++ b/havengrade_router/src/published/speeds.rs
@@ -5,6 +5,7 @@
 use havengrade_core::published::{
     endpoint_speed::{ReportedSpeed, SpeedChange, SpeedKind, SpeedSample},
     route::AnswerShape,
+    unloaded_read_rate::FirstEventTime,
 };
 
 use crate::published::{active_request::ActiveRequest, attempt::Attempt, context::PublishedContext};
@@ -18,8 +19,15 @@
         return;
     }
     let now = cx.shared.clock.now();
-    let slowness = cx.shared.endpoint_speeds().slowness(&attempt.endpoint, now);
+    let speeds = cx.shared.endpoint_speeds();
+    let (slowness, known) = (speeds.slowness(&attempt.endpoint, now), speeds.known_slowness(&attempt.endpoint, now));
+    drop(speeds);
     cx.shared.read_rates().record(&request.service, f64::from(attempt.tokens_to_read), took, slowness);
+    // An endpoint that may be faster than the others would make them look too fast.
+    if let Some(slowness) = known {
+        let first_event = FirstEventTime { own_tokens: f64::from(attempt.own_tokens), time: took, slowness };
+        cx.shared.unloaded_read_rates().record(&request.service, first_event, now);
+    }
     record(cx, sample(request, attempt, SpeedKind::FirstEvent, took));
 }
 
