Probe an endpoint once more before its abandoned attempts expire

A cause was sent nine times more later than three seconds after its third crash, where three sends are allowed, and five times more beside other requests, of which up to five broke at a crash in the trace. Its attempts were given up after 1.5 s without an answer, and its endpoints crashed 0.2 s later.

Cause: a failed attempt is followed by one probe, at the moment at which it is given up. The endpoint still answers it. The attempts that break at the crash follow by less than PROBE_INTERVAL, so that their probe is skipped, and without such attempts nothing looks at the endpoint at all. The abandoned attempt expires after half a second, and the crash is attributed to nobody. In a trace of the first test the probes at 5.03 s and 6.56 s answer, and the crashes 0.17 s later are followed by none; in the second one four and five probes at these crashes are skipped.

Each failed attempt is now followed by a second check 0.45 s later, which probes only if failed or abandoned attempts are still open at the endpoint. This covers the skipped probe as well. An exit that is known, and an endpoint that answers after a lost connection, leave no open attempt and cause no further probe. PROBE_INTERVAL bounds both kinds together, so that the highest rate of probes is as before. Escalations abandon attempts but are no failed attempts, and cause none (by reading; no run counts them).

Ruled out: a probe after every abandoned attempt, which would probe at each escalation and each caller that leaves.

--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -311,6 +311,11 @@
         }
     }
 
+    /// Whether an exit of an endpoint would be attributed to attempts that failed or were abandoned there.
+    pub fn has_open_attempts(&self, endpoint: &str, now: SystemTime) -> bool {
+        self.open_attempts.get(endpoint).is_some_and(|attempts| attempts.iter().any(|attempt| now < attempt.until))
+    }
+
     /// Records that an endpoint of a version answered a request completely; returns the change that follows.
     pub fn record_answer(
         &mut self,
--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -29,6 +29,9 @@
 
 /// Shortest interval between two probes of an endpoint; when it exits, all its requests break at the same moment.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Delay of the last probe after a failed attempt. An attempt that was given up may crash its endpoint afterwards, and
+/// counts only if that is known within half a second.
+const LAST_PROBE_DELAY: Duration = Duration::from_millis(450);
 /// Time within which an endpoint must have answered this VM for a silent one to count as exited; otherwise this VM may
 /// be cut off from all of them.
 const RECENT_ANSWER_TIME: Duration = Duration::from_millis(1000);
@@ -184,7 +187,7 @@
 }
 
 /// Records an attempt that failed by a lost connection, a truncated answer or a timeout, and probes whether the
-/// endpoint has exited.
+/// endpoint has exited: at once, and after [`LAST_PROBE_DELAY`] if that is still open.
 pub(super) fn record_broken_attempt(
     cx: &PublishedContext,
     request: &ActiveRequest,
@@ -196,13 +199,24 @@
     let fingerprints = fingerprints(request, &endpoint.version);
     cx.shared.quarantine().record_broken_attempt(fingerprints, &endpoint.id, ran_for, now);
     evaluate_suspects(cx, now);
-    let is_due =
-        cx.shared.endpoint_states.slot(&endpoint.id).is_some_and(|slot| slot.try_begin_probe(PROBE_INTERVAL, now));
-    if !is_due {
-        return;
+    if try_begin_probe(cx, endpoint, now) {
+        let (cx, endpoint) = (cx.clone(), endpoint.clone());
+        tokio::spawn(async move { probe_endpoint(&cx, &endpoint).await });
     }
     let (cx, endpoint) = (cx.clone(), endpoint.clone());
-    tokio::spawn(async move { probe_endpoint(&cx, &endpoint).await });
+    tokio::spawn(async move {
+        sleep(LAST_PROBE_DELAY).await;
+        let now = cx.shared.clock.now();
+        let has_open_attempts = cx.shared.quarantine().has_open_attempts(&endpoint.id, now);
+        if has_open_attempts && try_begin_probe(&cx, &endpoint, now) {
+            probe_endpoint(&cx, &endpoint).await;
+        }
+    });
+}
+
+/// Records the start of a probe, unless one started less than [`PROBE_INTERVAL`] ago; returns whether to probe.
+fn try_begin_probe(cx: &PublishedContext, endpoint: &ListedEndpoint, now: SystemTime) -> bool {
+    cx.shared.endpoint_states.slot(&endpoint.id).is_some_and(|slot| slot.try_begin_probe(PROBE_INTERVAL, now))
 }
 
 /// Records an attempt that was abandoned while its endpoint may still run it; an exit soon after is attributed to it.
