Reserve the endpoint of a claimed send

Cause: a claim stated who sends a suspect, not where. One suspect at a time was let through for the whole fleet, which was too slow for eight causes (8 of the 14 seeds), and causes without a claim, or with another one, were sent to its endpoint all the same (19 of 84 claimed sends of harmless requests broke, each beside a cause). A broken send used up the next trial whatever else was there.

A claim names its endpoint now. The list grants no other claim there, and VMs send other requests elsewhere until the send ends. Claimed sends run side by side, a crash beside another suspect leaves the next trial, and trials go after first sends.

--- a/havengrade_core/src/fingerprint.rs
+++ b/havengrade_core/src/fingerprint.rs
@@ -10,6 +10,9 @@
 /// Identifies a software version of endpoints.
 pub type VersionFingerprint = u64;
 
+/// Identifies an endpoint by its address.
+pub type EndpointFingerprint = u64;
+
 /// The fingerprint of a request with these parts (path, client account, body and the like), the same in every build.
 ///
 /// The hash is fast and not keyed: whoever can choose a part can produce collisions. A part that others can't choose,
--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -6,7 +6,7 @@
 //! answers completely has caused no crash, and earlier observations of it are dropped.
 //!
 //! A frequent request is in progress at many endpoints, so that it may be quarantined although others were the cause.
-//! Each quarantined request therefore gets a few trials, one VM and one request at a time, and is released once an
+//! Each quarantined request therefore gets a few trials, each at an endpoint that is reserved for it, and is released once an
 //! endpoint answers it.
 
 use std::{
@@ -20,7 +20,7 @@
         CrashCause, CrashObservation, CrashObservations, MAX_CRASHES, MIN_EXPLAINING_CRASHES, MIN_UNEXPLAINED_CRASHES,
         find_crash_causes, is_same_crash_time,
     },
-    fingerprint::{RequestFingerprint, VersionFingerprint},
+    fingerprint::{EndpointFingerprint, RequestFingerprint, VersionFingerprint},
     gossip::{REPORTS_PER_ENTRY, least_reported},
     ids::EndpointId,
     quarantine_entry::QUARANTINE_DURATION,
@@ -43,6 +43,10 @@
 /// Time after an abandoned attempt within which an exit of its endpoint is attributed to it: the endpoint keeps
 /// running the request until it notices that nobody waits.
 const ABANDONED_ATTEMPT_LIFETIME: Duration = Duration::from_millis(500);
+/// Time for which an endpoint may still run a request that was sent to it.
+const SUSPECT_SEND_LIFETIME: Duration = Duration::from_secs(3);
+/// Time from the crash that made a request a suspect for which its first claimed send goes before trials of others.
+const FIRST_SEND_TIME: Duration = Duration::from_secs(4);
 /// Crash observations that are kept; the oldest ones are evicted.
 const MAX_OBSERVATIONS: usize = 2048;
 /// Crashes, and answers, in a state transfer to a VM that starts.
@@ -125,6 +129,8 @@
     /// have several.
     report_counts: HashMap<(RequestFingerprint, EndpointId), u32>,
     quarantined: HashMap<RequestFingerprint, EntryState>,
+    /// Recent sends of requests that were in progress at crashes, by endpoint.
+    suspect_sends: HashMap<EndpointFingerprint, Vec<(RequestFingerprint, SystemTime)>>,
     /// Requests whose quarantine awaits reports of other VMs, with the time of the decision.
     suspects: HashMap<RequestFingerprint, SystemTime>,
     /// Requests that an answer at this VM released and that may still be on the stored list.
@@ -176,9 +182,10 @@
         {
             return QuarantineStatus::Pending { decided_in: left };
         }
-        let last_crash = if is_attributed { self.last_crash } else { self.last_crash_outside_quarantine(now) };
+        let needs_full_calm = is_attributed && self.is_likely_cause(fingerprint, now);
+        let last_crash = if needs_full_calm { self.last_crash } else { self.last_crash_outside_quarantine(now) };
         let calm = last_crash.map_or(SystemTime::UNIX_EPOCH, |at| at + CALM_BEFORE_TRIAL);
-        match state.entry.next_trial_at().map(|at| time_until(at.max(calm), now)) {
+        match self.next_trial_at(&state.entry, now).map(|at| time_until(at.max(calm), now)) {
             Some(None) => QuarantineStatus::TrialDue(state.entry),
             Some(Some(left)) => QuarantineStatus::Pending { decided_in: left },
             None => {
@@ -222,13 +229,99 @@
         recent.filter(|crash| !is_inside(crash)).map(|crash| crash.at).max()
     }
 
-    /// Time left of a claimed send that runs at any VM; its crash ends it.
-    fn claimed_send_left(&self, now: SystemTime) -> Option<Duration> {
-        let running = self.quarantined.values().filter_map(|state| {
-            let left = state.entry.trial_left(now)?;
-            self.crash_since(state.entry.fingerprint, state.entry.last_trial).is_none().then_some(left)
+    /// The time from which the next trial is due, if one is left.
+    ///
+    /// A crash under the last claimed send that another request may have caused shows nothing, so that the next trial is
+    /// due at once.
+    fn next_trial_at(&self, entry: &QuarantineEntry, now: SystemTime) -> Option<SystemTime> {
+        let due = entry.next_trial_at()?;
+        let last = entry.last_trial.and_then(|at| self.crash_since(entry.fingerprint, Some(at)));
+        let Some(crash) = last else { return Some(due) };
+        if self.is_sole_suspect(entry.fingerprint, crash, now) {
+            return Some(due);
+        }
+        self.first_sends_until(now).max(Some(crash.at + SETTLE_TIME))
+    }
+
+    /// Whether no other request explains one of the crashes of a request, or its crashes are not known here.
+    fn is_likely_cause(&self, fingerprint: RequestFingerprint, now: SystemTime) -> bool {
+        let Some(crashes) = self.observations.get(&fingerprint) else { return true };
+        crashes.iter().any(|crash| self.is_sole_suspect(fingerprint, crash, now))
+    }
+
+    /// The time until which suspects that were not sent yet go before trials.
+    fn first_sends_until(&self, now: SystemTime) -> Option<SystemTime> {
+        let unclaimed = self.observations.iter().filter(|(fingerprint, crashes)| {
+            crashes.len() >= MIN_UNEXPLAINED_CRASHES
+                && !self.quarantined.contains_key(fingerprint)
+                && !crashes.iter().any(|crash| self.is_answered(&(**fingerprint, crash.version), now))
         });
-        running.min()
+        let suspected_at = |crashes: &[CrashObservation]| {
+            let mut times: Vec<SystemTime> = crashes.iter().map(|crash| crash.at).collect();
+            times.sort_unstable();
+            times.get(MIN_UNEXPLAINED_CRASHES - 1).copied()
+        };
+        unclaimed.filter_map(|(_, crashes)| suspected_at(crashes)).max().map(|at| at + FIRST_SEND_TIME)
+    }
+
+    /// Claimed sends that run at any VM, each with the time left; its crash ends it.
+    fn running_claims(&self, now: SystemTime) -> impl Iterator<Item = (&QuarantineEntry, Duration)> {
+        self.quarantined.values().filter_map(move |state| {
+            let left = state.entry.trial_left(now)?;
+            let crash = self.crash_since(state.entry.fingerprint, state.entry.last_trial);
+            crash.is_none().then_some((&state.entry, left))
+        })
+    }
+
+    /// Time left of a claimed send whose endpoint is not known.
+    fn claimed_send_left(&self, now: SystemTime) -> Option<Duration> {
+        let unknown = self.running_claims(now).filter(|(entry, _)| entry.endpoint.is_none());
+        unknown.map(|(_, left)| left).min()
+    }
+
+    /// Endpoints at which claimed sends of other requests run, by the fingerprints of their addresses.
+    ///
+    /// ```
+    /// use std::time::{Duration, SystemTime};
+    /// use havengrade_core::quarantine::{Quarantine, QuarantineEntry};
+    ///
+    /// let now = SystemTime::UNIX_EPOCH + Duration::from_secs(1_000);
+    /// let mut quarantine = Quarantine::default();
+    /// quarantine.record_claim(QuarantineEntry {
+    ///     fingerprint: 7,
+    ///     version: 1,
+    ///     first_crash: now - Duration::from_secs(9),
+    ///     since: now,
+    ///     until: now + Duration::from_secs(3600),
+    ///     trials: 0,
+    ///     last_trial: Some(now),
+    ///     endpoint: Some(11),
+    /// });
+    /// assert_eq!(quarantine.reserved_endpoints(8, now), [11]);
+    /// assert!(quarantine.reserved_endpoints(7, now).is_empty(), "its own send");
+    /// ```
+    pub fn reserved_endpoints(&self, fingerprint: RequestFingerprint, now: SystemTime) -> Vec<EndpointFingerprint> {
+        let others = self.running_claims(now).filter(|(entry, _)| entry.fingerprint != fingerprint);
+        others.filter_map(|(entry, _)| entry.endpoint).collect()
+    }
+
+    /// Records that a request with known crashes is sent to an endpoint.
+    pub fn record_suspect_send(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        endpoint: EndpointFingerprint,
+        now: SystemTime,
+    ) {
+        self.suspect_sends.entry(endpoint).or_default().push((fingerprint, now));
+    }
+
+    /// Endpoints to which this VM recently sent other requests with known crashes.
+    pub fn endpoints_at_risk(&self, fingerprint: RequestFingerprint, now: SystemTime) -> Vec<EndpointFingerprint> {
+        let is_open = |(other, at): &(RequestFingerprint, SystemTime)| {
+            *other != fingerprint && now < *at + SUSPECT_SEND_LIFETIME && self.observations.contains_key(other)
+        };
+        let at_risk = self.suspect_sends.iter().filter(|(_, sends)| sends.iter().any(is_open));
+        at_risk.map(|(endpoint, _)| *endpoint).collect()
     }
 
     /// Whether a request to which crashes are attributed was in progress at a crash.
@@ -249,10 +342,17 @@
     }
 
     /// Records the number of started trials of a request, and the start of the last one.
-    pub fn record_trials(&mut self, fingerprint: RequestFingerprint, trials: usize, last_trial: Option<SystemTime>) {
+    fn record_trials(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        trials: usize,
+        last_trial: Option<SystemTime>,
+        endpoint: Option<EndpointFingerprint>,
+    ) {
         if let Some(state) = self.quarantined.get_mut(&fingerprint).filter(|state| state.entry.trials < trials) {
             state.entry.trials = trials;
             state.entry.last_trial = last_trial;
+            state.entry.endpoint = endpoint;
             state.report_count = 0;
         }
     }
@@ -438,8 +538,8 @@
             .map(|state| state.entry.fingerprint)
             .collect();
         for fingerprint in sole_suspects {
-            let last_trial = self.quarantined.get(&fingerprint).and_then(|state| state.entry.last_trial);
-            self.record_trials(fingerprint, 1, last_trial);
+            let Some(entry) = self.quarantined.get(&fingerprint).map(|state| state.entry) else { continue };
+            self.record_trials(fingerprint, 1, entry.last_trial, entry.endpoint);
         }
     }
 
@@ -574,6 +674,7 @@
                 until: now + reported.remaining.min(QUARANTINE_DURATION),
                 trials: reported.trials,
                 last_trial: reported.last_trial_age.map(at),
+                endpoint: reported.endpoint,
             };
             changes.extend(self.merge_entry(entry, reported.is_stored));
         }
@@ -609,10 +710,13 @@
             known.is_stored |= is_stored;
             // All VMs use the earliest start of the quarantine.
             known.entry.since = known.entry.since.min(reported.since);
-            if known.entry.trials == reported.trials {
-                known.entry.last_trial = known.entry.last_trial.max(reported.last_trial);
+            if known.entry.is_same_send(&reported) {
+                known.entry.endpoint = known.entry.endpoint.or(reported.endpoint);
+            } else if known.entry.trials == reported.trials && known.entry.last_trial < reported.last_trial {
+                known.entry.last_trial = reported.last_trial;
+                known.entry.endpoint = reported.endpoint;
             }
-            self.record_trials(fingerprint, reported.trials, reported.last_trial);
+            self.record_trials(fingerprint, reported.trials, reported.last_trial, reported.endpoint);
             return None;
         }
         self.quarantined.insert(fingerprint, EntryState { entry: reported, is_stored, report_count: 0 });
@@ -679,6 +783,10 @@
             attempts.retain(|attempt| now < attempt.until);
             !attempts.is_empty()
         });
+        self.suspect_sends.retain(|_, sends| {
+            sends.retain(|(_, at)| now < *at + SUSPECT_SEND_LIFETIME);
+            !sends.is_empty()
+        });
         self.exited.retain(|_, at| now < *at + FAILED_ATTEMPT_LIFETIME);
         self.quarantined.retain(|_, state| now < state.entry.until);
         self.cleared.retain(|_, (at, _)| now < *at + OBSERVATION_LIFETIME);
@@ -724,6 +832,7 @@
         until: now + QUARANTINE_DURATION,
         trials: 0,
         last_trial: None,
+        endpoint: None,
     })
 }
 
--- a/havengrade_core/src/quarantine_entry.rs
+++ b/havengrade_core/src/quarantine_entry.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, SystemTime};
 
-use crate::fingerprint::{RequestFingerprint, VersionFingerprint};
+use crate::fingerprint::{EndpointFingerprint, RequestFingerprint, VersionFingerprint};
 
 /// Time for which a request stays in quarantine: as long as an operator may need to repair the endpoints, since each
 /// crash also breaks all other requests at that endpoint.
@@ -32,11 +32,14 @@
     pub trials: usize,
     /// Start of the last trial, or of the send as a suspect if there was no trial yet.
     pub last_trial: Option<SystemTime>,
+    /// Endpoint of that send, which no other claimed send may use meanwhile; none if its VM did not state it, so that it
+    /// may be any endpoint.
+    pub endpoint: Option<EndpointFingerprint>,
 }
 
 /// The entry by which a VM claims the next trial of a request, given the entries on the list.
 ///
-/// Gives none while another trial runs or if another VM has claimed this one. Trials run one at a time, so that a
+/// Gives none while another claimed send runs at the same endpoint or if another VM has claimed this one, so that a
 /// crash in one is not attributed to the request of another.
 ///
 /// Before the first trial is due, the entry is that of a suspect, and the claim is for its single send. It depends on
@@ -55,21 +58,29 @@
 ///     until: at(90),
 ///     trials: 0,
 ///     last_trial: None,
+///     endpoint: Some(11),
 /// };
 /// let claimed = next_trial(&[], &entry, at(5)).unwrap();
 /// assert_eq!(next_trial(&[claimed], &entry, at(6)), None);
 /// ```
 pub fn next_trial(known: &[QuarantineEntry], wanted: &QuarantineEntry, now: SystemTime) -> Option<QuarantineEntry> {
     let mut same = known.iter().filter(|entry| entry.fingerprint == wanted.fingerprint && now < entry.until);
-    let is_first_send = wanted.next_trial_at().is_some_and(|due| now < due);
+    let is_first_send = wanted.last_trial.is_none() && wanted.next_trial_at().is_some_and(|due| now < due);
     let was_claimed = if is_first_send {
         same.next().is_some()
     } else {
         same.any(|entry| entry.claim_count() > wanted.claim_count())
     };
     let is_in_the_way = |entry: &QuarantineEntry| {
-        let must_have_ended = wanted.is_attributed() && !is_first_send || entry.fingerprint == wanted.fingerprint;
-        entry.trial_left(now).is_some_and(|left| must_have_ended || TRIAL_DURATION - left < CLAIM_REPORT_TIME)
+        let Some(left) = entry.trial_left(now) else { return false };
+        if entry.fingerprint == wanted.fingerprint {
+            return true;
+        }
+        if let (Some(used), Some(endpoint)) = (entry.endpoint, wanted.endpoint) {
+            return used == endpoint;
+        }
+        let must_have_ended = wanted.is_attributed() && !is_first_send;
+        must_have_ended || TRIAL_DURATION - left < CLAIM_REPORT_TIME
     };
     if was_claimed || known.iter().any(is_in_the_way) {
         return None;
@@ -84,6 +95,13 @@
         self.trials > 0 || self.last_trial.is_none()
     }
 
+    /// Whether both entries state the same claimed send; the times that VMs report for it differ by the delay of reports.
+    pub(crate) fn is_same_send(&self, other: &Self) -> bool {
+        let (Some(one), Some(two)) = (self.last_trial, other.last_trial) else { return false };
+        let apart = one.duration_since(two).or_else(|_| two.duration_since(one));
+        self.trials == other.trials && apart.is_ok_and(|apart| apart < CLAIM_REPORT_TIME)
+    }
+
     /// Number of sends that were claimed or skipped.
     fn claim_count(&self) -> usize {
         self.trials + usize::from(self.last_trial.is_some())
--- a/havengrade_core/src/quarantine_report.rs
+++ b/havengrade_core/src/quarantine_report.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime};
 
 use crate::{
-    fingerprint::{RequestFingerprint, VersionFingerprint},
+    fingerprint::{EndpointFingerprint, RequestFingerprint, VersionFingerprint},
     ids::EndpointId,
     quarantine_entry::QuarantineEntry,
 };
@@ -40,6 +40,8 @@
     pub trials: usize,
     /// Time since the start of the last trial.
     pub last_trial_age: Option<Duration>,
+    /// Endpoint of the last trial.
+    pub endpoint: Option<EndpointFingerprint>,
     /// Whether the entry is known to be on the stored list, which outlives all VMs.
     pub is_stored: bool,
 }
@@ -70,7 +72,7 @@
     /// The entry as it is reported at `now`.
     pub(crate) fn new(entry: &QuarantineEntry, is_stored: bool, now: SystemTime) -> Self {
         let age = |at: SystemTime| now.duration_since(at).unwrap_or_default();
-        let QuarantineEntry { fingerprint, version, first_crash, since, until, trials, last_trial } = *entry;
+        let QuarantineEntry { fingerprint, version, first_crash, since, until, trials, last_trial, endpoint } = *entry;
         Self {
             fingerprint,
             version,
@@ -79,6 +81,7 @@
             remaining: until.duration_since(now).unwrap_or_default(),
             trials,
             last_trial_age: last_trial.map(age),
+            endpoint,
             is_stored,
         }
     }
--- a/havengrade_core/tests/published_older_copy.rs
+++ b/havengrade_core/tests/published_older_copy.rs
@@ -114,6 +114,7 @@
         until: at(90_000),
         trials: 0,
         last_trial: None,
+        endpoint: None,
     };
     let mut quarantine = Quarantine::default();
     quarantine.merge_stored(&[entry], at(100));
--- a/havengrade_core/tests/quarantine.rs
+++ b/havengrade_core/tests/quarantine.rs
@@ -190,7 +190,7 @@
     assert!(matches!(quarantine.status(7, at(4000)), QuarantineStatus::Pending { .. }));
     let QuarantineStatus::TrialDue(entry) = quarantine.status(7, at(5200)) else { panic!("no trial") };
     let claimed = next_trial(&[], &entry, at(5200)).unwrap();
-    quarantine.record_trials(7, claimed.trials, claimed.last_trial);
+    quarantine.record_claim(claimed);
     assert!(matches!(quarantine.status(7, at(5300)), QuarantineStatus::Pending { .. }), "its trial is running");
     assert!(
         matches!(quarantine.status(7, at(9000)), QuarantineStatus::Pending { decided_in } if decided_in.as_secs() > 500)
@@ -217,6 +217,7 @@
         until: at(90_000),
         trials: 0,
         last_trial: None,
+        endpoint: None,
     };
     let first = next_trial(&[entry(7), entry(8)], &entry(7), at(5000)).unwrap();
     assert_eq!((first.trials, first.last_trial), (1, Some(at(5000))));
--- a/havengrade_dev/tests/published_crashing_request.rs
+++ b/havengrade_dev/tests/published_crashing_request.rs
@@ -480,6 +480,7 @@
         remaining: Duration::from_secs(3600),
         trials: 0,
         last_trial_age: None,
+        endpoint: None,
         is_stored: false,
     };
     let routers = fleet.routers.lock().unwrap();
@@ -522,6 +523,7 @@
         until: now + Duration::from_secs(3600),
         trials: 1,
         last_trial: Some(now - Duration::from_secs(60)),
+        endpoint: None,
     });
     let begin = Instant::now();
     let answer = fleet.ask(fleet.host(0).unwrap(), "/read/", "", "same 15").await;
--- a/havengrade_router/src/published/active_request.rs
+++ b/havengrade_router/src/published/active_request.rs
@@ -35,6 +35,8 @@
 pub(super) enum Trial {
     /// The request needs no claim.
     None,
+    /// The next send must be claimed first.
+    Required,
     /// This VM claimed the send, and no endpoint may have run the request since.
     Claimed,
     /// An endpoint may have run the request under the claim, so that it must not be sent again.
@@ -109,6 +111,13 @@
         }
     }
 
+    /// Sets whether the next send must be claimed, unless it already is.
+    pub(super) fn set_claim_required(&mut self, is_required: bool) {
+        if matches!(self.trial, Trial::None | Trial::Required) {
+            self.trial = if is_required { Trial::Required } else { Trial::None };
+        }
+    }
+
     /// Time until the deadline.
     pub(super) fn time_left(&self, now: SystemTime) -> Duration {
         self.deadline.duration_since(now).unwrap_or_default()
--- a/havengrade_router/src/published/admission.rs
+++ b/havengrade_router/src/published/admission.rs
@@ -51,7 +51,7 @@
     let has_models = cx.shared.routes.load().service(&request.service).is_some_and(|known| !known.models.is_empty());
     let is_first_send = !request.attempts.is_repeat() && request.tried_endpoints.is_empty();
     // The send of a suspected or quarantined request is claimed, and can't be claimed again.
-    if request.is_admitted || !has_models || !is_first_send || request.trial != Trial::None {
+    if request.is_admitted || !has_models || !is_first_send || matches!(request.trial, Trial::Claimed | Trial::Spent) {
         return Ok(());
     }
     let query = AdmissionRequest {
--- a/havengrade_router/src/published/endpoint_choice.rs
+++ b/havengrade_router/src/published/endpoint_choice.rs
@@ -20,8 +20,8 @@
 use crate::{
     endpoints::RequestTokens,
     published::{
-        active_request::ActiveRequest, admission, context::PublishedContext, ports::PromptPart, refusal::Refusal,
-        send_limits::ServiceSendLimits,
+        active_request::ActiveRequest, admission, context::PublishedContext, ports::PromptPart, quarantine,
+        refusal::Refusal, send_limits::ServiceSendLimits,
     },
 };
 
@@ -97,10 +97,11 @@
     } else {
         eligible
     };
+    let eligible = quarantine::without_reserved(cx, request, eligible.into_iter().filter(has_room).collect(), now);
     let (prompt, prefixes) = weighted_prompt(cx, request, request.model.as_deref()).unzip();
     let prefixes = prefixes.unwrap_or_default();
     let memory = MemoryDemand::of(cx, request);
-    let candidates = candidates(cx, eligible.into_iter().filter(has_room), &prefixes, memory, now);
+    let candidates = candidates(cx, eligible.into_iter(), &prefixes, memory, now);
     let domain = &cx.shared.settings.vm.failure_domain;
     let sees_all_work = !cx.shared.peers().is_large();
     let placement = PlacementContext {
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -17,7 +17,7 @@
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     http::response,
 };
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::published::{
     active_request::{ActiveRequest, Trial, admit},
@@ -43,6 +43,9 @@
 
 /// Largest answer that is buffered and forwarded whole, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Delay before another endpoint is chosen for a request that can't be sent because of claimed sends or whose endpoint
+/// refused the connection.
+const CLAIM_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Least time before the deadline for another attempt.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
 
@@ -204,19 +207,26 @@
         if request.requires_key() && !cx.shared.may_use_key(now) {
             return Err(request.refusal(Refusal::StaleConfig, Refusal::Lost));
         }
-        let chosen = choose_endpoint(cx, request, now)?;
+        request.set_claim_required(claim.is_some());
+        let chosen = match choose_endpoint(cx, request, now) {
+            Err(refusal) if quarantine::may_wait_for_claims(cx, request, refusal, now) => {
+                sleep(CLAIM_POLL_INTERVAL).await;
+                continue;
+            },
+            chosen => chosen?,
+        };
         if !reserve_retry(cx, request) {
             return Err(request.refusal(Refusal::NoEndpoint, Refusal::Lost));
         }
         let Some(entry) = claim else { return Ok(chosen) };
         // A claim is used up even if nothing is sent, so the endpoint must be reachable.
         if let Err(state) = prepare_attempt(cx, request, &chosen.endpoint).await {
-            request.tried_endpoints.push(chosen.endpoint.id);
-            request.record_attempt(state);
-            if !request.attempts.may_try_again() {
+            if !quarantine::may_wait(request, cx.shared.clock.now()) {
+                request.record_attempt(state);
                 return Err(request.refusal(Refusal::NoEndpoint, Refusal::Lost));
             }
-        } else if quarantine::claim_send(cx, request, &entry).await? {
+            sleep(CLAIM_POLL_INTERVAL).await;
+        } else if quarantine::claim_send(cx, request, &entry, &chosen.endpoint).await? {
             return Ok(chosen);
         }
     }
--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -2,13 +2,15 @@
 
 use std::{
     collections::HashMap,
+    net::IpAddr,
     ops::RangeInclusive,
     sync::atomic::Ordering,
     time::{Duration, SystemTime},
 };
 
 use havengrade_core::{
-    fingerprint::{RequestFingerprint, VersionFingerprint, fingerprint},
+    endpoint_selection::EndpointStates as _,
+    fingerprint::{EndpointFingerprint, RequestFingerprint, VersionFingerprint, fingerprint},
     published::{directory::ListedEndpoint, position::Era},
     quarantine::{QuarantineChange, QuarantineEntry, QuarantineStatus},
 };
@@ -49,6 +51,10 @@
 const MIN_TRIAL_TIME_PART: f64 = 0.25;
 /// Shortest such wait.
 const MIN_WAIT: Duration = Duration::from_millis(20);
+/// Part of a request's time limit below which its claimed send does not wait until fewer others run.
+const URGENT_TIME_PART: f64 = 0.6;
+/// Number of usable endpoints for each claimed send that runs at the same time, since each may crash one.
+const ENDPOINTS_PER_CLAIM: usize = 3;
 /// Interval between two rounds of the list's synchronization while there is nothing to do.
 const IDLE_INTERVAL: Duration = Duration::from_millis(1000);
 /// Interval while entries are to be read or written.
@@ -92,7 +98,7 @@
 /// Admits a request, or refuses it if it is quarantined. Returns the quarantine entry if its send must be claimed first.
 pub(super) async fn admit(cx: &PublishedContext, request: &ActiveRequest) -> Result<Option<QuarantineEntry>, Refusal> {
     match request.trial {
-        Trial::None => {},
+        Trial::None | Trial::Required => {},
         Trial::Claimed => return Ok(None),
         Trial::Spent => return Err(request.refusal(Refusal::NoEndpoint, Refusal::Lost)),
     }
@@ -122,7 +128,9 @@
     cx: &PublishedContext,
     request: &mut ActiveRequest,
     entry: &QuarantineEntry,
+    endpoint: &ListedEndpoint,
 ) -> Result<bool, Refusal> {
+    let entry = &QuarantineEntry { endpoint: Some(address_fingerprint(endpoint)), ..*entry };
     let now = cx.shared.clock.now();
     let refusal = request.refusal(Refusal::Quarantined { retry_after: CLAIM_RETRY_DELAY }, Refusal::Lost);
     let claimed = match cx.quarantine_list.claim_trial(entry, now).await {
@@ -156,8 +164,12 @@
 /// Logs that a request is sent although endpoints have crashed while it was in progress there.
 pub(super) fn log_send_after_crashes(cx: &PublishedContext, request: &ActiveRequest, endpoint: &ListedEndpoint) {
     let crashes = {
-        let quarantine = cx.shared.quarantine();
-        if quarantine.needs_fingerprints() { quarantine.crash_count(request.fingerprint()) } else { 0 }
+        let mut quarantine = cx.shared.quarantine();
+        let crashes = if quarantine.needs_fingerprints() { quarantine.crash_count(request.fingerprint()) } else { 0 };
+        if crashes > 0 {
+            quarantine.record_suspect_send(request.fingerprint(), address_fingerprint(endpoint), cx.shared.clock.now());
+        }
+        crashes
     };
     if crashes == 0 {
         return;
@@ -173,6 +185,107 @@
     );
 }
 
+/// Fingerprint of an endpoint's address. One that has restarted is for some time listed under its old id as well.
+fn address_fingerprint(endpoint: &ListedEndpoint) -> EndpointFingerprint {
+    let port = endpoint.address.port().to_be_bytes();
+    match endpoint.address.ip() {
+        IpAddr::V4(ip) => fingerprint(&[&ip.octets(), &port]),
+        IpAddr::V6(ip) => fingerprint(&[&ip.octets(), &port]),
+    }
+}
+
+/// Whether a request that was refused because no endpoint is left may wait until a claimed send of another one ends.
+pub(super) fn may_wait_for_claims(
+    cx: &PublishedContext,
+    request: &ActiveRequest,
+    refusal: Refusal,
+    now: SystemTime,
+) -> bool {
+    let is_claim = request.trial == Trial::Required;
+    let is_unsent = is_claim || request.trial == Trial::None;
+    if !is_unsent || !matches!(refusal, Refusal::NoEndpoint | Refusal::Lost) || !may_wait(request, now) {
+        return false;
+    }
+    let quarantine = cx.shared.quarantine();
+    quarantine.needs_fingerprints()
+        && (is_claim || quarantine.crash_count(request.fingerprint()) > 0)
+        && !quarantine.reserved_endpoints(request.fingerprint(), now).is_empty()
+}
+
+/// Whether a request may go on waiting for its claimed send.
+pub(super) fn may_wait(request: &ActiveRequest, now: SystemTime) -> bool {
+    now < request.received_at + MAX_WAIT && !time_to_wait(request, now).is_zero()
+}
+
+/// What the quarantine says about the endpoints of a request.
+struct Avoidance {
+    /// Endpoints of claimed sends of other requests.
+    reserved: Vec<EndpointFingerprint>,
+    /// Endpoints that other requests with known crashes may be running at.
+    at_risk: Vec<EndpointFingerprint>,
+    /// Whether the request was in progress at crashes.
+    is_suspect: bool,
+}
+
+fn avoidance(cx: &PublishedContext, request: &ActiveRequest, now: SystemTime) -> Avoidance {
+    let fingerprint = request.fingerprint();
+    let quarantine = cx.shared.quarantine();
+    Avoidance {
+        reserved: quarantine.reserved_endpoints(fingerprint, now),
+        at_risk: quarantine.endpoints_at_risk(fingerprint, now),
+        is_suspect: quarantine.crash_count(fingerprint) > 0,
+    }
+}
+
+/// Returns the endpoints among `eligible` at which a request meets no claimed send of another one.
+///
+/// A claimed send that breaks beside another request shows nothing. Requests without known crashes may be causes as
+/// well, but use the endpoint of a claimed send if no other one is left.
+pub(super) fn without_reserved<'a>(
+    cx: &PublishedContext,
+    request: &ActiveRequest,
+    eligible: Vec<&'a ListedEndpoint>,
+    now: SystemTime,
+) -> Vec<&'a ListedEndpoint> {
+    if !cx.shared.quarantine().needs_fingerprints() {
+        return eligible;
+    }
+    let Avoidance { reserved, at_risk, is_suspect } = avoidance(cx, request, now);
+    let is_claim = matches!(request.trial, Trial::Required | Trial::Claimed);
+    if reserved.is_empty() && !is_claim {
+        return eligible;
+    }
+    let is_usable = |endpoint: &&&'a ListedEndpoint| {
+        !request.tried_endpoints.contains(&endpoint.id) && cx.shared.endpoint_states.state(&endpoint.id).is_usable(now)
+    };
+    let usable: Vec<&ListedEndpoint> = eligible.iter().filter(is_usable).copied().collect();
+    let unreserved = without(&usable, &reserved);
+    if is_claim {
+        let claims = usable.len() - unreserved.len();
+        let is_limited = request.trial == Trial::Required && !is_urgent(request, now);
+        if is_limited && claims >= (usable.len() / ENDPOINTS_PER_CLAIM).max(1) {
+            return Vec::new();
+        }
+        let safe = without(&unreserved, &at_risk);
+        return if safe.is_empty() { without(&eligible, &reserved) } else { safe };
+    }
+    if !unreserved.is_empty() {
+        return unreserved;
+    }
+    if is_suspect && may_wait(request, now) { Vec::new() } else { eligible }
+}
+
+/// Whether a claimed send no longer waits until fewer others run.
+fn is_urgent(request: &ActiveRequest, now: SystemTime) -> bool {
+    let time_limit = request.deadline.duration_since(request.received_at).unwrap_or_default();
+    request.time_left(now) < time_limit.mul_f64(URGENT_TIME_PART)
+}
+
+/// Returns the endpoints whose addresses are not among `avoided`.
+fn without<'a>(endpoints: &[&'a ListedEndpoint], avoided: &[EndpointFingerprint]) -> Vec<&'a ListedEndpoint> {
+    endpoints.iter().copied().filter(|endpoint| !avoided.contains(&address_fingerprint(endpoint))).collect()
+}
+
 /// Fingerprints of a request and of the version that runs it.
 fn fingerprints(request: &ActiveRequest, version: &str) -> (RequestFingerprint, VersionFingerprint) {
     (request.fingerprint(), fingerprint(&[version.as_bytes()]))
@@ -262,7 +375,9 @@
     let has_recent_answer = cx.shared.has_answer_within(RECENT_ANSWER_TIME, now);
     match result {
         ProbeResult::Refuses => cx.shared.quarantine().record_endpoint_exit(&endpoint.id, now),
-        ProbeResult::Silent if has_recent_answer => cx.shared.quarantine().record_endpoint_exit(&endpoint.id, now),
+        ProbeResult::Silent if has_recent_answer => {
+            cx.shared.quarantine().record_endpoint_exit(&endpoint.id, now);
+        },
         ProbeResult::Silent => {},
         ProbeResult::Answers => cx.shared.quarantine().record_endpoint_alive(&endpoint.id),
     }
--- a/havengrade_router/src/published/wire.rs
+++ b/havengrade_router/src/published/wire.rs
@@ -208,6 +208,7 @@
         trials,
         last_trial_age,
         is_stored,
+        endpoint,
     } = *entry;
     let trials = i32::try_from(trials).unwrap_or(i32::MAX);
     HeldRequest::new(
@@ -219,6 +220,7 @@
         is_stored,
         version.cast_signed(),
         last_trial_age.map(millis),
+        endpoint.map(u64::cast_signed),
     )
 }
 
@@ -239,6 +241,7 @@
         remaining: time(entry.left_ms),
         trials: from_i32(entry.trials) as usize,
         last_trial_age: entry.tried_ms.map(time),
+        endpoint: entry.tried_endpoint.map(i64::cast_unsigned),
         is_stored: entry.is_kept,
     });
     let answered = report.answered.into_iter();
--- a/schema/reports.thrift
+++ b/schema/reports.thrift
@@ -123,6 +123,8 @@
   7: required i64 version,
   /** Time since the last of the trials. */
   8: optional i64 tried_ms,
+  /** Fingerprint of the address of its endpoint; absent where its VM did not state it. */
+  9: optional i64 tried_endpoint,
 }
 
 /** A request that was at a crash and that an endpoint has answered as a whole since. */
