--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -46,7 +46,7 @@
 /// Time for which an endpoint may still run a request that was sent to it.
 const SUSPECT_SEND_LIFETIME: Duration = Duration::from_secs(3);
 /// Time from the crash that made a request a suspect for which its first claimed send goes before trials of others.
-const FIRST_SEND_TIME: Duration = Duration::from_secs(4);
+const FIRST_SEND_TIME: Duration = Duration::from_millis(2500);
 /// Crash observations that are kept; the oldest ones are evicted.
 const MAX_OBSERVATIONS: usize = 2048;
 /// Crashes, and answers, in a state transfer to a VM that starts.
