--- a/havengrade_dev/tests/published_crashing_request.rs
+++ b/havengrade_dev/tests/published_crashing_request.rs
@@ -445,6 +445,18 @@
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
 
+/// On these two of seeds 51 to 100, callers of a frequent innocent request wait for its trial until they have no time
+/// left.
+#[tokio::test(start_paused = true)]
+async fn on_two_further_seeds_no_frequent_innocent_request_is_held_back_beside_requests_that_wait() {
+    let mut wrong = Vec::new();
+    for seed in [76, 79] {
+        let faults = faults(waiting_day(), seed).await;
+        wrong.extend(faults.into_iter().map(|fault| format!("seed {seed}: {fault}")));
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
 #[tokio::test(start_paused = true)]
 async fn while_the_store_is_away_a_held_request_is_refused_as_soon_as_its_trial_can_not_be_claimed() {
     let (fleet, _endpoints) = Fleet::start(DAY).await;
