Log the age of the endpoint list and what delays a read of the store

Of a VM that sends to an endpoint which has left the list, the lines did not tell whether its list was old, where its news came from, or why it did not read the store. No decision changes.

--- a/havengrade_router/src/published/active_request.rs
+++ b/havengrade_router/src/published/active_request.rs
@@ -80,6 +80,8 @@
     pub(super) attempts: Attempts,
     /// Endpoints of the attempts so far.
     pub(super) tried_endpoints: Vec<EndpointId>,
+    /// Age of the endpoint list at the latest choice of an endpoint.
+    pub(super) endpoint_list_age: Duration,
 }
 
 impl ActiveRequest {
@@ -206,6 +208,7 @@
         is_admitted: false,
         fingerprint: OnceLock::new(),
         tried_endpoints: Vec::new(),
+        endpoint_list_age: Duration::ZERO,
     })
 }
 
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -215,6 +215,11 @@
         self.config_confirmed_at().map(|at| now.duration_since(at).unwrap_or_default())
     }
 
+    /// Age of the endpoint list: time since it was last known to be up to date.
+    pub fn endpoint_list_age(&self, now: SystemTime) -> Duration {
+        now.duration_since(self.store.view().endpoints_confirmed_at).unwrap_or_default()
+    }
+
     /// Time since this process started.
     pub fn uptime(&self, now: SystemTime) -> Duration {
         now.duration_since(self.started_at).unwrap_or_default()
--- a/havengrade_router/src/published/endpoint_choice.rs
+++ b/havengrade_router/src/published/endpoint_choice.rs
@@ -51,6 +51,7 @@
     request: &mut ActiveRequest,
     now: SystemTime,
 ) -> Result<ChosenEndpoint, Refusal> {
+    request.endpoint_list_age = cx.shared.endpoint_list_age(now);
     loop {
         let Some(ready) = choose_ready_endpoint(cx, request, now) else {
             return Err(request.refusal(refusal_without_endpoint(cx, request, now), Refusal::Lost));
--- a/havengrade_router/src/published/event_stream.rs
+++ b/havengrade_router/src/published/event_stream.rs
@@ -524,6 +524,7 @@
             model = request.model.as_deref().unwrap_or_default(),
             session = request.attributes.session.as_deref().unwrap_or_default(),
             tries = request.tried_endpoints.len(),
+            list_age_ms = request.endpoint_list_age.as_millis() as u64,
             first_event_ms = self.first_after.as_millis() as u64,
             last_event = self.last_id.as_deref().unwrap_or_default(),
             resumed = self.resumed,
--- a/havengrade_router/src/published/feed_consumers.rs
+++ b/havengrade_router/src/published/feed_consumers.rs
@@ -22,6 +22,7 @@
     context::{EndpointsByService, PublishedContext},
     ports::OperatorEvent,
     rollouts,
+    view_age::EventSource,
 };
 
 /// Applies the events of a feed to the state of the VM.
@@ -38,7 +39,7 @@
     }
 
     /// Applies the events up to a position, which was the newest one at `at`.
-    fn apply(&mut self, cx: &PublishedContext, events: Vec<T>, position: u64, at: SystemTime);
+    fn apply(&mut self, cx: &PublishedContext, events: Vec<T>, position: u64, at: SystemTime, source: &EventSource);
 }
 
 /// Applies operators' configurations, roll-out orders and changes to the emptied failure domains.
@@ -53,7 +54,14 @@
         Duration::ZERO
     }
 
-    fn apply(&mut self, cx: &PublishedContext, events: Vec<OperatorEvent>, position: u64, at: SystemTime) {
+    fn apply(
+        &mut self,
+        cx: &PublishedContext,
+        events: Vec<OperatorEvent>,
+        position: u64,
+        at: SystemTime,
+        _source: &EventSource,
+    ) {
         let is_first_read = cx.shared.store.view().operators_position.is_none();
         let mut publications = Vec::new();
         for event in events {
@@ -136,7 +144,14 @@
         true
     }
 
-    fn apply(&mut self, cx: &PublishedContext, events: Vec<DirectoryEvent>, position: u64, at: SystemTime) {
+    fn apply(
+        &mut self,
+        cx: &PublishedContext,
+        events: Vec<DirectoryEvent>,
+        position: u64,
+        at: SystemTime,
+        source: &EventSource,
+    ) {
         let now = cx.shared.clock.now();
         let removed = self.removed_in_use(&events);
         let (changes, has_changed) = self.directory.apply(events, at, now);
@@ -154,7 +169,7 @@
             view.endpoints_confirmed_at = view.endpoints_confirmed_at.max(at);
         }
         if has_changed {
-            self.publish_usable(cx);
+            self.publish_usable(cx, at, source);
             cx.shared.send_limits().retain_listed(self.directory.all(), now);
         }
         cx.shared.set_endpoints_known();
@@ -210,7 +225,7 @@
     }
 
     /// Publishes the usable endpoints of the subset to traffic.
-    fn publish_usable(&self, cx: &PublishedContext) {
+    fn publish_usable(&self, cx: &PublishedContext, at: SystemTime, source: &EventSource) {
         let now = cx.shared.clock.now();
         cx.shared.send_limits().cold.set(self.directory.cold(now));
         let used = || self.directory.all().filter(|endpoint| self.subset.includes(endpoint));
@@ -224,7 +239,8 @@
             usable.entry(endpoint.service.clone()).or_default().push(endpoint.clone());
         }
         let before = cx.shared.usable_endpoints.swap(Arc::new(usable));
-        log_changes(&before, &cx.shared.usable_endpoints.load());
+        let age = now.duration_since(at).unwrap_or_default();
+        log_changes(&before, &cx.shared.usable_endpoints.load(), age, source);
     }
 }
 
@@ -241,14 +257,16 @@
 /// Maximum number of endpoints that one log line names: for a large fleet, the line would be as long as the list.
 const MAX_LOGGED_ENDPOINTS: usize = 64;
 
-fn log_changes(before: &EndpointsByService, after: &EndpointsByService) {
+fn log_changes(before: &EndpointsByService, after: &EndpointsByService, age: Duration, source: &EventSource) {
     let (gained, gained_more) = endpoints_missing_in(before, after);
     let (lost, lost_more) = endpoints_missing_in(after, before);
     log::info!(
         gained = gained.as_str(),
         lost = lost.as_str(),
         gained_more = gained_more,
-        lost_more = lost_more;
+        lost_more = lost_more,
+        age_ms = age.as_millis() as u64,
+        source = source.to_string().as_str();
         "endpoints changed"
     );
 }
--- a/havengrade_router/src/published/feed_reader.rs
+++ b/havengrade_router/src/published/feed_reader.rs
@@ -24,6 +24,7 @@
         context::PublishedContext,
         feed_consumers::{EndpointConsumer, FeedConsumer, OperatorConsumer},
         ports::{Feed, OperatorEvent, StoreError},
+        view_age::{EventSource, ViewAge, ViewAgeInputs},
     },
     shared::lock,
 };
@@ -66,6 +67,8 @@
     pub(super) position: u64,
     /// Time at which `position` was the newest position.
     pub(super) at: SystemTime,
+    /// The VM that sent the events.
+    pub(super) source: EventSource,
 }
 
 /// Allows the services to read the store; they do so at once if no other VM has given them the active state.
@@ -132,6 +135,7 @@
             consumer,
             last_pause: None,
             freshness: Freshness::default(),
+            view_age: ViewAge::default(),
             is_read_requested: false,
             not_before: Instant::now(),
         };
@@ -149,6 +153,7 @@
     /// The pause after the last failed read; none while the store answers.
     last_pause: Option<Duration>,
     freshness: Freshness,
+    view_age: ViewAge,
     /// Whether another VM reported new events.
     is_read_requested: bool,
     /// Earliest time of the next read.
@@ -184,6 +189,7 @@
             },
             FeedMessage::Relayed(relayed) => state.apply_relayed(relayed),
             FeedMessage::Poll => {
+                state.record_view_age();
                 if state.must_read() {
                     state.read().await;
                 }
@@ -257,7 +263,8 @@
                 }
                 self.freshness.confirmed = at;
                 let position = self.feed.position().unwrap_or_default();
-                self.consumer.apply(&self.cx, events, position, at);
+                self.consumer.apply(&self.cx, events, position, at, &EventSource::Store);
+                self.record_view_age();
             },
             Err(error) => self.record_failure(&error),
         }
@@ -302,7 +309,22 @@
         self.is_read_requested &= relayed.from.is_some();
         self.feed.advance(relayed.position);
         self.freshness.record_answer(relayed.at, self.cx.shared.clock.now());
-        self.consumer.apply(&self.cx, relayed.events, relayed.position, relayed.at);
+        self.consumer.apply(&self.cx, relayed.events, relayed.position, relayed.at, &relayed.source);
+        self.record_view_age();
+    }
+
+    /// Logs when the view of the store grows old and when it is recent again.
+    fn record_view_age(&mut self) {
+        if !self.cx.shared.knows_state() {
+            return;
+        }
+        let inputs = ViewAgeInputs {
+            feed: self.name,
+            freshness: self.freshness,
+            is_reader: self.cx.shared.store.is_reader(),
+            is_paused: self.cx.shared.store.is_paused(Instant::now()),
+        };
+        self.view_age.record(&inputs, || own_turn_position(&self.cx), self.cx.shared.clock.now());
     }
 }
 
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -42,4 +42,5 @@
 mod store_access;
 mod store_queries;
 pub mod stream_buffer;
+mod view_age;
 pub(crate) mod wire;
--- a/havengrade_router/src/published/outcomes.rs
+++ b/havengrade_router/src/published/outcomes.rs
@@ -202,6 +202,7 @@
         version = endpoint.version.as_str(),
         status = status.as_u16(),
         tries = request.tried_endpoints.len(),
+        list_age_ms = request.endpoint_list_age.as_millis() as u64,
         took_ms = took.as_millis() as u64;
         "request answered"
     );
--- a/havengrade_router/src/published/state_fetch.rs
+++ b/havengrade_router/src/published/state_fetch.rs
@@ -33,6 +33,7 @@
         signals::merge_reported_signals,
         state_parts::{EndpointsPart, OperatorsPart, VmsPart, inflate_json},
         state_server::{FRAME_TIMEOUT, MAX_FRAME_BYTES},
+        view_age::EventSource,
         wire::{decode_baseline, decode_quarantine, decode_rollout, decode_signals, from_i64, to_i64},
     },
     shared::lock,
@@ -187,6 +188,7 @@
 
 /// The fetched state, with its query and the time at which that was sent.
 struct FetchedState {
+    sender: SocketAddr,
     asked_at: SystemTime,
     query: StateQuestion,
     head: StateHead,
@@ -214,7 +216,7 @@
     let operators = read_part(&mut frames, head.operators.as_ref()).await?;
     let endpoints = read_part(&mut frames, head.endpoints.as_ref()).await?;
     let vms = read_part(&mut frames, head.vms.as_ref()).await?;
-    Ok(FetchAnswer::State(Box::new(FetchedState { asked_at, query, head, operators, endpoints, vms })))
+    Ok(FetchAnswer::State(Box::new(FetchedState { sender: from, asked_at, query, head, operators, endpoints, vms })))
 }
 
 fn build_query(cx: &PublishedContext, target: FetchTarget) -> StateQuestion {
@@ -252,7 +254,7 @@
 
 /// Applies the fetched state and relays its events to the feeds' services.
 fn apply_fetched(cx: &PublishedContext, fetched: Box<FetchedState>, target: FetchTarget) -> Result<(), FetchError> {
-    let FetchedState { asked_at, query, head, operators, endpoints, vms } = *fetched;
+    let FetchedState { sender, asked_at, query, head, operators, endpoints, vms } = *fetched;
     let has_vms = vms.is_some();
     if let Some(vms) = vms {
         let mut peers = cx.shared.peers();
@@ -299,11 +301,19 @@
         endpoints.iter().flatten().any(|event| !matches!(event, DirectoryEvent::Seen(_) | DirectoryEvent::Gone(_)));
     let events = endpoints.unwrap_or_default();
     let from = known_endpoints_position.filter(|_| !is_list);
-    send_to_feed(cx, ENDPOINT_FEED, FeedMessage::Relayed(relayed_events(&endpoints_part, events, from, asked_at)));
+    send_to_feed(
+        cx,
+        ENDPOINT_FEED,
+        FeedMessage::Relayed(relayed_events(&endpoints_part, events, from, asked_at, sender)),
+    );
     let has_operators = operators.is_some();
     let events = operators.map(operator_events).unwrap_or_default();
     let from = query.operators_position.map(from_i64).filter(|_| !has_operators);
-    send_to_feed(cx, OPERATOR_FEED, FeedMessage::Relayed(relayed_events(&operators_part, events, from, asked_at)));
+    send_to_feed(
+        cx,
+        OPERATOR_FEED,
+        FeedMessage::Relayed(relayed_events(&operators_part, events, from, asked_at, sender)),
+    );
     // An older state is applied all the same, as far as it is new to this VM.
     ensure!(!is_outdated, OutdatedSnafu);
     Ok(())
@@ -315,9 +325,15 @@
     orders.chain([domains, OperatorEvent::Publication(part.publication)]).collect()
 }
 
-fn relayed_events<T>(part: &StatePart, events: Vec<T>, from: Option<u64>, asked_at: SystemTime) -> RelayedEvents<T> {
+fn relayed_events<T>(
+    part: &StatePart,
+    events: Vec<T>,
+    from: Option<u64>,
+    asked_at: SystemTime,
+    sender: SocketAddr,
+) -> RelayedEvents<T> {
     let at = confirmed_at(asked_at, Duration::from_millis(from_i64(part.age_ms)));
-    RelayedEvents { events, from, position: from_i64(part.position), at }
+    RelayedEvents { events, from, position: from_i64(part.position), at, source: EventSource::Transfer { sender } }
 }
 
 fn send_to_feed<T: Send + 'static>(cx: &PublishedContext, name: &str, message: FeedMessage<T>) {
--- a/havengrade_router/src/published/store_queries.rs
+++ b/havengrade_router/src/published/store_queries.rs
@@ -19,6 +19,7 @@
     feed_reader::{ENDPOINT_FEED, FeedMessage, OPERATOR_FEED, RelayedEvents, find_service, send},
     ports::OperatorEvent,
     state_fetch::{FetchTarget, fetch_update},
+    view_age::EventSource,
     wire::{decode_change, encode_change, from_i64, to_i64},
 };
 
@@ -188,7 +189,8 @@
         fetch_change(cx, answer, position);
     } else if position == sent.operators_position {
         let at = confirmed_at(sent.sent_at, Duration::from_millis(from_i64(answer.operators_age_ms)));
-        let relayed = RelayedEvents { events: Vec::new(), from: Some(position), position, at };
+        let source = EventSource::Answer { vm: sent.vm.clone() };
+        let relayed = RelayedEvents { events: Vec::new(), from: Some(position), position, at, source };
         send(&service, FeedMessage::Relayed(relayed));
     }
 }
@@ -204,7 +206,8 @@
     match (events.flatten(), from) {
         (Some(events), _) => {
             let at = confirmed_at(sent.sent_at, Duration::from_millis(from_i64(answer.endpoints_age_ms)));
-            let relayed = RelayedEvents { events, from: Some(sent.endpoints_position), position, at };
+            let source = EventSource::Answer { vm: sent.vm.clone() };
+            let relayed = RelayedEvents { events, from: Some(sent.endpoints_position), position, at, source };
             send(&service, FeedMessage::Relayed(relayed));
         },
         (None, Some(from)) => fetch_update(cx, from, FetchTarget::Endpoints(position)),
