Vouch only for own reads of the store when reading it for others

Callers saw nothing; endpoints got requests up to 3.3 s after they had left (DRAIN, 3 s allowed). VMs take news of the list from a few readers. A reader that had lost the store was given the list by another VM, so that its next answers looked fresh, and the VMs that had begun to read in its place stopped; all views aged together until they began again, at 1.6 s, and stopped again, since an answer counted as useful up to 2.3 s.

A VM that reads for others now states the age of its own last read, whatever it was told meanwhile, and is taken for a reader up to one limit. A fallback reader offers itself once it has read both feeds. A reader that doesn't reach the store asks others, and views of either feed that grow old accept an offer.

--- a/havengrade_core/src/published/relay.rs
+++ b/havengrade_core/src/published/relay.rs
@@ -41,10 +41,10 @@
 /// Delay between the turns of two VMs of a failure domain: with six failure domains, 30 calls a second while the
 /// store is unreachable.
 const TURN_INTERVAL: Duration = Duration::from_millis(200);
-/// Age of a reader's view from which the reader is assumed not to reach the store.
+/// Age of a reader's last own read from which the reader is assumed not to reach the store.
 ///
-/// The view of a reader that reaches it is at most two of its long polls old, 1.4 s.
-const STALE_READER_AGE: Duration = Duration::from_millis(1600);
+/// The last read of one that reaches it is at most two of its long polls old, 1.4 s.
+pub const STALE_READER_AGE: Duration = Duration::from_millis(1600);
 /// Fallback readers that a VM remembers.
 const MAX_FALLBACKS: usize = 2;
 /// Consecutive queries without a useful answer after which a reader is skipped; single datagrams are lost now and
--- a/havengrade_router/src/published/feed_consumers.rs
+++ b/havengrade_router/src/published/feed_consumers.rs
@@ -60,7 +60,7 @@
         events: Vec<OperatorEvent>,
         position: u64,
         at: SystemTime,
-        _source: &EventSource,
+        source: &EventSource,
     ) {
         let is_first_read = cx.shared.store.view().operators_position.is_none();
         let mut publications = Vec::new();
@@ -75,7 +75,13 @@
         for publication in publications {
             activate(cx, publication);
         }
-        cx.shared.store.view().operators_position = Some(position);
+        {
+            let mut view = cx.shared.store.view();
+            view.operators_position = Some(position);
+            if *source == EventSource::Store {
+                view.operators_read_at = at;
+            }
+        }
         cx.shared.store.record_era(era(position));
         cx.shared.confirm_config(at);
         if is_first_read {
@@ -167,6 +173,9 @@
             view.endpoint_changes.record(&changes, position, listed);
             view.is_restoring = self.directory.is_restoring(now);
             view.endpoints_confirmed_at = view.endpoints_confirmed_at.max(at);
+            if *source == EventSource::Store {
+                view.endpoints_read_at = at;
+            }
         }
         if has_changed {
             self.publish_usable(cx, at, source);
--- a/havengrade_router/src/published/feed_reader.rs
+++ b/havengrade_router/src/published/feed_reader.rs
@@ -256,10 +256,9 @@
                 self.is_read_requested = false;
                 // An answer that may lack events does not confirm that the view is up to date.
                 let at = self.feed.confirmed_at(asked_at).unwrap_or(self.freshness.confirmed);
-                if self.freshness.is_store_unreachable_for_peers(self.cx.shared.clock.now())
-                    && !self.cx.shared.store.is_reader()
-                {
-                    self.cx.shared.store.set_fallback_reader(true);
+                let now = self.cx.shared.clock.now();
+                if self.freshness.is_store_unreachable_for_peers(now) && !self.cx.shared.store.is_reader() {
+                    self.cx.shared.store.set_fallback_reader(true, now);
                 }
                 self.freshness.confirmed = at;
                 let position = self.feed.position().unwrap_or_default();
--- a/havengrade_router/src/published/peers.rs
+++ b/havengrade_router/src/published/peers.rs
@@ -28,7 +28,7 @@
         quarantine::announce_changes,
         signals::merge_reported_signals,
         speeds::{merge_reported_speeds, next_speed_report},
-        store_queries::{StoreQueries, answer_query, change_hint},
+        store_queries::{StoreQueries, answer_query, can_offer_reads, change_hint},
         wire::{PeerReport, decode_report, encode_report},
     },
     services::send_periodically,
@@ -203,8 +203,9 @@
     /// fallback reader.
     async fn announce_position(&mut self, now: SystemTime) {
         let position = self.cx.shared.store.view().operators_position;
-        let is_offer = self.cx.shared.store.is_fallback_reader() && !self.has_offered;
-        self.has_offered = self.cx.shared.store.is_fallback_reader();
+        let is_fallback = self.cx.shared.store.is_fallback_reader();
+        let is_offer = is_fallback && !self.has_offered && can_offer_reads(&self.cx, now);
+        self.has_offered = is_fallback && (self.has_offered || is_offer);
         if !is_offer && (position <= self.announced_position || !self.cx.shared.store.is_reader()) {
             return;
         }
--- a/havengrade_router/src/published/store_access.rs
+++ b/havengrade_router/src/published/store_access.rs
@@ -31,6 +31,31 @@
     pub is_restoring: bool,
     /// Time at which the endpoint list was known to be up to date.
     pub endpoints_confirmed_at: SystemTime,
+    /// Time of the last read of the operators' events by this VM itself.
+    pub operators_read_at: SystemTime,
+    /// Time of the last read of the endpoint list by this VM itself.
+    pub endpoints_read_at: SystemTime,
+    /// Time since which this VM has read the store for others without interruption.
+    pub reader_since: SystemTime,
+}
+
+impl StoreView {
+    /// Age of the older one of the last own reads of both feeds, for a VM that reads the store for others.
+    ///
+    /// A view that another VM sent is newer, but shows nothing of whether this VM reaches the store.
+    pub fn own_read_age(&self, now: SystemTime) -> Duration {
+        self.operators_read_age(now).max(self.endpoints_read_age(now))
+    }
+
+    /// Age of the last own read of the operators' events.
+    pub fn operators_read_age(&self, now: SystemTime) -> Duration {
+        now.duration_since(self.operators_read_at.max(self.reader_since)).unwrap_or_default()
+    }
+
+    /// Age of the last own read of the endpoint list.
+    pub fn endpoints_read_age(&self, now: SystemTime) -> Duration {
+        now.duration_since(self.endpoints_read_at.max(self.reader_since)).unwrap_or_default()
+    }
 }
 
 /// Access of a VM to the store.
@@ -57,6 +82,9 @@
             listed_endpoints: Arc::default(),
             is_restoring: false,
             endpoints_confirmed_at: SystemTime::UNIX_EPOCH,
+            operators_read_at: SystemTime::UNIX_EPOCH,
+            endpoints_read_at: SystemTime::UNIX_EPOCH,
+            reader_since: SystemTime::UNIX_EPOCH,
         };
         Self {
             may_read: AtomicBool::new(false),
@@ -129,19 +157,27 @@
     }
 
     /// Sets whether this VM reads the store for others in place of the regular readers.
-    pub fn set_fallback_reader(&self, is_fallback_reader: bool) {
+    pub fn set_fallback_reader(&self, is_fallback_reader: bool, now: SystemTime) {
+        self.record_reader_start(is_fallback_reader, now);
         if self.is_fallback_reader.swap(is_fallback_reader, Ordering::AcqRel) != is_fallback_reader {
             log::info!(reads = u64::from(is_fallback_reader); "this VM starts or stops being a fallback reader");
         }
     }
 
     /// Sets whether this VM is a regular reader of the store for others.
-    pub fn set_reader(&self, is_reader: bool) {
+    pub fn set_reader(&self, is_reader: bool, now: SystemTime) {
+        self.record_reader_start(is_reader, now);
         if self.is_reader.swap(is_reader, Ordering::AcqRel) != is_reader {
             log::info!(reads = u64::from(is_reader); "this VM starts or stops being a reader of the store");
         }
     }
 
+    fn record_reader_start(&self, starts: bool, now: SystemTime) {
+        if starts && !self.is_reader() {
+            self.view().reader_since = now;
+        }
+    }
+
     /// Whether reads are paused at `now`, since the last read of some feed failed.
     pub fn is_paused(&self, now: Instant) -> bool {
         lock(&self.paused_until).is_some_and(|until| now < until)
--- a/havengrade_router/src/published/store_queries.rs
+++ b/havengrade_router/src/published/store_queries.rs
@@ -9,7 +9,7 @@
     ids::VmId,
     published::{
         directory::DirectoryEvent,
-        relay::{MAX_RELAYED_AGE, ReaderSelection, confirmed_at},
+        relay::{ReaderSelection, STALE_READER_AGE, confirmed_at},
     },
 };
 use havengrade_rpc::reports::{StoreAnswer, StoreQuestion};
@@ -30,7 +30,7 @@
 /// Largest number of changes in an answer, so that it fits into a packet; more are transferred over a connection.
 const MAX_CHANGES: usize = 8;
 
-/// Age of the configuration from which a VM that offers to be a fallback reader is asked.
+/// Age of the configuration or the endpoint list from which a VM that offers to be a fallback reader is asked.
 const FALLBACK_AGE: Duration = Duration::from_millis(1200);
 
 /// Number of an unsolicited answer, which only hints at new operators' events.
@@ -86,7 +86,7 @@
         ))
     }
 
-    /// The VM to ask; none if this VM is a reader or the list of VMs has not been loaded.
+    /// The VM to ask; none if the list of VMs has not been loaded, or if this VM reads the store and reaches it.
     fn choose_reader(&mut self, cx: &PublishedContext, now: SystemTime) -> Option<(VmId, SocketAddr)> {
         let me = &cx.shared.settings.vm.id;
         let peers = cx.shared.peers();
@@ -96,12 +96,15 @@
         let vms = peers.all().map(|peer| &peer.vm).chain([me]);
         let readers = self.readers.select(vms, me, now);
         let is_reader = readers.contains(&me);
-        cx.shared.store.set_reader(is_reader);
+        cx.shared.store.set_reader(is_reader, now);
         if is_reader {
-            cx.shared.store.set_fallback_reader(false);
-            return None;
+            cx.shared.store.set_fallback_reader(false, now);
+            if cx.shared.store.view().own_read_age(now) < STALE_READER_AGE {
+                return None;
+            }
         }
-        let vm = self.readers.next_to_ask(&readers)?;
+        let others: Vec<&VmId> = readers.into_iter().filter(|vm| *vm != me).collect();
+        let vm = self.readers.next_to_ask(&others)?;
         let address = peers.address(&vm)?;
         Some((vm, address))
     }
@@ -115,10 +118,10 @@
         let Some(sent) = self.last.as_mut().filter(|sent| sent.number == from_i64(answer.number)) else { return };
         let age = answer_age(&answer);
         sent.is_answered = true;
-        if age >= MAX_RELAYED_AGE {
+        if age >= STALE_READER_AGE {
             self.readers.record_stale_answer(&sent.vm);
         } else if self.readers.record_answer(&sent.vm) {
-            cx.shared.store.set_fallback_reader(false);
+            cx.shared.store.set_fallback_reader(false, cx.shared.clock.now());
         }
         apply_operators(cx, sent, &answer);
         apply_endpoints(cx, sent, answer);
@@ -132,8 +135,9 @@
             fetch_change(cx, hint, position);
         }
         let now = cx.shared.clock.now();
-        let is_stale = cx.shared.config_age(now).is_none_or(|age| age >= FALLBACK_AGE);
-        if is_stale && answer_age(hint) < MAX_RELAYED_AGE {
+        let is_stale = cx.shared.config_age(now).is_none_or(|age| age >= FALLBACK_AGE)
+            || cx.shared.endpoint_list_age(now) >= FALLBACK_AGE;
+        if is_stale && answer_age(hint) < STALE_READER_AGE {
             self.add_fallback_reader(cx, hint);
         }
     }
@@ -149,6 +153,12 @@
     }
 }
 
+/// Whether this VM, which has become a fallback reader, has read what others would ask it for.
+pub(super) fn can_offer_reads(cx: &PublishedContext, now: SystemTime) -> bool {
+    cx.shared.endpoint_list_age(now) < STALE_READER_AGE
+        && cx.shared.config_age(now).is_some_and(|age| age < STALE_READER_AGE)
+}
+
 /// The hint that a reader sends to all other VMs after operators wrote something.
 pub(super) fn change_hint(cx: &PublishedContext, now: SystemTime) -> Option<StoreAnswer> {
     let query = StoreQuestion::new(to_i64(HINT_NUMBER), String::new(), 0, to_i64(u64::MAX));
@@ -216,18 +226,26 @@
 }
 
 /// Answers a query from this VM's view of the store; none before its first reads.
+///
+/// A VM that reads the store for others vouches only for what it read itself, so that they learn when it no longer
+/// reaches the store.
 pub(super) fn answer_query(cx: &PublishedContext, query: &StoreQuestion, now: SystemTime) -> Option<StoreAnswer> {
+    let is_reader = cx.shared.store.is_reader();
     let view = cx.shared.store.view();
-    let age = |at: SystemTime| to_i64(now.duration_since(at).unwrap_or_default().as_millis() as u64 + 1);
+    let age = |confirmed_at: SystemTime, read_age: Duration| {
+        let age = now.duration_since(confirmed_at).unwrap_or_default();
+        let age = if is_reader { age.max(read_age) } else { age };
+        to_i64(age.as_millis() as u64 + 1)
+    };
     let changes = view.endpoint_changes.since(from_i64(query.endpoints_position));
     let changes = changes.filter(|changes| changes.len() <= MAX_CHANGES);
     let changes = changes.and_then(|changes| changes.cloned().map(encode_change).collect::<Option<Vec<_>>>());
     Some(StoreAnswer::new(
         query.number,
         to_i64(view.operators_position?),
-        age(cx.shared.config_confirmed_at()?),
+        age(cx.shared.config_confirmed_at()?, view.operators_read_age(now)),
         to_i64(view.endpoint_changes.position()),
-        age(view.endpoints_confirmed_at),
+        age(view.endpoints_confirmed_at, view.endpoints_read_age(now)),
         changes,
         cx.uses_state_transfer.then(|| cx.shared.settings.listen.peers.to_string()),
     ))
