Let a VM that hears no other one read the endpoint list at once

Callers saw nothing; a VM of a fleet of 65 or more that no other VM reached, though the store did, went on sending to endpoints for ten seconds after they had left (DRAIN). Before a VM that is no reader reads a feed that grows with the fleet, it draws lots, so that a large fleet that lost its readers does not read it all at once: 1 in 134 each 0.1 s with 67 VMs. A VM that has heard no report for 1.2 s is not in such a fleet, and reads without drawing.

A failure domain cut off from the others keeps the bound too (new test, which also passes without this change).

--- a/havengrade_core/src/published/peers.rs
+++ b/havengrade_core/src/published/peers.rs
@@ -253,6 +253,11 @@
         self.revision
     }
 
+    /// Whether any VM has reported within `time` before `now`.
+    pub fn has_report_within(&self, time: Duration, now: SystemTime) -> bool {
+        self.by_vm.values().any(|known| known.has_reported && now < known.last_report + time)
+    }
+
     /// The number of known VMs.
     pub fn len(&self) -> usize {
         self.by_vm.len()
--- a/havengrade_core/src/published/relay.rs
+++ b/havengrade_core/src/published/relay.rs
@@ -30,8 +30,8 @@
 /// A reader's view is up to two of its long polls old, and it is asked a little later. The rest of the time until a
 /// change must be active, two seconds, is left for a read of the VM's own.
 pub const MAX_RELAYED_AGE: Duration = Duration::from_millis(2300);
-/// Time without a useful answer after which a VM counts as isolated from its peers.
-const ISOLATED_AFTER: Duration = Duration::from_millis(1200);
+/// Time without a useful answer, or without any report, after which a VM counts as isolated from its peers.
+pub const ISOLATED_AFTER: Duration = Duration::from_millis(1200);
 /// Age of the view at which an isolated VM reads the store.
 const MAX_ISOLATED_AGE: Duration = Duration::from_millis(1200);
 /// Age of the view from which VMs whose readers do not reach the store try it in turns.
--- a/havengrade_dev/tests/published_list_age.rs
+++ b/havengrade_dev/tests/published_list_age.rs
@@ -148,6 +148,34 @@
     }
 }
 
+/// Guards against VMs that wait for readers they can't reach while they reach the store and each other.
+#[tokio::test(start_paused = true)]
+async fn a_failure_domain_that_is_cut_off_from_the_others_follows_the_endpoint_list() {
+    let vms: Host = 80;
+    let bench = Bench::start_in(vms, 4).await;
+    let mut listing = Listing::new(&bench);
+    listing.pass(Duration::from_secs(4)).await;
+    for domain in 0..4 {
+        let is_inside = |host: Host| host % 4 == domain;
+        for (from, to) in (1..=vms).flat_map(|from| (1..=vms).map(move |to| (from, to))) {
+            if is_inside(from) != is_inside(to) {
+                bench.pipes.cut(from, to);
+            }
+        }
+        let mut longest = (Duration::ZERO, 0);
+        for step in 0..160 {
+            if step % 40 == 0 {
+                listing.remove_one();
+            }
+            listing.step().await;
+            longest = longest.max(listing.longest_use(|_| true));
+        }
+        assert!(longest.0 < Duration::from_secs(3), "domain {domain}: an endpoint used {longest:?} after it had left");
+        bench.pipes.mend();
+        listing.pass(Duration::from_secs(10)).await;
+    }
+}
+
 /// Guards against a VM that takes its own lateness for an outage of the store.
 ///
 /// After an outage a VM keeps removed entries for 2.2 s, since live endpoints write theirs again within that time. VMs
--- a/havengrade_router/src/published/feed_reader.rs
+++ b/havengrade_router/src/published/feed_reader.rs
@@ -11,7 +11,7 @@
 use async_trait::async_trait;
 use havengrade_core::published::{
     directory::DirectoryEvent,
-    relay::{Freshness, read_probability, turn_delay, turn_position},
+    relay::{Freshness, ISOLATED_AFTER, read_probability, turn_delay, turn_position},
     startup::retry_delay,
 };
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef};
@@ -218,13 +218,17 @@
 
     /// Whether this VM may read the store at this check although it is no reader.
     ///
-    /// A VM without state always may: its startup decides when reads begin.
+    /// A VM without state always may: its startup decides when reads begin. So may one that hears no other VM, since the
+    /// others have not lost their readers with it.
     fn may_read_as_non_reader(&self) -> bool {
         if !self.consumer.grows_with_fleet() || !self.cx.shared.knows_state() {
             return true;
         }
-        let vms = self.cx.shared.peers().len() + 1;
-        self.cx.shared.rng().random::<f64>() < read_probability(vms)
+        let (vms, hears_others) = {
+            let peers = self.cx.shared.peers();
+            (peers.len() + 1, peers.has_report_within(ISOLATED_AFTER, self.cx.shared.clock.now()))
+        };
+        !hears_others || self.cx.shared.rng().random::<f64>() < read_probability(vms)
     }
 
     fn is_view_stale(&self, now: SystemTime) -> bool {
