Tell an outage of the store from a read that came late by the renewals in the log

Callers saw nothing; endpoints whose entries had gone without a notice got requests for 2.2 s longer (DRAIN). After an outage of the store entries that went are kept for 2.2 s, since live endpoints write theirs again.

Who reads the log counts the renewals of the entries that stayed: an outage long enough to end entries leaves fewer than the time between two reads allows. VMs that are told take over what the sender says, in an optional field; from one that says nothing, as from a list that was read whole, a gap counts as an outage as before. The setting endpoint_renewal_ms comes from the platform.

Gaps of 2.5 to 6 s with and without an outage in a test of the core.

--- a/havengrade_core/src/published/directory.rs
+++ b/havengrade_core/src/published/directory.rs
@@ -77,12 +77,37 @@
 /// An endpoint's entry lapses after three missed heartbeats, about a second apart.
 pub const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2500);
 
+/// Longest time between two reads for which the number of renewed entries tells whether the store was unreachable.
+///
+/// Over a longer time, an outage is a small share of the expected renewals.
+const MAX_COUNTED_GAP: Duration = Duration::from_secs(6);
+
+/// Renewals per endpoint that may be missing from the expected number without an outage: those that are on their way.
+const MISSING_RENEWALS: f64 = 0.5;
+
 /// Time for which removed endpoints are remembered; the copy from which a store is restored is some seconds old.
 const REMOVED_RETENTION: Duration = Duration::from_secs(120);
 
 /// Largest difference in delay between two reads of an entry: the time between two reads of the list.
 const READ_SLACK: Duration = Duration::from_millis(800);
 
+/// What the origin of events tells about an outage of the store since the last read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OutageEvidence {
+    /// The events are all records of the log; live endpoints renew their entries at this interval.
+    Log {
+        /// Time between two renewals of an entry.
+        renewal_interval: Duration,
+    },
+    /// Another VM sent the events, and keeps entries that were removed in an outage for this time from now.
+    Reported {
+        /// Zero if that VM knows of no outage.
+        relist_grace: Duration,
+    },
+    /// Nothing is known; a long time between two reads counts as an outage.
+    None,
+}
+
 /// The known endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
@@ -138,9 +163,19 @@
         at: SystemTime,
         now: SystemTime,
     ) -> (Vec<DirectoryEvent>, bool) {
-        let was_outage = self.last_read.is_some_and(|last| at >= last + OUTAGE_THRESHOLD);
-        if was_outage {
-            self.grace_until = Some(now + RELIST_GRACE);
+        self.apply_with_evidence(events, OutageEvidence::None, at, now)
+    }
+
+    /// Applies the events of a read like [`Self::apply`], with what their origin tells about an outage of the store.
+    pub fn apply_with_evidence(
+        &mut self,
+        events: Vec<DirectoryEvent>,
+        evidence: OutageEvidence,
+        at: SystemTime,
+        now: SystemTime,
+    ) -> (Vec<DirectoryEvent>, bool) {
+        if let Some(grace) = self.grace_after_gap(&events, evidence, at) {
+            self.grace_until = Some(now + grace);
         }
         self.removed.retain(|_, removed| now < *removed + REMOVED_RETENTION);
         self.last_read = self.last_read.max(Some(at));
@@ -156,6 +191,44 @@
         (changes, has_changed || has_expired)
     }
 
+    /// The time for which removed entries are kept, if the store was unreachable between the last read and one at `at`.
+    fn grace_after_gap(&self, events: &[DirectoryEvent], evidence: OutageEvidence, at: SystemTime) -> Option<Duration> {
+        let gap = at.duration_since(self.last_read?).ok().filter(|gap| *gap >= OUTAGE_THRESHOLD)?;
+        match evidence {
+            OutageEvidence::Log { renewal_interval } if self.was_renewed(events, gap, renewal_interval) => None,
+            OutageEvidence::Reported { relist_grace } => Some(relist_grace).filter(|grace| !grace.is_zero()),
+            OutageEvidence::Log { .. } | OutageEvidence::None => Some(RELIST_GRACE),
+        }
+    }
+
+    /// Whether the endpoints that stay on the list renewed their entries throughout `gap`, by all records of the log.
+    fn was_renewed(&self, events: &[DirectoryEvent], gap: Duration, renewal_interval: Duration) -> bool {
+        if gap > MAX_COUNTED_GAP || renewal_interval.is_zero() {
+            return false;
+        }
+        let mut renewals: HashMap<&str, u32> = self.entries.keys().map(|id| (id.as_str(), 0)).collect();
+        for event in events {
+            match event {
+                DirectoryEvent::Seen(endpoint) => {
+                    if let Some(count) = renewals.get_mut(endpoint.id.as_str()) {
+                        *count += 1;
+                    }
+                },
+                DirectoryEvent::Gone(id) => {
+                    renewals.remove(id.as_str());
+                },
+                DirectoryEvent::All(_) | DirectoryEvent::Restored(_) => return false,
+            }
+        }
+        let expected = gap.div_duration_f64(renewal_interval) - MISSING_RENEWALS;
+        !renewals.is_empty() && f64::from(renewals.values().sum::<u32>()) >= expected * renewals.len() as f64
+    }
+
+    /// Time for which entries that were removed in an outage are still kept.
+    pub fn relist_grace(&self, now: SystemTime) -> Duration {
+        self.grace_until.and_then(|until| until.duration_since(now).ok()).unwrap_or_default()
+    }
+
     /// Whether an event changes anything; most events only renew an entry.
     fn is_change(&self, event: &DirectoryEvent, now: SystemTime) -> bool {
         match event {
--- a/havengrade_core/tests/published.rs
+++ b/havengrade_core/tests/published.rs
@@ -11,7 +11,7 @@
     endpoint_selection::EndpointState,
     published::{
         attempt::{Attempts, Guarantee, RunState},
-        directory::{Directory, DirectoryEvent, ListedEndpoint, RELIST_GRACE},
+        directory::{Directory, DirectoryEvent, ListedEndpoint, OutageEvidence, RELIST_GRACE},
         peers::Work,
         placement::{Candidate, PlacementContext, Prompt, place},
         route::{AnswerShape, Publication, PublishedAccount, PublishedRoute, Repeat, RouteTable, RouteTarget},
@@ -154,6 +154,49 @@
     assert_eq!(directory.usable().map(|e| e.id.as_str()).collect::<Vec<_>>(), ["b"]);
 }
 
+/// Guards against lateness of a VM that counts as an outage of the store, and against an outage that does not count.
+#[test]
+fn renewals_in_the_log_tell_an_outage_of_the_store_from_a_read_that_came_late() {
+    let evidence = OutageEvidence::Log { renewal_interval: Duration::from_millis(1200) };
+    for gap in [2_500, 3_000, 4_500, 6_000] {
+        for outage in [0, 2_500] {
+            let mut directory = Directory::default();
+            let names: Vec<String> = (0..24).map(|index| format!("e{index}")).collect();
+            let listed = names.iter().map(|name| endpoint(name, "d1", "v1")).collect();
+            directory.apply(vec![DirectoryEvent::All(listed)], at(0), at(0));
+            // Each endpoint but the first one renews its entry every 1.2 s, and at once after an outage.
+            let renewals = |index: u64| (0..).map(move |count| index * 50 + count * 1_200).take_while(|at| *at < gap);
+            let begin = (gap - outage) / 2;
+            let mut events = Vec::new();
+            for (index, name) in (0..).zip(&names).skip(1) {
+                let is_away = |at: &u64| (begin..begin + outage).contains(at);
+                let written = renewals(index).filter(|at| !is_away(at)).count();
+                let returned = usize::from(renewals(index).any(|at| is_away(&at)));
+                events.extend((0..written + returned).map(|_| DirectoryEvent::Seen(endpoint(name, "d1", "v1"))));
+            }
+            events.push(DirectoryEvent::Gone(names[0].clone()));
+            directory.apply_with_evidence(events, evidence, at(gap), at(gap));
+            let is_kept = directory.usable().any(|known| known.id == names[0]);
+            assert_eq!(is_kept, outage > 0, "{gap} ms between two reads, {outage} ms of outage");
+        }
+    }
+}
+
+#[test]
+fn what_another_vm_says_of_an_outage_decides_whether_removed_entries_are_kept() {
+    for grace in [0, 1_500] {
+        let relist_grace = Duration::from_millis(grace);
+        let mut directory = Directory::default();
+        directory.apply(vec![DirectoryEvent::All(vec![endpoint("a", "d1", "v1")])], at(0), at(0));
+        let evidence = OutageEvidence::Reported { relist_grace };
+        directory.apply_with_evidence(vec![DirectoryEvent::Gone("a".into())], evidence, at(4_000), at(4_000));
+        assert_eq!(directory.usable().count(), usize::from(grace > 0), "grace of {grace} ms");
+        assert_eq!(directory.relist_grace(at(4_000)), relist_grace);
+        directory.apply(Vec::new(), at(4_000 + grace), at(4_000 + grace));
+        assert_eq!(directory.usable().count(), 0);
+    }
+}
+
 #[test]
 fn an_endpoint_whose_entry_is_removed_without_an_outage_is_dropped_at_once() {
     let mut directory = Directory::default();
--- a/havengrade_dev/tests/published_fleet.rs
+++ b/havengrade_dev/tests/published_fleet.rs
@@ -3,10 +3,7 @@
 
 mod support;
 
-use std::{
-    collections::BTreeSet,
-    time::{Duration, SystemTime},
-};
+use std::{collections::BTreeSet, time::Duration};
 
 use havengrade_core::published::{
     rollout::{AttemptOutcome, Failure, RolloutOrder},
--- a/havengrade_router/src/published/feed_consumers.rs
+++ b/havengrade_router/src/published/feed_consumers.rs
@@ -160,7 +160,9 @@
     ) {
         let now = cx.shared.clock.now();
         let removed = self.removed_in_use(&events);
-        let (changes, has_changed) = self.directory.apply(events, at, now);
+        let renewal_interval = Duration::from_millis(cx.shared.published_settings().endpoint_renewal_ms);
+        let evidence = source.outage_evidence(renewal_interval);
+        let (changes, has_changed) = self.directory.apply_with_evidence(events, evidence, at, now);
         let is_resized = has_changed && self.resize(cx);
         let changes = self.changes_in_use(changes, &removed, is_resized, now);
         {
@@ -172,6 +174,7 @@
             let listed = view.listed_endpoints.len();
             view.endpoint_changes.record(&changes, position, listed);
             view.is_restoring = self.directory.is_restoring(now);
+            view.relist_grace_until = now + self.directory.relist_grace(now);
             view.endpoints_confirmed_at = view.endpoints_confirmed_at.max(at);
             if *source == EventSource::Store {
                 view.endpoints_read_at = at;
--- a/havengrade_router/src/published/state_fetch.rs
+++ b/havengrade_router/src/published/state_fetch.rs
@@ -333,7 +333,14 @@
     sender: SocketAddr,
 ) -> RelayedEvents<T> {
     let at = confirmed_at(asked_at, Duration::from_millis(from_i64(part.age_ms)));
-    RelayedEvents { events, from, position: from_i64(part.position), at, source: EventSource::Transfer { sender } }
+    let relist_grace = part.relist_grace_ms.map(|grace| Duration::from_millis(from_i64(grace)));
+    RelayedEvents {
+        events,
+        from,
+        position: from_i64(part.position),
+        at,
+        source: EventSource::Transfer { sender, relist_grace },
+    }
 }
 
 fn send_to_feed<T: Send + 'static>(cx: &PublishedContext, name: &str, message: FeedMessage<T>) {
--- a/havengrade_router/src/published/state_server.rs
+++ b/havengrade_router/src/published/state_server.rs
@@ -226,12 +226,13 @@
 
     fn add_endpoints(&mut self, cx: &PublishedContext, query: &StateQuestion, now: SystemTime) -> io::Result<()> {
         let known = query.endpoints_position.map(from_i64);
-        let (position, revision, age, changes) = {
+        let (position, revision, age, relist_grace, changes) = {
             let view = cx.shared.store.view();
             let changes = known.and_then(|known| view.endpoint_changes.since(known));
             let changes = changes.map(|changes| changes.cloned().collect::<Vec<_>>());
             let age = now.duration_since(view.endpoints_confirmed_at).unwrap_or_default();
-            (view.endpoint_changes.position(), view.endpoint_changes.revision(), age, changes)
+            let relist_grace = to_i64(view.relist_grace(now).as_millis() as u64);
+            (view.endpoint_changes.position(), view.endpoint_changes.revision(), age, relist_grace, changes)
         };
         let is_ahead = known.is_some_and(|known| known > position);
         let part = match changes {
@@ -240,13 +241,15 @@
             None if is_ahead => Bytes::new(),
             None => encode_endpoints_part(cx, revision)?,
         };
-        self.head.endpoints = Some(self.add_part(position, age, part));
+        let mut part = self.add_part(position, age, part);
+        part.relist_grace_ms = Some(relist_grace);
+        self.head.endpoints = Some(part);
         Ok(())
     }
 
     fn add_part(&mut self, position: u64, age: Duration, part: Bytes) -> StatePart {
         let bytes = to_i64(part.len() as u64);
         self.parts.push(part);
-        StatePart::new(to_i64(position), to_i64(age.as_millis() as u64 + 1), bytes)
+        StatePart::new(to_i64(position), to_i64(age.as_millis() as u64 + 1), bytes, None)
     }
 }
--- a/havengrade_router/src/published/store_access.rs
+++ b/havengrade_router/src/published/store_access.rs
@@ -29,6 +29,8 @@
     pub listed_endpoints: Arc<[ListedEndpoint]>,
     /// Whether the store has lost entries of the list, which endpoints will write again soon.
     pub is_restoring: bool,
+    /// Time until which endpoints that were removed in an outage of the store are kept.
+    pub relist_grace_until: SystemTime,
     /// Time at which the endpoint list was known to be up to date.
     pub endpoints_confirmed_at: SystemTime,
     /// Time of the last read of the operators' events by this VM itself.
@@ -40,6 +42,11 @@
 }
 
 impl StoreView {
+    /// Time for which endpoints that were removed in an outage of the store are still kept.
+    pub fn relist_grace(&self, now: SystemTime) -> Duration {
+        self.relist_grace_until.duration_since(now).unwrap_or_default()
+    }
+
     /// Age of the older one of the last own reads of both feeds, for a VM that reads the store for others.
     ///
     /// A view that another VM sent is newer, but shows nothing of whether this VM reaches the store.
@@ -81,6 +88,7 @@
             endpoint_changes: ChangeLog::default(),
             listed_endpoints: Arc::default(),
             is_restoring: false,
+            relist_grace_until: SystemTime::UNIX_EPOCH,
             endpoints_confirmed_at: SystemTime::UNIX_EPOCH,
             operators_read_at: SystemTime::UNIX_EPOCH,
             endpoints_read_at: SystemTime::UNIX_EPOCH,
--- a/havengrade_router/src/published/store_queries.rs
+++ b/havengrade_router/src/published/store_queries.rs
@@ -199,7 +199,7 @@
         fetch_change(cx, answer, position);
     } else if position == sent.operators_position {
         let at = confirmed_at(sent.sent_at, Duration::from_millis(from_i64(answer.operators_age_ms)));
-        let source = EventSource::Answer { vm: sent.vm.clone() };
+        let source = EventSource::Answer { vm: sent.vm.clone(), relist_grace: None };
         let relayed = RelayedEvents { events: Vec::new(), from: Some(position), position, at, source };
         send(&service, FeedMessage::Relayed(relayed));
     }
@@ -216,7 +216,8 @@
     match (events.flatten(), from) {
         (Some(events), _) => {
             let at = confirmed_at(sent.sent_at, Duration::from_millis(from_i64(answer.endpoints_age_ms)));
-            let source = EventSource::Answer { vm: sent.vm.clone() };
+            let relist_grace = answer.relist_grace_ms.map(|grace| Duration::from_millis(from_i64(grace)));
+            let source = EventSource::Answer { vm: sent.vm.clone(), relist_grace };
             let relayed = RelayedEvents { events, from: Some(sent.endpoints_position), position, at, source };
             send(&service, FeedMessage::Relayed(relayed));
         },
@@ -248,5 +249,6 @@
         age(view.endpoints_confirmed_at, view.endpoints_read_age(now)),
         changes,
         cx.uses_state_transfer.then(|| cx.shared.settings.listen.peers.to_string()),
+        to_i64(view.relist_grace(now).as_millis() as u64),
     ))
 }
--- a/havengrade_router/src/published/view_age.rs
+++ b/havengrade_router/src/published/view_age.rs
@@ -8,7 +8,10 @@
 
 use havengrade_core::{
     ids::VmId,
-    published::relay::{Freshness, MAX_RELAYED_AGE},
+    published::{
+        directory::OutageEvidence,
+        relay::{Freshness, MAX_RELAYED_AGE},
+    },
 };
 
 /// Where the events of a feed came from.
@@ -17,17 +20,37 @@
     /// Read from the store by this VM.
     Store,
     /// Sent by another VM in answer to a query.
-    Answer { vm: VmId },
+    Answer {
+        vm: VmId,
+        /// Time for which that VM keeps endpoints that were removed in an outage; none if it did not say.
+        relist_grace: Option<Duration>,
+    },
     /// Transferred by another VM over a connection.
-    Transfer { sender: SocketAddr },
+    Transfer {
+        sender: SocketAddr,
+        /// As in an answer.
+        relist_grace: Option<Duration>,
+    },
+}
+
+impl EventSource {
+    /// What the source tells about an outage of the store.
+    pub(super) fn outage_evidence(&self, renewal_interval: Duration) -> OutageEvidence {
+        match self {
+            Self::Store => OutageEvidence::Log { renewal_interval },
+            Self::Answer { relist_grace, .. } | Self::Transfer { relist_grace, .. } => {
+                relist_grace.map_or(OutageEvidence::None, |relist_grace| OutageEvidence::Reported { relist_grace })
+            },
+        }
+    }
 }
 
 impl fmt::Display for EventSource {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Store => f.write_str("store"),
-            Self::Answer { vm } => f.write_str(vm),
-            Self::Transfer { sender } => write!(f, "{sender}"),
+            Self::Answer { vm, .. } => f.write_str(vm),
+            Self::Transfer { sender, .. } => write!(f, "{sender}"),
         }
     }
 }
--- a/havengrade_router/src/settings/reload.rs
+++ b/havengrade_router/src/settings/reload.rs
@@ -11,10 +11,11 @@
 use crate::settings::{Settings, SettingsError, parse};
 
 /// Keys that take effect without a restart; all others take effect at the next start.
-const LIVE_KEYS: [&str; 9] = [
+const LIVE_KEYS: [&str; 10] = [
     "logging.level",
     "published.config_wait_ms",
     "published.endpoints_poll_ms",
+    "published.endpoint_renewal_ms",
     "published.withdrawal",
     "published.withdrawal_ms",
     "published.max_trial_share",
--- a/havengrade_router/src/settings/sections.rs
+++ b/havengrade_router/src/settings/sections.rs
@@ -250,6 +250,8 @@
     pub config_wait_ms: u64,
     /// Interval between reads of the endpoint list, in milliseconds.
     pub endpoints_poll_ms: u64,
+    /// Interval at which endpoints renew their entries on the list, in milliseconds.
+    pub endpoint_renewal_ms: u64,
     /// Timeout of a call to the store, in addition to the time for which the call may wait, in milliseconds.
     pub store_timeout_ms: u64,
     /// Rule for requests with keys while this VM can't confirm that the keys are still valid.
@@ -276,6 +278,7 @@
             is_first_start: false,
             config_wait_ms: 700,
             endpoints_poll_ms: 600,
+            endpoint_renewal_ms: 1200,
             store_timeout_ms: 1500,
             withdrawal: WithdrawalPolicy::Bounded,
             withdrawal_ms: 5000,
--- a/schema/reports.thrift
+++ b/schema/reports.thrift
@@ -222,6 +222,8 @@
   6: optional list<EndpointChange> changes,
   /** IP number and port at which the sender hears, and at which it hands out what operators wrote. */
   7: optional string address,
+  /** Time for which the sender keeps endpoints whose entries went during an outage of the store; 0 for no outage. */
+  8: optional i64 relist_grace_ms,
 }
 
 /** Asks a VM for what is in force, as far as it is newer than what the sender has. */
@@ -244,6 +246,8 @@
   2: required i64 age_ms,
   /** Bytes of the text that follows: deflated JSON of the router's own types, which both sides share. */
   3: required i64 bytes,
+  /** Of the endpoints only: time for which the sender keeps those whose entries went during an outage of the store; 0 for no outage. */
+  4: optional i64 relist_grace_ms,
 }
 
 /** Says what follows; the texts come in the order of the fields. */
