--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -345,6 +345,12 @@
         self.last_answer_ms.fetch_max(to_millis(now), Ordering::AcqRel);
     }
 
+    /// Time since an endpoint last answered this VM; none if none has.
+    pub fn since_endpoint_answer(&self, now: SystemTime) -> Option<Duration> {
+        let answered_at = from_millis(self.last_answer_ms.load(Ordering::Acquire));
+        answered_at.map(|at| now.duration_since(at).unwrap_or_default())
+    }
+
     /// Whether an endpoint answered this VM within `time` before `now`.
     pub fn has_answer_within(&self, time: Duration, now: SystemTime) -> bool {
         from_millis(self.last_answer_ms.load(Ordering::Acquire)).is_some_and(|at| now < at + time)
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -116,6 +116,7 @@
         reason = refusal.name(),
         held_ms = elapsed.as_millis() as u64,
         version = cx.shared.routes.load().version(),
+        since_answer_ms = cx.shared.since_endpoint_answer(now).map(|time| time.as_millis() as u64),
         config_age_ms = age.as_millis() as u64;
         "request refused"
     );
