Relay requests to another VM while a VM reaches no endpoint

Each endpoint was judged alone, so that nothing told a lost endpoint from a lost VM, and a request could only run where it had arrived.

A failed connect, or a silence of all endpoints while a request waits, now starts connects to four endpoints. If none succeeds, requests go through another VM until a connect succeeds. The other VM is asked first whether it accepts them on the connection between VMs, so that one that is cut off too, stops, or is of an earlier version gets nothing, and handles them like those of its own callers. Where no VM accepts, the caller is told at once.

--- a/havengrade_core/src/published/mod.rs
+++ b/havengrade_core/src/published/mod.rs
@@ -15,6 +15,7 @@
 pub mod directory;
 pub mod emptied_domains;
 pub mod endpoint_memory;
+pub mod endpoint_reach;
 pub mod endpoint_speed;
 pub mod endpoint_subset;
 pub mod evidence_summary;
--- a/havengrade_core/src/published/retry_after.rs
+++ b/havengrade_core/src/published/retry_after.rs
@@ -12,6 +12,8 @@
 pub enum RetryReason {
     /// This VM can't serve the request, but another one can.
     VmUnavailable,
+    /// No VM that was asked reaches an endpoint.
+    EndpointsUnreachable,
     /// All endpoints are fully occupied.
     EndpointsFull,
     /// The only available version of the service was found to be bad; operators must deploy another one.
@@ -54,6 +56,8 @@
 const OTHER_VM_DELAY: Duration = Duration::from_millis(50);
 /// Time in which the queue of a full endpoint shortens.
 const QUEUE_DELAY: Duration = Duration::from_millis(200);
+/// Time in which a lost path to the endpoints, or another VM, may be available.
+const REACH_DELAY: Duration = Duration::from_millis(500);
 /// Time in which operators may deploy another version; most callers can't wait longer.
 const VERSION_DELAY: Duration = Duration::from_secs(5);
 /// Margin after the end of a session as a VM counts it. For the caller, the session ends a moment later, since the last
@@ -93,6 +97,7 @@
     match reason {
         RetryReason::VmUnavailable => OTHER_VM_DELAY,
         RetryReason::EndpointsFull => QUEUE_DELAY,
+        RetryReason::EndpointsUnreachable => with_jitter(REACH_DELAY),
         RetryReason::EndpointsAtLimit { retry_after } => {
             with_jitter(retry_after.clamp(OTHER_VM_DELAY, MAX_LIMIT_DELAY))
         },
--- a/havengrade_router/src/published/active_request.rs
+++ b/havengrade_router/src/published/active_request.rs
@@ -20,7 +20,8 @@
 use tokio::time::timeout;
 
 use crate::published::{
-    context::PublishedContext, ports::RequestAttributes, refusal::Refusal, shutdown::may_outlast_shutdown,
+    context::PublishedContext, ports::RequestAttributes, refusal::Refusal, request_relay::RelayedRequest,
+    shutdown::may_outlast_shutdown,
 };
 
 /// Time to the first event after which another endpoint is tried, as a multiple of the route's target.
@@ -80,6 +81,8 @@
     pub(super) attempts: Attempts,
     /// Endpoints of the attempts so far.
     pub(super) tried_endpoints: Vec<EndpointId>,
+    /// Whether another VM, which reaches no endpoint, relayed the request.
+    pub(super) is_relayed: bool,
     /// Age of the endpoint list at the latest choice of an endpoint.
     pub(super) endpoint_list_age: Duration,
 }
@@ -189,6 +192,7 @@
         .lets_router_choose_model
         .then(|| model_choice::initial_model(&route.models, may_escalate).cloned())
         .flatten();
+    let is_relayed = head.extensions.get::<RelayedRequest>().is_some();
     let (account, account_priority) = account.unzip();
     Ok(ActiveRequest {
         id,
@@ -209,6 +213,7 @@
         fingerprint: OnceLock::new(),
         tried_endpoints: Vec::new(),
         endpoint_list_age: Duration::ZERO,
+        is_relayed,
     })
 }
 
--- a/havengrade_router/src/published/attempt.rs
+++ b/havengrade_router/src/published/attempt.rs
@@ -2,20 +2,23 @@
 
 use std::time::{Duration, SystemTime};
 
+use bytes::Bytes;
 use havengrade_core::published::{attempt::RunState, directory::ListedEndpoint, time_histogram::Load};
-use hyper::{Response, StatusCode, body::Incoming, http::response};
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode, body::Incoming, http::response};
 use tokio::time::timeout;
 
 use crate::{
     endpoints::InFlightGuard,
     published::{
         active_request::ActiveRequest,
-        connection_pool::{ConnectionError, EndpointConnection},
+        connection_pool::{ConnectionError, EndpointConnection, NotSentSnafu},
         context::PublishedContext,
         endpoint_choice::{ChosenEndpoint, known_work},
         outcomes::{FirstByteTimer, record_broken_outcome},
         ports::AnswerHead,
         quarantine::record_broken_attempt,
+        reach_monitor::{start_check, wait_until_unreachable},
         rewrite::encode_request,
         signals,
     },
@@ -111,12 +114,58 @@
     endpoint: &ListedEndpoint,
 ) -> Result<(), RunState> {
     let begun = cx.shared.clock.now();
-    let connected = cx.shared.connection_pool.acquire(&endpoint.id, endpoint.address, max_idle(request), begun).await;
+    let connected = connect(cx, endpoint, max_idle(request)).await;
     let connection = connected.map_err(|error| record_connection_failure(cx, request, endpoint, begun, &error))?;
     cx.shared.connection_pool.release(&endpoint.id, connection, cx.shared.clock.now());
     Ok(())
 }
 
+/// Returns a connection to an endpoint, unless it turns out meanwhile that no endpoint can be reached.
+async fn connect(
+    cx: &PublishedContext,
+    endpoint: &ListedEndpoint,
+    max_idle: Duration,
+) -> Result<EndpointConnection, ConnectionError> {
+    let now = cx.shared.clock.now();
+    let connected = tokio::select! {
+        biased;
+        connected = cx.shared.connection_pool.acquire(&endpoint.id, endpoint.address, max_idle, now) => connected,
+        () = wait_until_unreachable(cx, now) => NotSentSnafu { reason: "no endpoint can be reached" }.fail(),
+    };
+    match &connected {
+        Ok(connection) if connection.is_new() => cx.shared.reach.record_connect(cx.shared.clock.now()),
+        Ok(_) => {},
+        Err(_) => start_check(cx),
+    }
+    connected
+}
+
+/// Sends a request and waits for the head of its answer.
+///
+/// One that may be repeated is given up once it is known that no endpoint can be reached.
+async fn send(
+    cx: &PublishedContext,
+    request: &ActiveRequest,
+    connection: &mut EndpointConnection,
+    outgoing: Request<Full<Bytes>>,
+    sent_at: SystemTime,
+) -> Result<Response<Incoming>, ConnectionError> {
+    let unreachable = async {
+        wait_until_unreachable(cx, sent_at).await;
+        if !request.attempts.is_repeatable() {
+            std::future::pending::<()>().await;
+        }
+    };
+    let answered = tokio::select! {
+        biased;
+        answered = timeout(request.attempt_timeout(sent_at) + DEADLINE_SLACK, connection.send(outgoing)) => answered,
+        () = unreachable => return Err(ConnectionError::NoAnswer),
+    };
+    let response = answered.unwrap_or(Err(ConnectionError::NoAnswer))?;
+    cx.shared.reach.record_heard(cx.shared.clock.now());
+    Ok(response)
+}
+
 /// Longest idle time of a reused connection for a request.
 fn max_idle(request: &ActiveRequest) -> Duration {
     if request.attempts.is_repeatable() { MAX_IDLE_IF_REPEATABLE } else { MAX_IDLE_IF_NOT_REPEATABLE }
@@ -130,17 +179,13 @@
     resume_after: Option<&str>,
     max_idle: Duration,
 ) -> Result<(EndpointConnection, Response<Incoming>, Attempt), ConnectionError> {
-    let now = cx.shared.clock.now();
-    let mut connection = cx.shared.connection_pool.acquire(&endpoint.id, endpoint.address, max_idle, now).await?;
+    let mut connection = connect(cx, endpoint, max_idle).await?;
     let sent_at = cx.shared.clock.now();
     let outgoing = encode_request(cx, request, endpoint, resume_after, sent_at);
     let (load, tokens_to_read, own_tokens) = (*load, *tokens_to_read, *own_tokens);
     let attempt = Attempt { endpoint: endpoint.clone(), load, tokens_to_read, own_tokens, sent_at };
     let first_byte_timer = FirstByteTimer::new(cx, request, &attempt);
-    let Ok(response) = timeout(request.attempt_timeout(sent_at) + DEADLINE_SLACK, connection.send(outgoing)).await
-    else {
-        return Err(ConnectionError::NoAnswer);
-    };
+    let response = send(cx, request, &mut connection, outgoing, sent_at).await;
     first_byte_timer.stop();
     Ok((connection, response?, attempt))
 }
--- a/havengrade_router/src/published/config_ports.rs
+++ b/havengrade_router/src/published/config_ports.rs
@@ -75,6 +75,10 @@
         self.own.encode_request(headers, attributes);
     }
 
+    fn encode_time_left(&self, headers: &mut HeaderMap, time_left: Duration) {
+        HavengradeDialect.encode_time_left(headers, time_left);
+    }
+
     fn decode_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead {
         AnswerHead { is_authentic: true, ..self.own.decode_answer(status, headers) }
     }
--- a/havengrade_router/src/published/connection_pool.rs
+++ b/havengrade_router/src/published/connection_pool.rs
@@ -65,6 +65,7 @@
     sender: SendRequest<Full<Bytes>>,
     _driver: AbortOnDropHandle<()>,
     idle_timeout: Duration,
+    is_new: bool,
 }
 
 impl EndpointConnection {
@@ -74,6 +75,7 @@
     ///
     /// [`ConnectionError`] tells whether the request may have reached the endpoint.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, ConnectionError> {
+        self.is_new = false;
         let mut error = match self.sender.try_send_request(request).await {
             Ok(response) => return Ok(response),
             Err(error) => error,
@@ -87,6 +89,11 @@
         Err(ConnectionError::Lost { source })
     }
 
+    /// Whether no request has been sent on the connection.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+
     /// Sets the idle timeout that the endpoint announced, less a margin.
     pub fn set_idle_timeout(&mut self, idle_timeout: Duration) {
         self.idle_timeout = idle_timeout.saturating_sub(IDLE_TIMEOUT_MARGIN);
@@ -106,7 +113,7 @@
             log::debug!("connection to {address} ended: {error}");
         }
     }));
-    Ok(EndpointConnection { sender, _driver: driver, idle_timeout: DEFAULT_IDLE_TIMEOUT })
+    Ok(EndpointConnection { sender, _driver: driver, idle_timeout: DEFAULT_IDLE_TIMEOUT, is_new: true })
 }
 
 /// A connection that waits for reuse.
@@ -162,7 +169,18 @@
 
     /// Probes an endpoint by connecting to it; the connection is kept for the next request.
     pub async fn probe(&self, endpoint: &str, address: SocketAddr, now: SystemTime) -> ProbeResult {
-        let (found, connection) = probe(&*self.network, address, self.connect_timeout).await;
+        self.probe_within(endpoint, address, self.connect_timeout, now).await
+    }
+
+    /// Probes an endpoint like [`Self::probe`], with another time limit.
+    pub async fn probe_within(
+        &self,
+        endpoint: &str,
+        address: SocketAddr,
+        limit: Duration,
+        now: SystemTime,
+    ) -> ProbeResult {
+        let (found, connection) = probe(&*self.network, address, limit).await;
         if let Some(connection) = connection
             && let Ok(connection) = handshake(connection, address).await
         {
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -33,7 +33,7 @@
 };
 use rand::Rng as _;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
-use tokio::sync::Notify;
+use tokio::{runtime::Handle, sync::Notify};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
@@ -45,6 +45,8 @@
         connection_pool::ConnectionPool,
         part_cache::PartCache,
         ports::{Dialect, QuarantineList},
+        reach_monitor::ReachMonitor,
+        request_relay::RequestRelay,
         retry_budgets::RetryBudgets,
         state_fetch::PendingFetch,
         store_access::StoreAccess,
@@ -85,6 +87,10 @@
     pub stream_buffers: Arc<StreamBuffers>,
     /// Persistent connections to endpoints.
     pub connection_pool: ConnectionPool,
+    /// Whether this VM reaches endpoints.
+    pub reach: ReachMonitor,
+    /// Relays requests to other VMs while this one reaches no endpoint.
+    pub request_relay: RequestRelay,
     /// Whether another VM has transferred the active state to this VM at least once.
     pub(super) has_received_state: AtomicBool,
     /// Whether a transfer of the active state from another VM is in progress.
@@ -150,7 +156,9 @@
             store: StoreAccess::default(),
             endpoint_states: EndpointTable::default(),
             stream_buffers: Arc::default(),
-            connection_pool: ConnectionPool::new(network, connect_timeout),
+            connection_pool: ConnectionPool::new(network.clone(), connect_timeout),
+            reach: ReachMonitor::default(),
+            request_relay: RequestRelay::new(network),
             has_received_state: AtomicBool::new(false),
             is_receiving_state: AtomicBool::new(false),
             pending_fetch: Mutex::default(),
@@ -437,6 +445,8 @@
     pub quarantine_list: Arc<dyn QuarantineList>,
     /// Cancels all tasks that serve traffic.
     pub forced_shutdown: CancellationToken,
+    /// Runtime of the traffic.
+    pub traffic: Handle,
     /// Closes callers' connections after the answers in progress.
     pub graceful_shutdown: CancellationToken,
     /// Tasks that the graceful shutdown waits for, such as callers' connections.
--- a/havengrade_router/src/published/dialect.rs
+++ b/havengrade_router/src/published/dialect.rs
@@ -66,8 +66,7 @@
         for name in [&KEY, &ACCOUNT, &ENDPOINT, &PRIORITY] {
             headers.remove(name);
         }
-        let millis = u64::try_from(attributes.time_left.as_millis()).unwrap_or(u64::MAX);
-        headers.insert(TIME_LEFT_MS, HeaderValue::from(millis.max(1)));
+        self.encode_time_left(headers, attributes.time_left);
         headers.insert(PRIORITY, HeaderValue::from(u16::from(attributes.priority)));
         let text_headers = [
             (ENDPOINT, Some(attributes.endpoint)),
@@ -82,6 +81,11 @@
         }
     }
 
+    fn encode_time_left(&self, headers: &mut HeaderMap, time_left: Duration) {
+        let millis = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(TIME_LEFT_MS, HeaderValue::from(millis.max(1)));
+    }
+
     fn decode_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead {
         let is_not_run = headers.contains_key(&NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
         let running = parse_integer(headers, &RUNNING).and_then(|value| u32::try_from(value).ok());
--- a/havengrade_router/src/published/event_stream.rs
+++ b/havengrade_router/src/published/event_stream.rs
@@ -109,6 +109,7 @@
 
     /// Records the time per event.
     fn record_events(&mut self, cx: &PublishedContext, request: &ActiveRequest, events: u32) {
+        cx.shared.reach.record_heard(cx.shared.clock.now());
         if let Some(pause) = self.event_timer.record_events(events, cx.shared.clock.now()) {
             record_event_time(cx, request, &self.attempt, pause);
         }
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -37,6 +37,7 @@
         record_unframed_answer,
     },
     refusal::{AnswerBody, Refusal, full_body},
+    request_relay::{RelayedRequest, mark_unreachable, relay_request},
     rewrite::encode_answer_head,
     speeds,
 };
@@ -83,6 +84,7 @@
     let guard = InProgressGuard::new(cx);
     let received_at = cx.shared.clock.now();
     let (head, body) = incoming.into_parts();
+    let is_relayed = head.extensions.get::<RelayedRequest>().is_some();
     let attributes = cx.shared.dialect.decode_request(&head.headers);
     let id = attributes.id.clone().unwrap_or_default();
     let mut unanswered = UnansweredRequest { cx, id: &id, received_at, is_answered: false };
@@ -103,7 +105,11 @@
     answered.unwrap_or_else(|refusal| {
         let now = cx.shared.clock.now();
         log_refusal(cx, &id, refusal, received_at, now);
-        refusal.answer(cx, now)
+        let mut answer = refusal.answer(cx, now);
+        if is_relayed && refusal == Refusal::EndpointsUnreachable {
+            mark_unreachable(&mut answer);
+        }
+        answer
     })
 }
 
@@ -128,10 +134,17 @@
     mut request: ActiveRequest,
     guard: InProgressGuard,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    cx.shared.retry_budgets.record_first_try(&request.service);
+    // The VM that a request is relayed to counts its first try.
+    if !cx.shared.reach.is_lost() {
+        cx.shared.retry_budgets.record_first_try(&request.service);
+    }
     let mut guard = Some(guard);
     let mut failed_answer: Option<Response<AnswerBody>> = None;
     loop {
+        if cx.shared.reach.is_lost() {
+            let relayed = relay(cx, &mut request, &mut guard).await;
+            return relayed.or_else(|refusal| failed_answer.ok_or(refusal));
+        }
         let answered = match attempt_next(cx, &mut request).await {
             Ok(answered) => answered,
             Err(refusal) => return failed_answer.ok_or(refusal),
@@ -161,6 +174,31 @@
     }
 }
 
+/// Relays a request to another VM, since no endpoint can be reached.
+///
+/// # Errors
+///
+/// [`Refusal`] if no VM accepted it, or if it may not be sent again.
+async fn relay(
+    cx: &PublishedContext,
+    request: &mut ActiveRequest,
+    guard: &mut Option<InProgressGuard>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let may_relay = !request.is_relayed && request.attempts.may_try_again() && reserve_retry(cx, request);
+    if may_relay {
+        match relay_request(cx, request, guard).await {
+            Ok(answer) => return Ok(answer),
+            Err(state) => {
+                if state == RunState::NotSent && std::mem::take(&mut request.has_reserved_retry) {
+                    cx.shared.retry_budgets.refund(&request.service);
+                }
+                request.record_attempt(state);
+            },
+        }
+    }
+    Err(request.refusal(Refusal::EndpointsUnreachable, Refusal::Lost))
+}
+
 /// Sends a request to the next endpoint; the inner error tells how far the request may have run.
 ///
 /// # Errors
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -122,6 +122,9 @@
     /// Adds the router's attributes, and replaces headers that callers may not set.
     fn encode_request(&self, headers: &mut HeaderMap, attributes: &ForwardAttributes<'_>);
 
+    /// Sets the time left for a request that is relayed to another VM with its caller's other headers.
+    fn encode_time_left(&self, headers: &mut HeaderMap, time_left: Duration);
+
     /// Decodes the status and headers of an endpoint's answer.
     fn decode_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 
--- /dev/null
+++ b/havengrade_router/src/published/reach_monitor.rs
@@ -0,0 +1,139 @@
+//! Checks whether this VM reaches any endpoint, after a failed connect or a silence of all of them.
+
+use std::{
+    sync::{
+        Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, SystemTime},
+};
+
+use futures::future::join_all;
+use havengrade_core::{
+    ids::EndpointId,
+    published::endpoint_reach::{EndpointReach, ReachChange, select_checked},
+};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    endpoints::{from_millis, to_millis},
+    published::context::PublishedContext,
+    quarantine::ProbeResult,
+    shared::lock,
+};
+
+/// Time without anything from any endpoint after which a waiting request starts a check; connects take a few
+/// milliseconds.
+const PATIENCE: Duration = Duration::from_millis(250);
+/// Time limit for the connects of a check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time between two checks while no endpoint can be reached.
+const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+
+/// The reach of this VM, shared by all requests.
+#[derive(Debug)]
+pub struct ReachMonitor {
+    reach: Mutex<EndpointReach>,
+    is_lost: watch::Sender<bool>,
+    /// When anything last arrived from an endpoint, in milliseconds since the Unix epoch; 0 for never.
+    heard_ms: AtomicU64,
+}
+
+impl Default for ReachMonitor {
+    fn default() -> Self {
+        Self { reach: Mutex::default(), is_lost: watch::Sender::new(false), heard_ms: AtomicU64::new(0) }
+    }
+}
+
+impl ReachMonitor {
+    /// Whether no endpoint can be reached, as far as is known.
+    pub fn is_lost(&self) -> bool {
+        *self.is_lost.borrow()
+    }
+
+    /// Records that something arrived from an endpoint on an open connection.
+    pub fn record_heard(&self, now: SystemTime) {
+        self.heard_ms.fetch_max(to_millis(now), Ordering::AcqRel);
+    }
+
+    /// Records a successful connect to an endpoint.
+    pub fn record_connect(&self, now: SystemTime) {
+        self.record_heard(now);
+        let change = lock(&self.reach).record_connect(now);
+        self.publish(change);
+    }
+
+    fn has_heard_since(&self, since: SystemTime) -> bool {
+        from_millis(self.heard_ms.load(Ordering::Acquire)).is_some_and(|at| at >= since)
+    }
+
+    fn publish(&self, change: Option<ReachChange>) {
+        match change {
+            None => {},
+            Some(ReachChange::Lost) => {
+                log::warn!("no endpoint can be reached; sending requests through other VMs");
+                self.is_lost.send_replace(true);
+            },
+            Some(ReachChange::Regained { lost_for }) => {
+                log::info!(lost_ms = lost_for.as_millis() as u64; "endpoints can be reached again");
+                self.is_lost.send_replace(false);
+            },
+        }
+        metrics::gauge!("endpoints_reachable").set(if self.is_lost() { 0.0 } else { 1.0 });
+    }
+}
+
+/// Starts a check unless one is running or an endpoint has just been connected to.
+pub(super) fn start_check(cx: &PublishedContext) {
+    let begins = lock(&cx.shared.reach.reach).begin_check(cx.shared.clock.now());
+    if begins {
+        tokio::spawn(cx.forced_shutdown.clone().run_until_cancelled_owned(check(cx.clone())));
+    }
+}
+
+/// Connects to a few endpoints, again and again while none of them can be reached.
+async fn check(cx: PublishedContext) {
+    loop {
+        let checked = checked_endpoints(&cx);
+        let probes = checked.iter().map(|(id, address)| {
+            cx.shared.connection_pool.probe_within(id, *address, CHECK_TIMEOUT, cx.shared.clock.now())
+        });
+        let connected = join_all(probes).await.into_iter().filter(|found| *found == ProbeResult::Answers).count();
+        let now = cx.shared.clock.now();
+        if connected > 0 {
+            return cx.shared.reach.record_connect(now);
+        }
+        let change = lock(&cx.shared.reach.reach).finish_check(checked.len(), connected, now);
+        cx.shared.reach.publish(change);
+        if !cx.shared.reach.is_lost() {
+            return;
+        }
+        sleep(CHECK_INTERVAL).await;
+    }
+}
+
+fn checked_endpoints(cx: &PublishedContext) -> Vec<(EndpointId, std::net::SocketAddr)> {
+    let usable = cx.shared.usable_endpoints.load();
+    let selected = select_checked(usable.values().flatten(), &mut *cx.shared.rng());
+    selected.into_iter().map(|endpoint| (endpoint.id.clone(), endpoint.address)).collect()
+}
+
+/// Waits until it is known that no endpoint can be reached, and nothing has arrived from any of them since `since`.
+///
+/// Starts checks while nothing arrives.
+pub(super) async fn wait_until_unreachable(cx: &PublishedContext, since: SystemTime) {
+    let reach = &cx.shared.reach;
+    let mut lost = reach.is_lost.subscribe();
+    loop {
+        if *lost.borrow_and_update() && !reach.has_heard_since(since) {
+            return;
+        }
+        // The sender lives as long as the shared state.
+        if timeout(PATIENCE, lost.changed()).await.is_err() && !reach.has_heard_since(since) {
+            start_check(cx);
+        }
+    }
+}
--- a/havengrade_router/src/published/refusal.rs
+++ b/havengrade_router/src/published/refusal.rs
@@ -36,6 +36,8 @@
     Stopping,
     /// No endpoint was available; the request did not run.
     NoEndpoint,
+    /// This VM reaches no endpoint, and no other VM accepted the request; it did not run.
+    EndpointsUnreachable,
     /// All endpoints that could serve the request are cold, at their limits, or in a backoff that they requested.
     EndpointsAtLimit {
         /// Time until the first of them accepts another request.
@@ -85,6 +87,7 @@
             Self::StaleConfig => "stale_configuration",
             Self::Stopping => "stopping",
             Self::NoEndpoint => "no_endpoint",
+            Self::EndpointsUnreachable => "endpoints_unreachable",
             Self::EndpointsAtLimit { .. } => "endpoints_at_limit",
             Self::EndpointsShuttingDown => "endpoints_leave",
             Self::DomainsEmptied { .. } => "domain_emptied",
@@ -109,6 +112,7 @@
             | Self::StaleConfig
             | Self::Stopping
             | Self::NoEndpoint
+            | Self::EndpointsUnreachable
             | Self::EndpointsAtLimit { .. }
             | Self::EndpointsShuttingDown
             | Self::DomainsEmptied { .. }
@@ -127,6 +131,7 @@
         match self {
             Self::Starting => Some(RetryReason::StoreUnreachable { known_for: cx.shared.uptime(now) }),
             Self::StaleConfig | Self::Stopping => Some(RetryReason::VmUnavailable),
+            Self::EndpointsUnreachable => Some(RetryReason::EndpointsUnreachable),
             Self::NoEndpoint | Self::NoTimeLeft => Some(RetryReason::EndpointsFull),
             Self::EndpointsAtLimit { retry_after } => Some(RetryReason::EndpointsAtLimit { retry_after }),
             Self::EndpointsShuttingDown => Some(RetryReason::EndpointsShuttingDown),
@@ -141,7 +146,15 @@
 
     /// Whether the connection is closed, so that the load balancer can send the caller's next one to another VM.
     fn closes_connection(self) -> bool {
-        matches!(self, Self::Malformed | Self::TooLarge | Self::Starting | Self::StaleConfig | Self::Stopping)
+        matches!(
+            self,
+            Self::Malformed
+                | Self::TooLarge
+                | Self::Starting
+                | Self::StaleConfig
+                | Self::Stopping
+                | Self::EndpointsUnreachable
+        )
     }
 
     /// Builds the answer, with a `retry-after` header if the request did not run and may be retried.
--- a/havengrade_router/src/published/rewrite.rs
+++ b/havengrade_router/src/published/rewrite.rs
@@ -56,6 +56,29 @@
     outgoing
 }
 
+/// Builds the request to another VM that relays it, from that of the caller.
+pub(super) fn encode_relayed_request(
+    cx: &PublishedContext,
+    request: &ActiveRequest,
+    now: SystemTime,
+) -> Request<Full<Bytes>> {
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.head.method.clone();
+    *outgoing.uri_mut() = request.head.uri.clone();
+    let mut headers = request.head.headers.clone();
+    strip_hop_by_hop(&mut headers);
+    cx.shared.dialect.encode_time_left(&mut headers, request.time_left(now));
+    *outgoing.headers_mut() = headers;
+    outgoing
+}
+
+/// Builds the head of the answer to the caller from that of a VM that relayed the request.
+pub(super) fn encode_relayed_answer(mut head: response::Parts) -> response::Parts {
+    strip_hop_by_hop(&mut head.headers);
+    head.version = Version::HTTP_11;
+    head
+}
+
 /// Removes hop-by-hop headers and those that the `connection` header lists.
 fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
--- a/havengrade_router/src/published/router.rs
+++ b/havengrade_router/src/published/router.rs
@@ -73,6 +73,7 @@
             network: parts.network,
             quarantine_list: quarantine,
             forced_shutdown: CancellationToken::new(),
+            traffic: traffic.clone(),
             graceful_shutdown: CancellationToken::new(),
             tracked_tasks: TaskTracker::new(),
             uses_state_transfer,
--- a/havengrade_router/src/published/server.rs
+++ b/havengrade_router/src/published/server.rs
@@ -22,6 +22,7 @@
         forward::forward,
         framing::FramingCheckedConnection,
         refusal::{AnswerBody, Refusal, full_body},
+        request_relay::RelayedRequest,
         stream_buffer::CallerConnection,
     },
     services::ACCEPT_RETRY_DELAY,
@@ -51,7 +52,8 @@
     loop {
         match listener.accept().await {
             Ok(connection) => {
-                let served = cx.forced_shutdown.clone().run_until_cancelled_owned(serve_caller(cx.clone(), connection));
+                let served =
+                    cx.forced_shutdown.clone().run_until_cancelled_owned(serve_caller(cx.clone(), connection, false));
                 cx.tracked_tasks.spawn(served);
             },
             Err(error) => {
@@ -71,13 +73,17 @@
     is_list_loaded && timeout(MAX_STARTUP_WAIT - STARTUP_WAIT, cx.shared.wait_for_routes_and_rollouts()).await.is_ok()
 }
 
-async fn serve_caller(cx: PublishedContext, connection: BoxConnection) {
+/// Serves the requests on a connection of a caller, or of another VM that relays the requests of its callers.
+pub(super) async fn serve_caller(cx: PublishedContext, connection: BoxConnection, is_relay: bool) {
     let limits = cx.shared.routes.load().limits();
     let (connection, framing) = FramingCheckedConnection::new(connection, limits.header_bytes.max(MIN_BUFFER_BYTES));
     let caller = CallerConnection::default();
     let service = service_fn(|mut request: Request<Incoming>| {
         let (cx, framing) = (cx.clone(), framing.clone());
         request.extensions_mut().insert(caller.clone());
+        if is_relay {
+            request.extensions_mut().insert(RelayedRequest);
+        }
         async move {
             if framing.is_ambiguous() {
                 log::warn!("refusing a request with ambiguous framing");
--- a/havengrade_router/src/published/state_fetch.rs
+++ b/havengrade_router/src/published/state_fetch.rs
@@ -227,7 +227,7 @@
     let address = cx.shared.settings.listen.peers.to_string();
     let wants_vms = target == FetchTarget::Everything && (operators.is_some() || !cx.shared.peers().is_list_loaded());
     let only_vms = target == FetchTarget::Vms;
-    StateQuestion::new(address, operators.map(to_i64), endpoints.map(to_i64), wants_vms || only_vms, only_vms)
+    StateQuestion::new(address, operators.map(to_i64), endpoints.map(to_i64), wants_vms || only_vms, only_vms, None)
 }
 
 async fn next_frame(frames: &mut FramedStream<BoxConnection>) -> Result<BytesMut, FetchError> {
--- a/havengrade_router/src/published/state_server.rs
+++ b/havengrade_router/src/published/state_server.rs
@@ -21,6 +21,7 @@
     published::{
         context::PublishedContext,
         rollouts::reported_rollouts,
+        server::serve_caller,
         state_parts::{deflate_json, encode_endpoints_part, encode_operators_part, encode_vms_part},
         wire::{encode_quarantine, encode_rollout, encode_signals, from_i64, to_i64},
     },
@@ -83,6 +84,9 @@
     let frame = timeout(FRAME_TIMEOUT, frames.next()).await.ok().context(TimeoutSnafu)?;
     let frame = frame.context(ClosedSnafu)?.context(BrokenSnafu)?;
     let query: StateQuestion = havengrade_rpc::decode(&frame).context(MessageSnafu)?;
+    if query.relays_requests == Some(true) {
+        return accept_requests(cx, frames).await;
+    }
     if cx.shared.store.is_reading_initial_state(cx.shared.clock.now()) {
         // Waits for this VM's own read, so that the other VM need not ask again and again.
         let _ = timeout(MAX_WAIT, cx.shared.wait_for_state()).await;
@@ -107,6 +111,23 @@
     served.map(drop)
 }
 
+/// Serves the requests that another VM relays on a connection, if this VM reaches endpoints and does not stop.
+async fn accept_requests(cx: &PublishedContext, mut frames: FramedStream<BoxConnection>) -> Result<(), ServeError> {
+    let is_able = cx.shared.knows_routes() && !cx.shared.is_draining() && !cx.shared.reach.is_lost();
+    let accepted = cx.shared.request_relay.accept().filter(|_| is_able);
+    let head = StateHead { accepts_requests: Some(accepted.is_some()), ..empty_head() };
+    send_head(&mut frames, &head).await?;
+    if let Some(accepted) = accepted {
+        let served = serve_caller(cx.clone(), frames.into_inner(), true);
+        let served = cx.forced_shutdown.clone().run_until_cancelled_owned(async move {
+            served.await;
+            drop(accepted);
+        });
+        cx.tracked_tasks.spawn_on(served, &cx.traffic);
+    }
+    Ok(())
+}
+
 /// Whether this VM has the active state and, if the query asks for VMs, the complete list of them.
 ///
 /// The receiver takes the VMs that it gets for the complete list.
@@ -176,6 +197,7 @@
         quarantine: None,
         signals: None,
         reading_age_ms: None,
+        accepts_requests: None,
     }
 }
 
--- a/schema/reports.thrift
+++ b/schema/reports.thrift
@@ -237,6 +237,8 @@
   4: required bool wants_vms,
   /** Whether nothing else is wanted. */
   5: required bool only_vms,
+  /** Whether callers' requests follow on the connection, as HTTP, once the answer says that they are accepted; nothing else is wanted then. */
+  6: optional bool relays_requests,
 }
 
 /** A part of what is in force; its text follows in frames. */
@@ -264,6 +266,8 @@
   7: optional list<EndpointSignal> signals,
   /** Time since a VM surely was reading the store for those that start; absent where none is known to, or the answering VM knows what is in force. */
   8: optional i64 reading_age_ms,
+  /** Whether the answering VM accepts callers' requests on this connection. */
+  9: optional bool accepts_requests,
 }
 
 /** What a VM that has read the list of VMs tells the others on it, which may have started with it. */
