--- a/havengrade_core/src/published/endpoint_reach.rs
+++ b/havengrade_core/src/published/endpoint_reach.rs
@@ -13,6 +13,10 @@
 const CHECKED_ENDPOINTS: usize = 4;
 /// Fewest endpoints from whose failures a VM concludes that it is cut off; a single one may just have ended.
 const MIN_CHECKED_ENDPOINTS: usize = 2;
+/// Share of the endpoints of a check that must be connected to before a VM that was cut off counts as reaching them.
+///
+/// One that reaches a few of them would send most of its requests to others.
+const MIN_REGAINED_SHARE: f64 = 0.5;
 /// Time for which a successful connect dispels doubts.
 const PROOF_LIFETIME: Duration = Duration::from_millis(250);
 
@@ -65,26 +69,41 @@
 
     /// Records the result of a check: of so many endpoints, so many could be connected to.
     ///
-    /// While no endpoint can be reached, the check goes on; see [`Self::is_lost`].
+    /// While the VM is cut off, the check goes on; see [`Self::is_lost`].
+    ///
+    /// ```
+    /// use std::time::{Duration, SystemTime};
+    /// use havengrade_core::published::endpoint_reach::{EndpointReach, ReachChange};
+    ///
+    /// let now = SystemTime::UNIX_EPOCH;
+    /// let mut reach = EndpointReach::default();
+    /// assert_eq!(reach.finish_check(4, 0, now), Some(ReachChange::Lost));
+    /// assert_eq!(reach.finish_check(4, 1, now), None, "most endpoints are still out of reach");
+    /// assert!(reach.is_lost());
+    /// assert_eq!(reach.finish_check(4, 2, now), Some(ReachChange::Regained { lost_for: Duration::ZERO }));
+    /// ```
     pub fn finish_check(&mut self, checked: usize, connected: usize, now: SystemTime) -> Option<ReachChange> {
         if connected > 0 {
-            return self.record_connect(now);
-        }
-        if checked < MIN_CHECKED_ENDPOINTS {
-            self.is_checking = self.is_lost();
-            return None;
+            self.record_connect(now);
         }
-        let is_new = !self.is_lost();
-        self.lost_since.get_or_insert(now);
-        is_new.then_some(ReachChange::Lost)
+        let change = match self.lost_since {
+            None if connected == 0 && checked >= MIN_CHECKED_ENDPOINTS => {
+                self.lost_since = Some(now);
+                Some(ReachChange::Lost)
+            },
+            Some(since) if checked > 0 && connected as f64 >= checked as f64 * MIN_REGAINED_SHARE => {
+                self.lost_since = None;
+                Some(ReachChange::Regained { lost_for: now.duration_since(since).unwrap_or_default() })
+            },
+            _ => None,
+        };
+        self.is_checking = self.is_lost();
+        change
     }
 
     /// Records a successful connect to any endpoint.
-    pub fn record_connect(&mut self, now: SystemTime) -> Option<ReachChange> {
+    pub fn record_connect(&mut self, now: SystemTime) {
         self.connected_at = Some(now);
-        self.is_checking = false;
-        let since = self.lost_since.take()?;
-        Some(ReachChange::Regained { lost_for: now.duration_since(since).unwrap_or_default() })
     }
 }
 
--- a/havengrade_router/src/published/reach_monitor.rs
+++ b/havengrade_router/src/published/reach_monitor.rs
@@ -62,8 +62,7 @@
     /// Records a successful connect to an endpoint.
     pub fn record_connect(&self, now: SystemTime) {
         self.record_heard(now);
-        let change = lock(&self.reach).record_connect(now);
-        self.publish(change);
+        lock(&self.reach).record_connect(now);
     }
 
     fn has_heard_since(&self, since: SystemTime) -> bool {
@@ -104,7 +103,7 @@
         let connected = join_all(probes).await.into_iter().filter(|found| *found == ProbeResult::Answers).count();
         let now = cx.shared.clock.now();
         if connected > 0 {
-            return cx.shared.reach.record_connect(now);
+            cx.shared.reach.record_heard(now);
         }
         let change = lock(&cx.shared.reach.reach).finish_check(checked.len(), connected, now);
         cx.shared.reach.publish(change);
