Add tests of relayed streams, of callers who leave, and of a lost VM

Streams arrive event by event and whole, one that breaks off stays unfinished for the caller, an endpoint is told that the caller of a relayed request left, and a request whose VM is lost is not called unrun.

--- /dev/null
+++ b/havengrade_dev/tests/published_relayed_requests.rs
@@ -0,0 +1,121 @@
+//! Requests that a VM without any reachable endpoint relays to another one: streams, callers who leave, and endpoints
+//! that refuse connections, on a paused clock.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime},
+};
+
+use havengrade_dev::{
+    fabric::{Fabric as _, Host},
+    stand_in::{
+        memory_store::MemoryStore,
+        published::{LAST_CHUNK, Replies, Reply, ScriptedEndpoint, signed_late},
+    },
+};
+use havengrade_router::{
+    clock::Clock, published::router::PublishedRouter, router::RouterEnvironment, settings::Settings,
+};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    runtime::Handle,
+    time::{sleep, timeout},
+};
+
+use support::published::{Bench, FIRST_ENDPOINT, ROUTER, event_ids, get, status, stream};
+
+const ENDPOINTS: Host = 3;
+const OTHER_ROUTER: Host = 2;
+
+/// Two VMs of which the first one reaches no endpoint and knows it; the endpoints share their replies.
+async fn start(replies: Vec<Reply>, first: Reply) -> (Bench, PublishedRouter) {
+    let replies: Replies = Arc::new(Mutex::new(std::iter::once(first).chain(replies).collect()));
+    let bench = Bench::begin(vec![replies; usize::from(ENDPOINTS)], MemoryStore::default()).await;
+    let other = start_other(&bench).await;
+    sleep(Duration::from_secs(3)).await;
+    for endpoint in FIRST_ENDPOINT..FIRST_ENDPOINT + ENDPOINTS {
+        bench.pipes.cut(ROUTER, endpoint);
+        bench.pipes.cut(endpoint, ROUTER);
+    }
+    // The first request finds that no endpoint is reached.
+    assert_eq!(status(&bench.ask(&get("/read/", "first")).await), "200");
+    (bench, other)
+}
+
+async fn start_other(bench: &Bench) -> PublishedRouter {
+    let mut settings = Settings::default();
+    settings.vm.id = "vm-2".into();
+    settings.published.callers = Some(bench.pipes.address(OTHER_ROUTER, 0));
+    settings.listen.peers = bench.pipes.address(OTHER_ROUTER, 1);
+    settings.published.readiness = bench.pipes.address(OTHER_ROUTER, 2);
+    settings.published.metrics = bench.pipes.address(OTHER_ROUTER, 3);
+    let origin = SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000);
+    let network = bench.pipes.network(OTHER_ROUTER);
+    let parts = RouterEnvironment { network, clock: Clock::starting_at(origin), seed: 8 };
+    PublishedRouter::start(settings, parts, bench.store.ports("vm-2"), &Handle::current()).await.unwrap()
+}
+
+fn ok() -> Reply {
+    signed_late("first", Duration::ZERO)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_relayed_stream_arrives_event_by_event_and_whole() {
+    let pieces = vec![stream(1..=2, ""), stream(3..=4, LAST_CHUNK).split_once("\r\n\r\n").unwrap().1.to_owned()];
+    let (bench, _other) = start(vec![Reply::Pieces(pieces, Duration::from_secs(1))], ok()).await;
+    let mut connection = bench.connect(0).await;
+    connection.write_all(get("/stream/", "r1").as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    while event_ids(&String::from_utf8_lossy(&answer)).len() < 2 {
+        let read = timeout(Duration::from_millis(500), connection.read_buf(&mut answer)).await;
+        assert!(read.expect("the first events arrive before the others are made").unwrap() > 0);
+    }
+    connection.read_to_end(&mut answer).await.unwrap();
+    let answer = String::from_utf8_lossy(&answer);
+    assert_eq!(event_ids(&answer), [1, 2, 3, 4], "{answer}");
+    assert!(answer.ends_with(LAST_CHUNK) && answer.contains("havengrade-signature"), "{answer}");
+}
+
+/// Guards against an answer that another VM breaks off and that looks complete to the caller.
+#[tokio::test(start_paused = true)]
+async fn a_relayed_stream_that_breaks_off_ends_visibly_unfinished() {
+    let broken = || Reply::Close(stream(1..=2, ""));
+    let failed = || Reply::Close(String::new());
+    let (bench, _other) = start(vec![broken(), failed(), failed(), failed()], ok()).await;
+    let answer = bench.ask(&get("/stream/", "r1")).await;
+    assert_eq!(event_ids(&answer), [1, 2], "{answer}");
+    assert!(!answer.ends_with(LAST_CHUNK));
+}
+
+/// Guards against endpoints that work on for a caller who has left the VM that relays his request.
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_is_told_that_the_caller_of_a_relayed_request_left() {
+    for path in ["/read/", "/stream/"] {
+        let (bench, _other) = start(vec![Reply::Hang], ok()).await;
+        let closed = |bench: &Bench| bench.endpoints.iter().map(ScriptedEndpoint::closed).sum::<u32>();
+        let mut connection = bench.connect(0).await;
+        connection.write_all(get(path, "r1").as_bytes()).await.unwrap();
+        sleep(Duration::from_millis(200)).await;
+        let before = closed(&bench);
+        drop(connection);
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(closed(&bench), before + 1, "{path}: the connection to the endpoint stays open");
+    }
+}
+
+/// Guards against a request that is sent again after the VM it was relayed to may have run it.
+#[tokio::test(start_paused = true)]
+async fn a_relayed_request_whose_vm_is_lost_is_not_called_unrun() {
+    let (bench, other) = start(vec![signed_late("late", Duration::from_secs(5))], ok()).await;
+    let mut connection = bench.connect(0).await;
+    connection.write_all(get("/once/", "r1").as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(200)).await;
+    other.kill();
+    let mut answer = String::new();
+    connection.read_to_string(&mut answer).await.unwrap();
+    assert_eq!(status(&answer), "502", "{answer}");
+    assert_eq!(bench.arrivals().iter().filter(|id| *id == "r1").count(), 1);
+}
