Keep to the rejections that endpoints say they tolerate

Endpoints may say in all their answers (Server-Brittle) how many requests they can turn away in a second; above it they fall over and serve nobody for seconds.

Each VM keeps to its share: of the slots in flight, one at least, and after a rejection a pause of its share of half of the tolerated number.

--- a/havengrade_core/src/published/send_limits.rs
+++ b/havengrade_core/src/published/send_limits.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, SystemTime};
 
 use crate::published::{
+    brittle::BrittleServices,
     cold::ColdEndpoints,
     directory::ListedEndpoint,
     send_budget::{HolderInputs, SendBudgets},
@@ -21,6 +22,8 @@
 /// Delay before an endpoint is considered again when its holders can't be determined, since the list of VMs is not
 /// known yet.
 const PEER_LIST_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Delay before an endpoint is considered again that has as many requests of this VM in flight as it may have.
+const IN_FLIGHT_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Time after which an unused send budget is dropped; a multiple of the time in which it affects any decision.
 const SEND_BUDGET_RETENTION: Duration = Duration::from_secs(60);
 
@@ -44,6 +47,10 @@
     pub cold_per_s: f64,
     /// Whether the endpoint may be cold although its directory entry doesn't say so.
     pub may_be_cold: bool,
+    /// Requests of this VM in flight at the endpoint.
+    pub own_in_flight: u32,
+    /// Number of VMs, including this one.
+    pub vms: usize,
     /// Revision of the list of VMs; none if this VM doesn't know the other VMs yet and can't tell whether it is a
     /// holder.
     pub vms_revision: Option<u64>,
@@ -56,6 +63,8 @@
     pub cold: ColdEndpoints,
     /// The signals of endpoints in their answers.
     pub signals: SignalTable,
+    /// The services whose endpoints tolerate few rejections.
+    pub brittle: BrittleServices,
     send_budgets: SendBudgets,
 }
 
@@ -76,6 +85,12 @@
         if let Some(left) = self.signals.backoff_left(endpoint, now) {
             return Readiness::After(left);
         }
+        if let Some(left) = self.brittle.pause_left(&endpoint.id, now) {
+            return Readiness::After(left);
+        }
+        if self.brittle.max_in_flight(endpoint, query.vms, now).is_some_and(|max| query.own_in_flight >= max) {
+            return Readiness::After(IN_FLIGHT_RETRY_DELAY);
+        }
         let Some((per_s, round)) = self.rate(query, now) else { return Readiness::Now };
         let Some(vms_revision) = query.vms_revision else { return Readiness::After(PEER_LIST_RETRY_DELAY) };
         let inputs = HolderInputs { vms_revision, round };
@@ -118,7 +133,7 @@
 
     /// Whether no endpoint is limited, given the rate that cold endpoints accept (0 if there is no such limit).
     pub fn is_unlimited(&self, cold_per_s: f64) -> bool {
-        cold_per_s <= 0.0 && self.signals.is_empty()
+        cold_per_s <= 0.0 && self.signals.is_empty() && self.brittle.is_empty()
     }
 
     /// Marks the listed endpoints as present, and drops expired state.
--- a/havengrade_core/tests/published_cold.rs
+++ b/havengrade_core/tests/published_cold.rs
@@ -188,7 +188,14 @@
 #[test]
 fn requests_to_a_warm_endpoint_use_up_no_budget() {
     let (mut send_limits, e1) = (SendLimits::default(), endpoint(1, "d1"));
-    let query = |may_be_cold| SendQuery { endpoint: &e1, cold_per_s: PER_S, may_be_cold, vms_revision: Some(1) };
+    let query = |may_be_cold| SendQuery {
+        endpoint: &e1,
+        cold_per_s: PER_S,
+        may_be_cold,
+        vms_revision: Some(1),
+        own_in_flight: 0,
+        vms: 1,
+    };
     assert_ne!(send_limits.readiness(query(true), |_| true, at(0)), Readiness::Now);
     (0..40).for_each(|_| assert!(send_limits.try_reserve(query(false), |_| true, at(10))));
     assert_eq!(send_limits.readiness(query(true), |_| true, at(1000)), Readiness::Now);
--- a/havengrade_core/tests/published_limit.rs
+++ b/havengrade_core/tests/published_limit.rs
@@ -129,7 +129,14 @@
     /// Sends a request of a VM if the endpoint accepts one from it.
     fn send(&mut self, vm: usize, millis: u64) -> bool {
         let e1 = endpoint();
-        let query = SendQuery { endpoint: &e1, cold_per_s: 0.0, may_be_cold: false, vms_revision: Some(1) };
+        let query = SendQuery {
+            endpoint: &e1,
+            cold_per_s: 0.0,
+            may_be_cold: false,
+            vms_revision: Some(1),
+            own_in_flight: 0,
+            vms: 1,
+        };
         let (me, others) = (&self.vms[vm], &self.known[vm]);
         let holder_cache = &mut self.holder_cache;
         let holds = |round| {
@@ -236,7 +243,14 @@
 #[test]
 fn an_endpoint_that_shuts_down_or_requests_a_backoff_is_not_ready() {
     let (mut send_limits, e1) = (SendLimits::default(), endpoint());
-    let query = SendQuery { endpoint: &e1, cold_per_s: 0.0, may_be_cold: false, vms_revision: Some(1) };
+    let query = SendQuery {
+        endpoint: &e1,
+        cold_per_s: 0.0,
+        may_be_cold: false,
+        vms_revision: Some(1),
+        own_in_flight: 0,
+        vms: 1,
+    };
     let backoff = Signal { backoff: Some(Duration::from_secs(3)), ..Signal::default() };
     assert_eq!(send_limits.readiness(query, |_| true, at(0)), Readiness::Now);
     send_limits.record_signal(&e1, backoff, false, at(0));
--- a/havengrade_router/src/published/attempt.rs
+++ b/havengrade_router/src/published/attempt.rs
@@ -212,7 +212,11 @@
         );
         if status == StatusCode::MISDIRECTED_REQUEST {
             record_failure(cx, endpoint);
-        } else if has_free_slots(cx, endpoint, answer_head)
+            return Err(RunState::NotRun);
+        }
+        let (vms, now) = (cx.shared.peers().len() + 1, cx.shared.clock.now());
+        cx.shared.send_limits().brittle.record_rejection(&endpoint.service, &endpoint.id, vms, now);
+        if has_free_slots(cx, endpoint, answer_head)
             && let Some(slot) = cx.shared.endpoint_states.slot(&endpoint.id)
         {
             slot.record_rejection(cx.shared.clock.now());
--- a/havengrade_router/src/published/dialect.rs
+++ b/havengrade_router/src/published/dialect.rs
@@ -94,6 +94,7 @@
             request: parse_text(headers, &REQUEST),
             is_authentic: headers.contains_key(&REQUEST) && (!status.is_success() || headers.contains_key(&SIGNATURE)),
             load: running.map(|running| ReportedLoad { running, ..ReportedLoad::default() }),
+            tolerated_rejections: None,
             signal: Signal {
                 limit_per_s: parse_decimal(headers, &LIMIT_PER_S),
                 is_leaving: headers.contains_key(&LEAVING),
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -108,6 +108,8 @@
     pub load: Option<ReportedLoad>,
     /// Send limit, shutdown notice and requested backoff of the endpoint.
     pub signal: Signal,
+    /// Rejections a second, of requests of all VMs together, above which the endpoint crashes.
+    pub tolerated_rejections: Option<f64>,
     /// The model's confidence in its answer, from 0 to 100.
     pub confidence: Option<u8>,
     /// Time for which the endpoint keeps an idle connection.
--- a/havengrade_router/src/published/send_limits.rs
+++ b/havengrade_router/src/published/send_limits.rs
@@ -63,6 +63,8 @@
         SendQuery {
             endpoint,
             cold_per_s: self.cold_per_s,
+            own_in_flight: self.cx.shared.endpoint_states.slot(&endpoint.id).map_or(0, |slot| slot.in_flight()),
+            vms: peers.len() + 1,
             may_be_cold: self.cx.shared.emptied_domains.load().may_be_cold(&endpoint.failure_domain, now),
             vms_revision: peers.is_list_loaded().then(|| peers.revision()),
         }
--- a/havengrade_router/src/published/signals.rs
+++ b/havengrade_router/src/published/signals.rs
@@ -38,6 +38,15 @@
     let is_for_request = answer_head.request.as_ref() == Some(&request.id);
     let is_valid_answer = is_for_request && answer_head.is_authentic && status.is_success();
     let Signal { limit_per_s, is_leaving, .. } = answer_head.signal;
+    let tolerated = answer_head.tolerated_rejections;
+    let is_changed = cx.shared.send_limits().brittle.record_answer(&endpoint.service, tolerated, now);
+    if is_changed {
+        log::info!(
+            service = endpoint.service.as_str(),
+            per_s = tolerated;
+            "number of tolerated rejections changed"
+        );
+    }
     let changes = cx.shared.send_limits().record_signal(endpoint, answer_head.signal, is_valid_answer, now);
     for change in changes {
         log_change(&endpoint.id, change, OWN_ANSWER);
