Tell a starting VM of the crashes of suspects before single ones

Callers of a VM that had just started could have a request sent that had ended three endpoints: the state that another VM hands over held the latest 96 crashes, whatever they were of, so that a suspect's were missing after a hundred others, and the VM sent it without a claim. Crashes of the requests with the most of them come first now.

--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -10,6 +10,7 @@
 //! endpoint answers it.
 
 use std::{
+    cmp::Reverse,
     collections::{HashMap, HashSet},
     time::{Duration, SystemTime},
 };
@@ -618,8 +619,8 @@
         report
     }
 
-    /// The state transfer for a VM that starts: all quarantined requests, and the latest crashes. None before this VM
-    /// has loaded the entries from before its own start.
+    /// The state transfer for a VM that starts: all quarantined requests, and the crashes of those that have the most,
+    /// the latest first. None before this VM has loaded the entries from before its own start.
     pub fn full_report(&self, now: SystemTime) -> Option<QuarantineReport> {
         let age = |at: SystemTime| now.duration_since(at).unwrap_or_default();
         let crashes = self.observations.iter().flat_map(|(fingerprint, observations)| {
@@ -632,7 +633,8 @@
             })
         });
         let mut crashes: Vec<ReportedCrash> = crashes.collect();
-        crashes.sort_by_key(|crash| crash.age);
+        // A VM that knows only some crashes of a suspect would send it without a claim.
+        crashes.sort_by_key(|crash| (Reverse(self.crash_count(crash.fingerprint).min(MAX_CRASHES)), crash.age));
         crashes.truncate(MAX_TRANSFERRED);
         let held = self
             .quarantined
