Tell endpoints that are down from a VM that is cut off

Endpoints that refuse connects are reached but down; where no other VM accepts a relay and not all endpoints are silent, requests are sent as before. A check connects to eight endpoints, and does not keep the connections, on which requests would seem to be in progress at an endpoint that ends.

--- a/havengrade_core/src/published/endpoint_reach.rs
+++ b/havengrade_core/src/published/endpoint_reach.rs
@@ -9,8 +9,9 @@
 
 use crate::published::directory::ListedEndpoint;
 
-/// Endpoints to which a check connects.
-const CHECKED_ENDPOINTS: usize = 4;
+/// Endpoints to which a check connects; with fewer, some that are down at the same time would pass for a VM that is cut
+/// off.
+const CHECKED_ENDPOINTS: usize = 8;
 /// Fewest endpoints from whose failures a VM concludes that it is cut off; a single one may just have ended.
 const MIN_CHECKED_ENDPOINTS: usize = 2;
 /// Share of the endpoints of a check that must be connected to before a VM that was cut off counts as reaching them.
@@ -112,7 +113,7 @@
     endpoints: impl Iterator<Item = &'a ListedEndpoint>,
     rng: &mut dyn Rng,
 ) -> Vec<&'a ListedEndpoint> {
-    let sampled = endpoints.sample(rng, CHECKED_ENDPOINTS * CHECKED_ENDPOINTS);
+    let sampled = endpoints.sample(rng, CHECKED_ENDPOINTS * 4);
     let mut selected: Vec<&ListedEndpoint> = Vec::new();
     for is_domain_new in [true, false] {
         for endpoint in &sampled {
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -142,8 +142,15 @@
     let mut failed_answer: Option<Response<AnswerBody>> = None;
     loop {
         if cx.shared.reach.is_lost() {
-            let relayed = relay(cx, &mut request, &mut guard).await;
-            return relayed.or_else(|refusal| failed_answer.ok_or(refusal));
+            match relay(cx, &mut request, &mut guard).await {
+                Ok(answer) => return Ok(answer),
+                // No other VM reaches endpoints: they are down rather than this VM cut off, and some may be back.
+                Err(RunState::NotSent) if !request.is_relayed && !cx.shared.reach.is_silent() => {},
+                Err(state) => {
+                    request.record_attempt(state);
+                    return failed_answer.ok_or_else(|| request.refusal(Refusal::EndpointsUnreachable, Refusal::Lost));
+                },
+            }
         }
         let answered = match attempt_next(cx, &mut request).await {
             Ok(answered) => answered,
@@ -178,25 +185,20 @@
 ///
 /// # Errors
 ///
-/// [`Refusal`] if no VM accepted it, or if it may not be sent again.
+/// [`RunState`]: how far the request may have run; not sent if no VM accepted it, or if it may not be relayed.
 async fn relay(
     cx: &PublishedContext,
     request: &mut ActiveRequest,
     guard: &mut Option<InProgressGuard>,
-) -> Result<Response<AnswerBody>, Refusal> {
-    let may_relay = !request.is_relayed && request.attempts.may_try_again() && reserve_retry(cx, request);
-    if may_relay {
-        match relay_request(cx, request, guard).await {
-            Ok(answer) => return Ok(answer),
-            Err(state) => {
-                if state == RunState::NotSent && std::mem::take(&mut request.has_reserved_retry) {
-                    cx.shared.retry_budgets.refund(&request.service);
-                }
-                request.record_attempt(state);
-            },
-        }
+) -> Result<Response<AnswerBody>, RunState> {
+    if request.is_relayed || !reserve_retry(cx, request) {
+        return Err(RunState::NotSent);
+    }
+    let relayed = relay_request(cx, request, guard).await;
+    if matches!(relayed, Err(RunState::NotSent)) && std::mem::take(&mut request.has_reserved_retry) {
+        cx.shared.retry_budgets.refund(&request.service);
     }
-    Err(request.refusal(Refusal::EndpointsUnreachable, Refusal::Lost))
+    relayed
 }
 
 /// Sends a request to the next endpoint; the inner error tells how far the request may have run.
--- a/havengrade_router/src/published/reach_monitor.rs
+++ b/havengrade_router/src/published/reach_monitor.rs
@@ -1,18 +1,16 @@
 //! Checks whether this VM reaches any endpoint, after a failed connect or a silence of all of them.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, SystemTime},
 };
 
 use futures::future::join_all;
-use havengrade_core::{
-    ids::EndpointId,
-    published::endpoint_reach::{EndpointReach, ReachChange, select_checked},
-};
+use havengrade_core::published::endpoint_reach::{EndpointReach, ReachChange, select_checked};
 use tokio::{
     sync::watch,
     time::{sleep, timeout},
@@ -21,7 +19,7 @@
 use crate::{
     endpoints::{from_millis, to_millis},
     published::context::PublishedContext,
-    quarantine::ProbeResult,
+    quarantine::{ProbeResult, probe},
     shared::lock,
 };
 
@@ -38,13 +36,20 @@
 pub struct ReachMonitor {
     reach: Mutex<EndpointReach>,
     is_lost: watch::Sender<bool>,
+    /// Whether all endpoints of the last check were silent; one that refuses a connect can be reached, but may be down.
+    is_silent: AtomicBool,
     /// When anything last arrived from an endpoint, in milliseconds since the Unix epoch; 0 for never.
     heard_ms: AtomicU64,
 }
 
 impl Default for ReachMonitor {
     fn default() -> Self {
-        Self { reach: Mutex::default(), is_lost: watch::Sender::new(false), heard_ms: AtomicU64::new(0) }
+        Self {
+            reach: Mutex::default(),
+            is_lost: watch::Sender::new(false),
+            is_silent: AtomicBool::new(false),
+            heard_ms: AtomicU64::new(0),
+        }
     }
 }
 
@@ -54,6 +59,11 @@
         *self.is_lost.borrow()
     }
 
+    /// Whether it is certain that this VM can send nothing: no endpoint can be reached, and all of them are silent.
+    pub fn is_silent(&self) -> bool {
+        self.is_lost() && self.is_silent.load(Ordering::Acquire)
+    }
+
     /// Records that something arrived from an endpoint on an open connection.
     pub fn record_heard(&self, now: SystemTime) {
         self.heard_ms.fetch_max(to_millis(now), Ordering::AcqRel);
@@ -97,10 +107,11 @@
 async fn check(cx: PublishedContext) {
     loop {
         let checked = checked_endpoints(&cx);
-        let probes = checked.iter().map(|(id, address)| {
-            cx.shared.connection_pool.probe_within(id, *address, CHECK_TIMEOUT, cx.shared.clock.now())
-        });
-        let connected = join_all(probes).await.into_iter().filter(|found| *found == ProbeResult::Answers).count();
+        // The connections are dropped: a request on one whose endpoint ends meanwhile would seem to be in progress there.
+        let found = join_all(checked.iter().map(|address| probe(&*cx.network, *address, CHECK_TIMEOUT))).await;
+        let connected = found.iter().filter(|(found, _)| *found == ProbeResult::Answers).count();
+        let is_silent = found.iter().all(|(found, _)| *found == ProbeResult::Silent);
+        cx.shared.reach.is_silent.store(is_silent, Ordering::Release);
         let now = cx.shared.clock.now();
         if connected > 0 {
             cx.shared.reach.record_heard(now);
@@ -114,20 +125,21 @@
     }
 }
 
-fn checked_endpoints(cx: &PublishedContext) -> Vec<(EndpointId, std::net::SocketAddr)> {
+fn checked_endpoints(cx: &PublishedContext) -> Vec<SocketAddr> {
     let usable = cx.shared.usable_endpoints.load();
     let selected = select_checked(usable.values().flatten(), &mut *cx.shared.rng());
-    selected.into_iter().map(|endpoint| (endpoint.id.clone(), endpoint.address)).collect()
+    selected.into_iter().map(|endpoint| endpoint.address).collect()
 }
 
-/// Waits until it is known that no endpoint can be reached, and nothing has arrived from any of them since `since`.
+/// Waits until it is known that no endpoint can be reached since all are silent, and nothing has arrived from any of them since `since`.
 ///
 /// Starts checks while nothing arrives.
 pub(super) async fn wait_until_unreachable(cx: &PublishedContext, since: SystemTime) {
     let reach = &cx.shared.reach;
     let mut lost = reach.is_lost.subscribe();
     loop {
-        if *lost.borrow_and_update() && !reach.has_heard_since(since) {
+        lost.borrow_and_update();
+        if reach.is_silent() && !reach.has_heard_since(since) {
             return;
         }
         // The sender lives as long as the shared state.
