Draw the endpoints of checks and the VMs of relays apart from other choices

Checks drew from the numbers of the choices of endpoints, so that each request after a check went elsewhere than before.

--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -161,7 +161,7 @@
             endpoint_states: EndpointTable::default(),
             stream_buffers: Arc::default(),
             connection_pool: ConnectionPool::new(network.clone(), connect_timeout),
-            reach: ReachMonitor::default(),
+            reach: ReachMonitor::new(seed),
             request_relay: RequestRelay::new(network),
             has_received_state: AtomicBool::new(false),
             is_receiving_state: AtomicBool::new(false),
--- a/havengrade_router/src/published/reach_monitor.rs
+++ b/havengrade_router/src/published/reach_monitor.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Mutex,
+        Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, SystemTime},
@@ -11,6 +11,7 @@
 
 use futures::future::join_all;
 use havengrade_core::published::endpoint_reach::{EndpointReach, ReachChange, select_checked};
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
 use tokio::{
     sync::watch,
     time::{sleep, timeout},
@@ -38,22 +39,29 @@
     is_lost: watch::Sender<bool>,
     /// Whether all endpoints of the last check were silent; one that refuses a connect can be reached, but may be down.
     is_silent: AtomicBool,
+    /// Random numbers of checks and relays; separate, so that these change no choice of endpoints.
+    rng: Mutex<ChaCha8Rng>,
     /// When anything last arrived from an endpoint, in milliseconds since the Unix epoch; 0 for never.
     heard_ms: AtomicU64,
 }
 
-impl Default for ReachMonitor {
-    fn default() -> Self {
+impl ReachMonitor {
+    /// Creates a monitor that assumes that endpoints can be reached.
+    pub fn new(seed: u64) -> Self {
         Self {
+            rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
             reach: Mutex::default(),
             is_lost: watch::Sender::new(false),
             is_silent: AtomicBool::new(false),
             heard_ms: AtomicU64::new(0),
         }
     }
-}
 
-impl ReachMonitor {
+    /// Locks the random number generator of checks and relays; hold the guard only briefly.
+    pub(super) fn rng(&self) -> MutexGuard<'_, ChaCha8Rng> {
+        lock(&self.rng)
+    }
+
     /// Whether no endpoint can be reached, as far as is known.
     pub fn is_lost(&self) -> bool {
         *self.is_lost.borrow()
@@ -127,7 +135,7 @@
 
 fn checked_endpoints(cx: &PublishedContext) -> Vec<SocketAddr> {
     let usable = cx.shared.usable_endpoints.load();
-    let selected = select_checked(usable.values().flatten(), &mut *cx.shared.rng());
+    let selected = select_checked(usable.values().flatten(), &mut *cx.shared.reach.rng());
     selected.into_iter().map(|endpoint| endpoint.address).collect()
 }
 
--- a/havengrade_router/src/published/request_relay.rs
+++ b/havengrade_router/src/published/request_relay.rs
@@ -206,8 +206,8 @@
         let asked = peers.all().filter(|peer| !cx.shared.request_relay.is_avoided(&peer.vm, now));
         asked.cloned().partition(|peer| peer.failure_domain == *domain)
     };
-    near.shuffle(&mut *cx.shared.rng());
-    far.shuffle(&mut *cx.shared.rng());
+    near.shuffle(&mut *cx.shared.reach.rng());
+    far.shuffle(&mut *cx.shared.reach.rng());
     // Half of the places are left for other failure domains: the own one may be cut off as a whole.
     near.truncate(MAX_ASKED_VMS / 2);
     let targets = near.into_iter().chain(far).take(MAX_ASKED_VMS);
