Record attempts that are given up as before

An attempt that gets no answer in time is recorded when its timer is dropped, as evidence of what ends an endpoint soon after.

--- a/havengrade_router/src/published/attempt.rs
+++ b/havengrade_router/src/published/attempt.rs
@@ -185,7 +185,11 @@
     let (load, tokens_to_read, own_tokens) = (*load, *tokens_to_read, *own_tokens);
     let attempt = Attempt { endpoint: endpoint.clone(), load, tokens_to_read, own_tokens, sent_at };
     let first_byte_timer = FirstByteTimer::new(cx, request, &attempt);
-    let response = send(cx, request, &mut connection, outgoing, sent_at).await;
+    let response = match send(cx, request, &mut connection, outgoing, sent_at).await {
+        // Dropping the timer records that the attempt was given up.
+        Err(ConnectionError::NoAnswer) => return Err(ConnectionError::NoAnswer),
+        sent => sent,
+    };
     first_byte_timer.stop();
     Ok((connection, response?, attempt))
 }
