Keep tests that read the metrics page apart

a_low_confidence_answer_is_kept_while_other_vms_report_a_shortage failed once in a run of all tests: it read congestion_seconds 15.03, which a_stronger_run_that_can_not_begin_in_time_is_not_started had set. Gauges belong to the process, and both tests run in it at the same time. Those that read the page take turns now; all checks are as they were.

--- a/havengrade_dev/tests/published_cascade.rs
+++ b/havengrade_dev/tests/published_cascade.rs
@@ -18,10 +18,13 @@
 use support::published::{Bench, ROUTER, publication, request, status};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
+    sync::Mutex,
     time::sleep,
 };
 
 const OTHER_VM: Host = 2;
+/// Held by the tests that read the metrics page, whose gauges all routers of the process set.
+static METRICS: Mutex<()> = Mutex::const_new(());
 /// Time in which a report is received, or a configuration read.
 const SETTLE: Duration = Duration::from_millis(1500);
 
@@ -79,6 +82,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_low_confidence_answer_is_kept_while_other_vms_report_a_shortage() {
+    let _metrics = METRICS.lock().await;
     let (bench, socket) = start(20, 5).await;
     assert_eq!(models_run(&bench, "calm").await, ["small", "large"]);
     report(&bench, &*socket, 20, SHORTAGE_TOKENS).await;
@@ -111,6 +115,7 @@
 /// The time limit of the route ends before a stronger model could begin.
 #[tokio::test(start_paused = true)]
 async fn a_stronger_run_that_can_not_begin_in_time_is_not_started() {
+    let _metrics = METRICS.lock().await;
     let (bench, socket) = start(1, 2).await;
     report(&bench, &*socket, 20, 600_000).await;
     assert_eq!(models_run(&bench, "hopeless").await, ["small"]);
