Log the parts of the prompts of failed tries

Cause: no line told what different requests have in common, so that crashes under a shared part could not be told from crashes under requests of their own. Change: lines of failed tries and of sends after crashes name the marks of the prompt's shared parts. Ruled out: naming the parts of each answered request, which would double the bytes logged in calm. Conclusion: the parts of a prompt can be counted over the failed tries of all VMs.

--- a/havengrade_core/src/fingerprint.rs
+++ b/havengrade_core/src/fingerprint.rs
@@ -7,6 +7,9 @@
 /// Identifies a request by its content, so that all repeats share it whichever id the caller gives them.
 pub type RequestFingerprint = u64;
 
+/// Identifies a part of prompts by its id, whichever requests contain it.
+pub type PartFingerprint = u64;
+
 /// Identifies a software version of endpoints.
 pub type VersionFingerprint = u64;
 
@@ -32,3 +35,15 @@
     }
     hasher.finish()
 }
+
+/// The fingerprint of a part of prompts with this id. It is never that of a request, which has more parts.
+///
+/// ```
+/// use havengrade_core::fingerprint::prompt_part_fingerprint;
+///
+/// assert_eq!(prompt_part_fingerprint("5c1e07a2"), prompt_part_fingerprint("5c1e07a2"));
+/// assert_ne!(prompt_part_fingerprint("5c1e07a2"), prompt_part_fingerprint("91bd3f06"));
+/// ```
+pub fn prompt_part_fingerprint(id: &str) -> PartFingerprint {
+    fingerprint(&[b"prompt part", id.as_bytes()])
+}
--- a/havengrade_router/src/published/active_request.rs
+++ b/havengrade_router/src/published/active_request.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use havengrade_core::{
-    fingerprint::{RequestFingerprint, fingerprint},
+    fingerprint::{PartFingerprint, RequestFingerprint, fingerprint, prompt_part_fingerprint},
     ids::{AccountId, EndpointId, ServiceId},
     published::{
         attempt::{Attempts, Guarantee, RunState},
@@ -111,6 +111,12 @@
         })
     }
 
+    /// Identifies the parts of the prompt that other requests may share: all but the last one.
+    pub(super) fn part_fingerprints(&self) -> impl Iterator<Item = PartFingerprint> {
+        let shared = self.attributes.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| prompt_part_fingerprint(&part.id))
+    }
+
     /// Records how far the request ran in an attempt.
     pub(super) fn record_attempt(&mut self, state: RunState) {
         self.attempts.record(state);
--- a/havengrade_router/src/published/attempt.rs
+++ b/havengrade_router/src/published/attempt.rs
@@ -22,7 +22,7 @@
         rewrite::encode_request,
         signals,
     },
-    quarantine::format_fingerprint,
+    quarantine::{format_fingerprint, format_fingerprints},
 };
 
 /// Longest idle time of a reused connection for a request that must not be repeated; after a longer time it is
@@ -291,6 +291,7 @@
         endpoint = endpoint.id.as_str(),
         version = endpoint.version.as_str(),
         mark = format_fingerprint(request.fingerprint()).as_str(),
+        parts = format_fingerprints(request.part_fingerprints()).as_str(),
         tries = request.tried_endpoints.len(),
         list_age_ms = request.endpoint_list_age.as_millis() as u64;
         "try failed: {reason}"
--- a/havengrade_router/src/published/dialect.rs
+++ b/havengrade_router/src/published/dialect.rs
@@ -8,7 +8,7 @@
     header::{HeaderName, HeaderValue, RETRY_AFTER},
 };
 
-use crate::published::ports::{AnswerHead, Dialect, ForwardAttributes, ReportedLoad, RequestAttributes};
+use crate::published::ports::{AnswerHead, Dialect, ForwardAttributes, PromptPart, ReportedLoad, RequestAttributes};
 
 /// Id of a caller's attempt; endpoints echo it.
 pub const REQUEST: HeaderName = HeaderName::from_static("havengrade-request");
@@ -22,6 +22,8 @@
 pub const ENDPOINT: HeaderName = HeaderName::from_static("havengrade-endpoint");
 /// Name of the model, or [`ANY_MODEL`].
 pub const MODEL: HeaderName = HeaderName::from_static("havengrade-model");
+/// Parts of the prompt in order, each as its id, a colon and its number of tokens; the last one is the request's own.
+pub const PROMPT_PARTS: HeaderName = HeaderName::from_static("havengrade-prompt-parts");
 /// Session of the request.
 pub const SESSION: HeaderName = HeaderName::from_static("havengrade-session");
 /// Present if the endpoint did not run the request.
@@ -57,7 +59,7 @@
             session: parse_text(headers, &SESSION),
             last_event: parse_text(headers, &LAST_EVENT_ID),
             lets_router_choose_model: parse_text(headers, &MODEL).is_some_and(|model| model == ANY_MODEL),
-            prompt_parts: Vec::new(),
+            prompt_parts: parse_prompt_parts(headers, &PROMPT_PARTS),
             tokens: None,
         }
     }
@@ -118,6 +120,13 @@
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
+/// Parses a header as a list of prompt parts, each an id, a colon and a number of tokens; others are left out.
+pub fn parse_prompt_parts(headers: &HeaderMap, name: &HeaderName) -> Vec<PromptPart> {
+    let list = headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let parts = list.split(',').filter_map(|item| item.trim().split_once(':'));
+    parts.filter_map(|(id, tokens)| Some(PromptPart { id: id.to_owned(), tokens: tokens.parse().ok()? })).collect()
+}
+
 /// Parses a header as a finite number that is not negative.
 pub fn parse_decimal(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
     let number: f64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -26,7 +26,7 @@
         context::PublishedContext,
         refusal::Refusal,
     },
-    quarantine::{ProbeResult, format_fingerprint, log_changes, log_probe},
+    quarantine::{ProbeResult, format_fingerprint, format_fingerprints, log_changes, log_probe},
 };
 
 /// Shortest interval between two probes of an endpoint; when it exits, all its requests break at the same moment.
@@ -177,6 +177,7 @@
     log::info!(
         request = request.id.as_str(),
         mark = format_fingerprint(request.fingerprint()).as_str(),
+        parts = format_fingerprints(request.part_fingerprints()).as_str(),
         endpoint = endpoint.id.as_str(),
         crashes = crashes,
         tries = request.tried_endpoints.len(),
--- a/havengrade_router/src/quarantine.rs
+++ b/havengrade_router/src/quarantine.rs
@@ -2,7 +2,10 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use havengrade_core::{fingerprint::RequestFingerprint, quarantine::QuarantineChange};
+use havengrade_core::{
+    fingerprint::{PartFingerprint, RequestFingerprint},
+    quarantine::QuarantineChange,
+};
 use tokio::time::timeout;
 
 use crate::net::{BoxConnection, Network};
@@ -80,3 +83,8 @@
 pub(crate) fn format_fingerprint(fingerprint: RequestFingerprint) -> String {
     format!("{fingerprint:016x}")
 }
+
+/// Formats the fingerprints of prompt parts for logs.
+pub(crate) fn format_fingerprints(parts: impl Iterator<Item = PartFingerprint>) -> String {
+    parts.map(format_fingerprint).collect::<Vec<_>>().join(",")
+}
