Share the fleet of the tests of requests that crash endpoints

Cause: a further test needs the same VMs before endpoints that crash. Change: the fleet moves to the tests' support module, unchanged. Ruled out: a copy. Conclusion: no test checks more or less than before.

--- a/havengrade_dev/tests/published_crashing_request.rs
+++ b/havengrade_dev/tests/published_crashing_request.rs
@@ -10,11 +10,8 @@
 mod support;
 
 use std::{
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU32, Ordering},
-    },
-    time::{Duration, SystemTime},
+    sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use havengrade_core::{
@@ -23,40 +20,29 @@
     quarantine::{QuarantineEntry, QuarantineReport, ReportedQuarantineEntry},
 };
 use havengrade_dev::{
-    fabric::{Fabric as _, Host, Pipes},
-    stand_in::{
-        frail::{FrailEndpoint, Frailty, Record},
-        memory_store::MemoryStore,
-    },
-};
-use havengrade_router::{
-    clock::Clock,
-    published::{ports::OperatorEvent, router::PublishedRouter},
-    router::RouterEnvironment,
-    settings::Settings,
+    fabric::{Fabric as _, Host},
+    stand_in::frail::{FrailEndpoint, Frailty},
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
-use support::published::{CALLERS, FIRST_ENDPOINT, listed, publication, read_all, request, status};
+use support::{
+    frail_fleet::{FrailFleet, PATIENCE, START, come_back_after, is_whole, reason},
+    published::{CALLERS, publication, read_all, request, status},
+};
 use tokio::{
     io::AsyncWriteExt as _,
-    runtime::Handle,
     task::JoinSet,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep},
 };
 
 /// Time that VMs have to learn of a crash from each other.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Times that a request may be sent later than that after its third crash.
 const MOST_SENT: usize = 3;
-/// Time in which a fleet that starts together has found itself.
-const START: Duration = Duration::from_secs(3);
 /// Time for which callers come.
 const TRAFFIC: Duration = Duration::from_secs(24);
 /// Time between two innocent requests.
 const PERIOD: Duration = Duration::from_millis(25);
-/// Time for which callers wait.
-const PATIENCE: Duration = Duration::from_secs(9);
 
 /// What a day is like.
 #[derive(Clone, Copy, Debug)]
@@ -132,14 +118,7 @@
 
 struct Fleet {
     day: Day,
-    pipes: Pipes,
-    store: MemoryStore,
-    record: Arc<Mutex<Record>>,
-    /// Hosts of the VMs that live.
-    hosts: Mutex<Vec<Host>>,
-    routers: Mutex<Vec<(Host, PublishedRouter)>>,
-    started: AtomicU32,
-    asked: AtomicU32,
+    vms: FrailFleet,
     ended: Mutex<Vec<Ended>>,
 }
 
@@ -152,92 +131,19 @@
 
 impl Fleet {
     async fn start(day: Day) -> (Arc<Self>, Vec<FrailEndpoint>) {
-        let (pipes, store) = (Pipes::default(), MemoryStore::default());
-        pipes.lose_all_but_one_of(day.one_datagram_of);
-        let record: Arc<Mutex<Record>> = Arc::default();
-        let mut endpoints = Vec::new();
-        for index in 0..day.endpoints {
-            let network = pipes.network(FIRST_ENDPOINT + index);
-            let entry = listed(&pipes, index, "v1");
-            let endpoint = FrailEndpoint::start(network, entry, day.frailty, store.clone(), record.clone());
-            endpoints.push(endpoint.await.unwrap());
-        }
         let mut publication = publication(1, &["k1"]);
         publication.routes = publication.routes.into_iter().map(route_with_one_try).collect();
-        store.operate(OperatorEvent::Publication(publication));
-        let fleet = Arc::new(Self {
-            day,
-            pipes,
-            store,
-            record,
-            hosts: Mutex::default(),
-            routers: Mutex::default(),
-            started: AtomicU32::new(0),
-            asked: AtomicU32::new(0),
-            ended: Mutex::default(),
-        });
-        for _ in 0..day.vms {
-            fleet.add().await;
-        }
-        sleep(START).await;
-        (fleet, endpoints)
-    }
-
-    /// Starts a VM at a host of its own.
-    async fn add(&self) {
-        let number = self.started.fetch_add(1, Ordering::Relaxed);
-        let host = Host::try_from(number + 1).unwrap();
-        assert!(host < FIRST_ENDPOINT);
-        let mut settings = Settings::default();
-        settings.vm.id = format!("vm-{host}");
-        settings.published.callers = Some(self.pipes.address(host, 0));
-        settings.listen.peers = self.pipes.address(host, 1);
-        settings.published.readiness = self.pipes.address(host, 2);
-        settings.published.metrics = self.pipes.address(host, 3);
-        let origin = SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000);
-        let parts = RouterEnvironment {
-            network: self.pipes.network(host),
-            clock: Clock::starting_at(origin),
-            seed: u64::from(number),
-        };
-        let ports = self.store.ports(&settings.vm.id);
-        let router = PublishedRouter::start(settings, parts, ports, &Handle::current()).await.unwrap();
-        self.routers.lock().unwrap().push((host, router));
-        self.hosts.lock().unwrap().push(host);
-    }
-
-    /// Kills the VM that has run for the longest.
-    fn kill_oldest(&self) {
-        let (host, router) = self.routers.lock().unwrap().remove(0);
-        self.hosts.lock().unwrap().retain(|other| *other != host);
-        router.kill();
-    }
-
-    /// Asks a VM; an empty answer where it is gone.
-    async fn ask(&self, host: Host, path: &str, more: &str, body: &str) -> String {
-        let id = format!("r{}", self.asked.fetch_add(1, Ordering::Relaxed));
-        let asked = async {
-            let connected = self.pipes.network(CALLERS).connect(self.pipes.address(host, 0)).await;
-            let Ok(mut connection) = connected else { return String::new() };
-            let request = request("POST", path, &id, more, body);
-            let Ok(()) = connection.write_all(request.as_bytes()).await else { return String::new() };
-            read_all(&mut connection).await
-        };
-        timeout(PATIENCE, asked).await.unwrap_or_default()
-    }
-
-    /// A VM that lives, by a number that is drawn; none for a moment where all were killed.
-    fn host(&self, drawn: u32) -> Option<Host> {
-        let hosts = self.hosts.lock().unwrap();
-        hosts.get(drawn as usize % hosts.len().max(1)).copied()
+        let started = FrailFleet::start(day.vms, day.endpoints, day.frailty, day.one_datagram_of, publication);
+        let (vms, endpoints) = started.await;
+        (Arc::new(Self { day, vms, ended: Mutex::default() }), endpoints)
     }
 
     /// A caller with an innocent request, who comes back once, as he is told.
     async fn innocent(self: Arc<Self>, path: &'static str, more: &'static str, body: String, drawn: [u32; 2]) {
         let mut answer = String::new();
         for drawn in drawn {
-            if let Some(host) = self.host(drawn) {
-                answer = self.ask(host, path, more, &body).await;
+            if let Some(host) = self.vms.host(drawn) {
+                answer = self.vms.ask(host, path, more, &body).await;
             }
             if is_whole(&answer) {
                 break;
@@ -249,22 +155,6 @@
     }
 }
 
-fn is_whole(answer: &str) -> bool {
-    let is_ended =
-        if answer.contains("event-stream") { answer.ends_with("0\r\n\r\n") } else { answer.contains("fine") };
-    status(answer) == "200" && is_ended
-}
-
-fn reason(answer: &str) -> String {
-    let reason = answer.rsplit_once("{\"error\":\"").and_then(|(_, rest)| rest.split('"').next());
-    format!("{} {}", status(answer), reason.unwrap_or("broken off"))
-}
-
-fn come_back_after(answer: &str) -> Duration {
-    let told = answer.lines().find_map(|line| line.strip_prefix("retry-after: ")?.trim().parse().ok());
-    told.map_or(Duration::from_millis(50), Duration::from_secs_f64).min(PATIENCE / 3)
-}
-
 /// Innocent requests all the time: most of them once, one of each shape again and again.
 async fn innocents(fleet: Arc<Fleet>, seed: u64) {
     const SHAPES: [(&str, &str); 5] = [
@@ -303,8 +193,8 @@
             let (fleet, drawn) = (fleet.clone(), [rng.random(), rng.random()]);
             callers.spawn(async move {
                 for drawn in drawn {
-                    let Some(host) = fleet.host(drawn) else { continue };
-                    let answer = fleet.ask(host, day.path, "", &format!("deadly-{number}")).await;
+                    let Some(host) = fleet.vms.host(drawn) else { continue };
+                    let answer = fleet.vms.ask(host, day.path, "", &format!("deadly-{number}")).await;
                     sleep(come_back_after(&answer).min(Duration::from_secs(1))).await;
                 }
             });
@@ -319,16 +209,16 @@
     let begin = Instant::now();
     if let Some(at) = fleet.day.kills_all {
         sleep(at).await;
-        (0..fleet.day.vms).for_each(|_| fleet.kill_oldest());
+        (0..fleet.day.vms).for_each(|_| fleet.vms.kill_oldest());
         for _ in 0..fleet.day.vms {
-            fleet.add().await;
+            fleet.vms.add().await;
         }
     }
     let Some(pause) = fleet.day.replaces_vms else { return };
     while begin.elapsed() < TRAFFIC {
         sleep(pause).await;
-        fleet.kill_oldest();
-        fleet.add().await;
+        fleet.vms.kill_oldest();
+        fleet.vms.add().await;
     }
 }
 
@@ -342,7 +232,7 @@
     }
     all.spawn(operators(fleet.clone()));
     all.join_all().await;
-    let record = fleet.record.lock().unwrap().clone();
+    let record = fleet.vms.record.lock().unwrap().clone();
     let ended = fleet.ended.lock().unwrap().clone();
     let mut faults = Vec::new();
     let mut calm_since = None;
@@ -460,16 +350,16 @@
 #[tokio::test(start_paused = true)]
 async fn while_the_store_is_away_a_held_request_is_refused_as_soon_as_its_trial_can_not_be_claimed() {
     let (fleet, _endpoints) = Fleet::start(DAY).await;
-    let deadly = async |host| fleet.ask(host, "/stream/", "", "deadly-1").await;
+    let deadly = async |host| fleet.vms.ask(host, "/stream/", "", "deadly-1").await;
     deadly(1).await;
-    fleet.store.set_away(true);
-    let ends = fleet.record.lock().unwrap().ends.len();
+    fleet.vms.store.set_away(true);
+    let ends = fleet.vms.record.lock().unwrap().ends.len();
     let begin = Instant::now();
     let answer = deadly(1).await;
     assert_eq!(reason(&answer), "503 quarantined");
     // It is judged a second after the last crash, and its trial is due two seconds later.
     assert!(begin.elapsed() < Duration::from_secs(4), "{:?}", begin.elapsed());
-    assert_eq!(fleet.record.lock().unwrap().ends.len(), ends, "no trial without the list");
+    assert_eq!(fleet.vms.record.lock().unwrap().ends.len(), ends, "no trial without the list");
 }
 
 /// What a request to `/read/` with this body is known by.
@@ -495,7 +385,7 @@
         endpoint: None,
         is_stored: false,
     };
-    let routers = fleet.routers.lock().unwrap();
+    let routers = fleet.vms.routers.lock().unwrap();
     let shared = &routers[vm].1.context().shared;
     let news = QuarantineReport { held: vec![held], ..QuarantineReport::default() };
     assert_eq!(shared.quarantine().merge_report(news, shared.clock.now()).len(), 1);
@@ -509,12 +399,12 @@
     hold_at(&fleet, 0, "same 15");
     // Time for the list to be written.
     sleep(Duration::from_secs(2)).await;
-    let ask = async || fleet.ask(fleet.host(0).unwrap(), "/read/", "", "same 15").await;
+    let ask = async || fleet.vms.ask(fleet.vms.host(0).unwrap(), "/read/", "", "same 15").await;
     assert!(is_whole(&ask().await), "its trial");
     sleep(Duration::from_secs(2)).await;
-    (0..DAY.vms).for_each(|_| fleet.kill_oldest());
+    (0..DAY.vms).for_each(|_| fleet.vms.kill_oldest());
     for _ in 0..DAY.vms {
-        fleet.add().await;
+        fleet.vms.add().await;
     }
     sleep(START).await;
     let answer = ask().await;
@@ -525,9 +415,9 @@
 #[tokio::test(start_paused = true)]
 async fn a_vm_that_has_not_heard_of_a_trial_learns_of_it_by_its_claim() {
     let (fleet, _endpoints) = Fleet::start(Day { vms: 1, ..DAY }).await;
-    let now = fleet.routers.lock().unwrap()[0].1.context().shared.clock.now();
+    let now = fleet.vms.routers.lock().unwrap()[0].1.context().shared.clock.now();
     hold_at(&fleet, 0, "same 15");
-    fleet.store.hold(QuarantineEntry {
+    fleet.vms.store.hold(QuarantineEntry {
         fingerprint: mark_of("same 15"),
         version: fingerprint(&[b"v1"]),
         first_crash: now - Duration::from_secs(65),
@@ -538,7 +428,7 @@
         endpoint: None,
     });
     let begin = Instant::now();
-    let answer = fleet.ask(fleet.host(0).unwrap(), "/read/", "", "same 15").await;
+    let answer = fleet.vms.ask(fleet.vms.host(0).unwrap(), "/read/", "", "same 15").await;
     assert_eq!(reason(&answer), "503 quarantined");
     assert!(begin.elapsed() < Duration::from_secs(1), "{:?}", begin.elapsed());
 }
@@ -550,9 +440,9 @@
     let (fleet, endpoints) = Fleet::start(Day { vms: 1, ..DAY }).await;
     hold_at(&fleet, 0, "same 15");
     drop(endpoints);
-    let answer = fleet.ask(fleet.host(0).unwrap(), "/read/", "", "same 15").await;
+    let answer = fleet.vms.ask(fleet.vms.host(0).unwrap(), "/read/", "", "same 15").await;
     assert_eq!(status(&answer), "503", "{answer}");
-    let entries = fleet.routers.lock().unwrap()[0].1.context().shared.quarantine().entries();
+    let entries = fleet.vms.routers.lock().unwrap()[0].1.context().shared.quarantine().entries();
     assert_eq!(entries.iter().map(|entry| entry.trials).collect::<Vec<_>>(), [0]);
 }
 
@@ -563,7 +453,7 @@
     let (fleet, _endpoints) = Fleet::start(Day { vms: 1, ..DAY }).await;
     hold_since(&fleet, 0, "same 1200", Duration::from_secs(1));
     let ask = async |id, time_left_ms| {
-        let mut connection = fleet.pipes.network(CALLERS).connect(fleet.pipes.address(1, 0)).await.unwrap();
+        let mut connection = fleet.vms.pipes.network(CALLERS).connect(fleet.vms.pipes.address(1, 0)).await.unwrap();
         let request = request("POST", "/read/", id, "", "same 1200").replace("ms: 9000", time_left_ms);
         connection.write_all(request.as_bytes()).await.unwrap();
         read_all(&mut connection).await
--- a/havengrade_dev/tests/support/mod.rs
+++ b/havengrade_dev/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! What the tests of a fleet share: a deployment in memory on a paused clock.
 #![allow(dead_code, unused_imports, clippy::unwrap_used)]
 
+pub(crate) mod frail_fleet;
 pub(crate) mod published;
 pub(crate) mod store_fleet;
 
