Hold a part of prompts once two different requests with it crashed four endpoints

Cause: a request with a bad part is retried, so that waiting for a third different request costs crashes that show nothing new. Change: two different requests in place of three; four crashes as before.

--- a/havengrade_core/src/crash_attribution.rs
+++ b/havengrade_core/src/crash_attribution.rs
@@ -28,7 +28,7 @@
 const MIN_PART_CRASHES: usize = 4;
 /// Different requests with a part that must have been in progress at crashes: a request that crashes endpoints by itself
 /// is repeated, with all its parts.
-const MIN_PART_REQUESTS: usize = 3;
+const MIN_PART_REQUESTS: usize = 2;
 /// Number of crashes by which a request of like duration may exceed another one that explains some of its crashes.
 const MAX_EXCESS_CRASHES: usize = 1;
 /// Crashes that put a request into quarantine whatever else was in progress. Its caller and the router send a
