Tell whole streams without a length from those that end with their endpoint

Cause: only whole answers without a length were checked, and those after they had been passed on. Change: an answer or a stream that ends with its connection is passed on as complete once a probe finds its endpoint alive, or after 100 ms; if the endpoint refuses connections it counts as broken off, and is tried again or resumed where that is allowed. Only an answer whose endpoint lives clears its request and the parts of its prompt. Why it holds: an endpoint that exited refuses connections at once, and one that closed its connection accepts others. Ruled out: taking each such stream for broken off, which would run whole ones twice.

--- a/havengrade_dev/src/stand_in/frail.rs
+++ b/havengrade_dev/src/stand_in/frail.rs
@@ -23,7 +23,9 @@
 
 use crate::stand_in::{
     memory_store::MemoryStore,
-    published::{LAST_CHUNK, STREAM_HEAD, chunk, event, read_request, signed_text},
+    published::{
+        LAST_CHUNK, STREAM_HEAD, UNFRAMED_STREAM_HEAD, chunk, event, read_request, signed_text, unframed_event,
+    },
 };
 
 /// What the body of a request begins with that ends endpoints.
@@ -168,10 +170,10 @@
         let taken = Taken { at: Instant::now(), body: body.clone() };
         lock(&shared.record).taken.push(taken);
         let is_stream = seen.head.contains(" /stream/");
+        let shape = seen.header("x-shape").unwrap_or_default();
         if body.starts_with(DEADLY) {
-            return end(connection, &shared, body, &id, is_stream).await;
+            return end(connection, &shared, body, &id, is_stream, shape).await;
         }
-        let shape = seen.header("x-shape").unwrap_or_default();
         if !run(&mut connection, &body, &id, is_stream, shape).await {
             return;
         }
@@ -179,9 +181,10 @@
 }
 
 /// Runs a deadly request: the endpoint ends after a time.
-async fn end(mut connection: BoxConnection, shared: &Shared, body: String, id: &str, is_stream: bool) {
+async fn end(mut connection: BoxConnection, shared: &Shared, body: String, id: &str, is_stream: bool, shape: &str) {
     if shared.frailty.answers_first && is_stream {
-        let begin = format!("{STREAM_HEAD}{}", event(1)).replace("{id}", id);
+        let (head, event, _) = stream_format(shape);
+        let begin = format!("{head}{}", event(1)).replace("{id}", id);
         // A caller that has left does not save the endpoint.
         drop(connection.write_all(begin.as_bytes()).await);
     }
@@ -207,7 +210,8 @@
         body.rsplit(' ').next().and_then(|millis| millis.parse().ok()).map_or(Duration::ZERO, Duration::from_millis);
     let text = |bytes: &str| bytes.replace("{id}", id).into_bytes();
     if is_stream {
-        if connection.write_all(&text(STREAM_HEAD)).await.is_err() {
+        let (head, event, end) = stream_format(shape);
+        if connection.write_all(&text(head)).await.is_err() {
             return false;
         }
         for number in 1..=EVENTS {
@@ -216,7 +220,7 @@
                 return false;
             }
         }
-        return connection.write_all(LAST_CHUNK.as_bytes()).await.is_ok();
+        return connection.write_all(end.as_bytes()).await.is_ok() && !end.is_empty();
     }
     sleep(work).await;
     let head = "HTTP/1.1 200 OK\r\nhavengrade-request: {id}\r\nhavengrade-signature: s\r\n";
@@ -234,3 +238,8 @@
         _ => connection.write_all(&text(&signed_text("fine"))).await.is_ok(),
     }
 }
+
+/// The head of a stream, its events, and what stands behind them; nothing where it ends with its connection.
+fn stream_format(shape: &str) -> (&'static str, fn(u32) -> String, &'static str) {
+    if shape == "unframed" { (UNFRAMED_STREAM_HEAD, unframed_event, "") } else { (STREAM_HEAD, event, LAST_CHUNK) }
+}
--- a/havengrade_dev/src/stand_in/published.rs
+++ b/havengrade_dev/src/stand_in/published.rs
@@ -87,6 +87,10 @@
 pub const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nhavengrade-request: {id}\r\nhavengrade-signature: s\r\n\
      content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
 
+/// The head of a signed stream that ends with its connection.
+pub const UNFRAMED_STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nhavengrade-request: {id}\r\nhavengrade-signature: s\r\n\
+     content-type: text/event-stream\r\nconnection: close\r\n\r\n";
+
 /// One chunk of a body.
 pub fn chunk(data: &str) -> String {
     format!("{:x}\r\n{data}\r\n", data.len())
@@ -94,7 +98,12 @@
 
 /// An event with an id.
 pub fn event(id: u32) -> String {
-    chunk(&format!("id: {id}\ndata: piece {id}\n\n"))
+    chunk(&unframed_event(id))
+}
+
+/// An event with an id, without a chunk around it.
+pub fn unframed_event(id: u32) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
 }
 
 /// The end of a body in chunks.
--- a/havengrade_router/src/published/event_stream.rs
+++ b/havengrade_router/src/published/event_stream.rs
@@ -17,13 +17,16 @@
         context::PublishedContext,
         endpoint_choice::endpoint_memory_tokens,
         event_timer::EventTimer,
-        forward::next_endpoint,
+        forward::{is_framed, next_endpoint},
         outcomes::{
             FirstByteTimer, InProgressGuard, extend_session, record_answer_metrics, record_broken_outcome,
             record_event_time, record_first_byte_time, record_outcome, record_session_version, record_success,
             release_session, version_failure,
         },
-        quarantine::{log_send_after_crashes, record_abandoned_attempt, record_answer, record_broken_attempt},
+        quarantine::{
+            check_unframed_answer, log_send_after_crashes, record_abandoned_attempt, record_answer,
+            record_broken_attempt,
+        },
         refusal::AnswerBody,
         rewrite::encode_answer_head,
         speeds,
@@ -87,13 +90,16 @@
     reservation: Option<OwnedSemaphorePermit>,
     in_flight: InFlightGuard,
     event_timer: EventTimer,
+    /// Whether the stream has an end of its own, not only that of its connection.
+    is_framed: bool,
 }
 
 impl EndpointStream {
     fn new(cx: &PublishedContext, answered: AnsweredAttempt) -> Self {
-        let AnsweredAttempt { attempt, connection, body, in_flight, .. } = answered;
+        let AnsweredAttempt { attempt, connection, head, body, in_flight, .. } = answered;
         let buffers = cx.shared.stream_buffers.clone();
         Self {
+            is_framed: is_framed(&head),
             attempt,
             connection,
             body,
@@ -392,13 +398,20 @@
             };
             match read {
                 Ok(Some(chunk)) => next = Some(chunk),
-                Ok(None) => return RelayEnd::Complete,
+                Ok(None) if self.is_complete(request, upstream).await => return RelayEnd::Complete,
+                Ok(None) => return RelayEnd::Broken(StreamFault::CutOff),
                 Err(StreamFault::Stalled) if left <= stall_timeout => return RelayEnd::TimeOver,
                 Err(fault) => return RelayEnd::Broken(fault),
             }
         }
     }
 
+    /// Whether a stream that ended behind an event is complete.
+    async fn is_complete(&self, request: &ActiveRequest, upstream: &EndpointStream) -> bool {
+        let Attempt { endpoint, sent_at, .. } = &upstream.attempt;
+        upstream.is_framed || check_unframed_answer(&self.cx, request, endpoint, *sent_at).await
+    }
+
     /// Sends events to the caller, who may read nothing for `limit` at most.
     async fn send_to_caller(&mut self, chunk: EventChunk, limit: Duration) -> Result<(), QueueError> {
         if chunk.last_id.is_some() {
@@ -477,11 +490,13 @@
 
     /// Records a complete stream and returns its connection to the pool.
     fn finish(self, request: &ActiveRequest, upstream: EndpointStream) {
-        let EndpointStream { attempt: Attempt { endpoint, .. }, connection, .. } = upstream;
+        let EndpointStream { attempt: Attempt { endpoint, .. }, connection, is_framed, .. } = upstream;
         record_outcome(&self.cx, request, &endpoint, None);
         extend_session(&self.cx, request, &endpoint.version);
         record_success(&self.cx, &endpoint);
-        record_answer(&self.cx, request, &endpoint.version, self.cx.shared.clock.now());
+        if is_framed {
+            record_answer(&self.cx, request, &endpoint.version, self.cx.shared.clock.now());
+        }
         self.record_output_length(request);
         self.record_end(request, Some(&endpoint), "complete");
         self.cx.shared.connection_pool.release(&endpoint.id, connection, self.cx.shared.clock.now());
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -12,7 +12,7 @@
 };
 use http_body_util::{BodyExt as _, Limited};
 use hyper::{
-    Request, Response,
+    Request, Response, StatusCode,
     body::Incoming,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     http::response,
@@ -21,9 +21,7 @@
 
 use crate::published::{
     active_request::{ActiveRequest, Trial, admit},
-    attempt::{
-        AnsweredAttempt, Attempt, DEADLINE_SLACK, log_failed_attempt, prepare_attempt, record_failure, send_attempt,
-    },
+    attempt::{AnsweredAttempt, DEADLINE_SLACK, log_failed_attempt, prepare_attempt, record_failure, send_attempt},
     context::PublishedContext,
     endpoint_choice::{ChosenEndpoint, choose_endpoint},
     escalation::EscalationSituation,
@@ -33,8 +31,8 @@
         record_outcome, record_session_version, record_success, release_session, version_failure,
     },
     quarantine::{
-        self, log_send_after_crashes, record_abandoned_attempt, record_answer, record_broken_attempt,
-        record_unframed_answer,
+        self, check_unframed_answer, log_send_after_crashes, record_abandoned_attempt, record_answer,
+        record_broken_attempt,
     },
     refusal::{AnswerBody, Refusal, full_body},
     request_relay::{RelayedRequest, mark_unreachable, relay_request},
@@ -365,7 +363,16 @@
     drop(in_flight);
     let now = cx.shared.clock.now();
     let took = now.duration_since(attempt.sent_at).unwrap_or_default();
-    let Ok(Ok(collected)) = collected else {
+    let is_framed = is_framed(&head);
+    let is_whole = match &collected {
+        Ok(Ok(_)) => {
+            is_framed
+                || !head.status.is_success()
+                || check_unframed_answer(cx, request, endpoint, attempt.sent_at).await
+        },
+        Ok(Err(_)) | Err(_) => false,
+    };
+    let (Ok(Ok(collected)), true) = (collected, is_whole) else {
         log_failed_attempt(request, endpoint, "the answer broke off");
         record_broken_outcome(cx, request, endpoint);
         record_broken_attempt(cx, request, endpoint, attempt.sent_at);
@@ -381,7 +388,9 @@
     record_outcome(cx, request, endpoint, failure);
     if head.status.is_success() {
         speeds::record_whole_answer(cx, request, &attempt, took);
-        record_whole_answer(cx, request, &attempt, &head, now);
+        if is_framed {
+            record_answer(cx, request, &endpoint.version, now);
+        }
     }
     if is_failure {
         record_failure(cx, endpoint);
@@ -393,22 +402,10 @@
     AttemptResult::Answered { answer: Response::from_parts(head, full_body(collected.to_bytes())), is_failure }
 }
 
-/// Records a whole answer.
-///
-/// An answer without a length ends with its connection, as it also does when its endpoint crashes; a probe of the
-/// endpoint tells the two apart.
-fn record_whole_answer(
-    cx: &PublishedContext,
-    request: &ActiveRequest,
-    attempt: &Attempt,
-    head: &response::Parts,
-    now: SystemTime,
-) {
-    let is_framed = head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
-    if is_framed {
-        record_answer(cx, request, &attempt.endpoint.version, now);
-        return;
-    }
-    let (cx, request, attempt) = (cx.clone(), request.clone(), attempt.clone());
-    tokio::spawn(async move { record_unframed_answer(&cx, &request, &attempt.endpoint, attempt.sent_at).await });
+/// Whether the head of an answer tells where it ends; otherwise it ends with its connection, as it also does when its
+/// endpoint crashes.
+pub(super) fn is_framed(head: &response::Parts) -> bool {
+    head.headers.contains_key(CONTENT_LENGTH)
+        || head.headers.contains_key(TRANSFER_ENCODING)
+        || head.status == StatusCode::NO_CONTENT
 }
--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -34,6 +34,8 @@
 /// Delay of the last probe after a failed attempt. An attempt that was given up may crash its endpoint afterwards, and
 /// counts only if that is known within half a second.
 const LAST_PROBE_DELAY: Duration = Duration::from_millis(450);
+/// Longest time for which an answer without a length is kept back until it is known whether its endpoint has exited.
+const UNFRAMED_PROBE_TIME: Duration = Duration::from_millis(100);
 /// Time within which an endpoint must have answered this VM for a silent one to count as exited; otherwise this VM may
 /// be cut off from all of them.
 const RECENT_ANSWER_TIME: Duration = Duration::from_millis(1000);
@@ -345,23 +347,37 @@
     cx.shared.quarantine().record_abandoned_attempt(judged_run(request, &endpoint.version), &endpoint.id, ran_for, now);
 }
 
-/// Records an answer that ended with its connection; it counts as complete if the endpoint is still alive.
-pub(super) async fn record_unframed_answer(
+/// Whether an answer that ended with its connection is whole. One whose endpoint has exited since may have been cut off;
+/// if the endpoint does not say so in [`UNFRAMED_PROBE_TIME`], the answer is taken for whole.
+pub(super) async fn check_unframed_answer(
     cx: &PublishedContext,
     request: &ActiveRequest,
     endpoint: &ListedEndpoint,
     sent: SystemTime,
-) {
+) -> bool {
+    let (cx, request, endpoint) = (cx.clone(), request.clone(), endpoint.clone());
+    let recorded = tokio::spawn(async move { record_unframed_answer(&cx, &request, &endpoint, sent).await });
+    !matches!(timeout(UNFRAMED_PROBE_TIME, recorded).await, Ok(Ok(ProbeResult::Refuses)))
+}
+
+/// Records an answer that ended with its connection: whole if the endpoint is still alive, and broken off otherwise.
+async fn record_unframed_answer(
+    cx: &PublishedContext,
+    request: &ActiveRequest,
+    endpoint: &ListedEndpoint,
+    sent: SystemTime,
+) -> ProbeResult {
     let now = cx.shared.clock.now();
     let ran_for = now.duration_since(sent).unwrap_or_default();
-    match probe_endpoint(cx, endpoint).await {
-        ProbeResult::Answers => record_answer(cx, request, &endpoint.version, now),
-        ProbeResult::Refuses | ProbeResult::Silent => {
-            let run = judged_run(request, &endpoint.version);
-            cx.shared.quarantine().record_broken_attempt(run, &endpoint.id, ran_for, now);
-            evaluate_suspects(cx, now);
-        },
+    let result = probe_endpoint(cx, endpoint).await;
+    if result == ProbeResult::Answers {
+        record_answer(cx, request, &endpoint.version, now);
+    } else {
+        let run = judged_run(request, &endpoint.version);
+        cx.shared.quarantine().record_broken_attempt(run, &endpoint.id, ran_for, now);
+        evaluate_suspects(cx, now);
     }
+    result
 }
 
 async fn probe_endpoint(cx: &PublishedContext, endpoint: &ListedEndpoint) -> ProbeResult {
