Relay requests that a VM can't send to VMs that may

Cause: what all VMs may send together is divided among VMs, or reached from others, while a request could only run where it arrived; relays were for VMs that reach no endpoint at all. Class: a share that stays where its demand is not. Change: a request refused as endpoints_at_limit is relayed to holders of limits of its service, one refused as no_endpoint to at most two other VMs, before anything of it ran and never twice. A VM that can't send it either says for how long, and is not asked for that service until then; after two such answers no_endpoint is not relayed. The VM that tries a request counts its first try. Why it holds: each holder keeps its own budget, so the sum stays within the limit however callers spread.

--- a/havengrade_core/src/published/send_budget.rs
+++ b/havengrade_core/src/published/send_budget.rs
@@ -6,6 +6,7 @@
 //! share for each VM would be less than one request per second.
 
 use std::{
+    cmp::Reverse,
     collections::HashMap,
     time::{Duration, SystemTime},
 };
@@ -51,6 +52,33 @@
     (index + all - first) % all < HOLDERS
 }
 
+/// The holders of an endpoint among the given VMs in a holder round, as [`is_holder`] tells them for each.
+///
+/// ```
+/// # use std::time::Duration;
+/// # use havengrade_core::published::{directory::ListedEndpoint, send_budget::{HOLDERS, holders}};
+/// # let endpoint = ListedEndpoint {
+/// #     id: "e1".into(), service: "models".into(), address: ([10, 0, 0, 1], 80).into(), failure_domain: "d1".into(),
+/// #     version: "v1".into(), slots: 4, is_leaving: false, cold_for: Duration::ZERO, start: None,
+/// # };
+/// let vms = [("vm-1", "d1"), ("vm-2", "d2"), ("vm-3", "d2")];
+/// let holders = holders(vms.into_iter(), &endpoint, 0);
+/// assert_eq!((holders.len(), holders[0]), (HOLDERS, "vm-1"));
+/// ```
+pub fn holders<'a>(
+    vms: impl Iterator<Item = (&'a str, &'a str)>,
+    endpoint: &ListedEndpoint,
+    round: u64,
+) -> Vec<&'a str> {
+    let by_rank =
+        |(vm, domain): (&'a str, &str)| (domain != endpoint.failure_domain, Reverse(rank(&[vm, &endpoint.id])), vm);
+    let mut ranked: Vec<_> = vms.map(by_rank).collect();
+    ranked.sort_unstable();
+    let first = usize::try_from(round.wrapping_mul(HOLDERS as u64) % ranked.len().max(1) as u64).unwrap_or_default();
+    let all = ranked.len();
+    ranked.into_iter().map(|(_, _, vm)| vm).cycle().skip(first).take(HOLDERS.min(all)).collect()
+}
+
 /// The inputs that determine whether this VM is a holder; a cached result is valid as long as they are unchanged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HolderInputs {
--- a/havengrade_core/src/published/send_limits.rs
+++ b/havengrade_core/src/published/send_limits.rs
@@ -109,6 +109,11 @@
         Some((cold.map_or(per_s, |cold| cold.min(per_s)), holder_round(limit)))
     }
 
+    /// The current holder round of an endpoint; 0 if it states no limit.
+    pub fn holder_round(&self, endpoint: &ListedEndpoint, now: SystemTime) -> u64 {
+        self.signals.limit(endpoint, now).map_or(0, holder_round)
+    }
+
     /// Records the signal of an answer, and returns what changed; `is_whole` as for [`SignalTable::record_answer`].
     pub fn record_signal(
         &mut self,
@@ -117,7 +122,7 @@
         is_whole: bool,
         now: SystemTime,
     ) -> Vec<SignalChange> {
-        let round = self.signals.limit(endpoint, now).map_or(0, holder_round);
+        let round = self.holder_round(endpoint, now);
         self.signals.record_answer(endpoint, signal, is_whole, round, now)
     }
 
--- a/havengrade_core/src/retry_budget.rs
+++ b/havengrade_core/src/retry_budget.rs
@@ -53,6 +53,19 @@
         self.saved = (self.saved + self.retry_percent).min(self.max_saved);
     }
 
+    /// Takes back a first try that another VM counts.
+    ///
+    /// ```
+    /// use havengrade_core::retry_budget::RetryBudget;
+    ///
+    /// let mut budget = RetryBudget::with_max_saved(50, 1);
+    /// budget.retract_first_try();
+    /// assert!(!budget.try_acquire());
+    /// ```
+    pub fn retract_first_try(&mut self) {
+        self.saved = self.saved.saturating_sub(self.retry_percent);
+    }
+
     /// Returns an acquired retry to the budget, for a retry that wasn't sent.
     ///
     /// ```
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -35,7 +35,9 @@
         record_broken_attempt,
     },
     refusal::{AnswerBody, Refusal, full_body},
-    request_relay::{RelayedRequest, mark_unreachable, relay_request},
+    request_relay::{
+        RelayTarget, RelayedRequest, holder_targets, mark_not_accepted, other_targets, relay_request, relay_targets,
+    },
     rewrite::encode_answer_head,
     speeds,
 };
@@ -104,8 +106,8 @@
         let now = cx.shared.clock.now();
         log_refusal(cx, &id, refusal, received_at, now);
         let mut answer = refusal.answer(cx, now);
-        if is_relayed && refusal == Refusal::EndpointsUnreachable {
-            mark_unreachable(&mut answer);
+        if is_relayed {
+            mark_not_accepted(&mut answer, refusal);
         }
         answer
     })
@@ -140,7 +142,8 @@
     let mut failed_answer: Option<Response<AnswerBody>> = None;
     loop {
         if cx.shared.reach.is_lost() {
-            match relay(cx, &mut request, &mut guard).await {
+            let targets = relay_targets(cx, &request, cx.shared.clock.now());
+            match relay(cx, &mut request, targets, &mut guard).await {
                 Ok(answer) => return Ok(answer),
                 // No other VM reaches endpoints: they are down rather than this VM cut off, and some may be back.
                 Err(RunState::NotSent) if !request.is_relayed && !cx.shared.reach.is_silent() => {},
@@ -152,7 +155,10 @@
         }
         let answered = match attempt_next(cx, &mut request).await {
             Ok(answered) => answered,
-            Err(refusal) => return failed_answer.ok_or(refusal),
+            Err(refusal) => {
+                let Some(answer) = failed_answer else { return relay_refused(cx, request, refusal, guard).await };
+                return Ok(answer);
+            },
         };
         let result = match answered {
             Ok(answered) => handle_answer(cx, &mut request, answered, &mut guard).await,
@@ -174,12 +180,47 @@
             },
         }
         if !request.attempts.may_try_again() {
-            return failed_answer.ok_or_else(|| request.refusal(Refusal::NoEndpoint, Refusal::Lost));
+            let Some(answer) = failed_answer else {
+                let refusal = request.refusal(Refusal::NoEndpoint, Refusal::Lost);
+                return relay_refused(cx, request, refusal, guard).await;
+            };
+            return Ok(answer);
         }
     }
 }
 
-/// Relays a request to another VM, since no endpoint can be reached.
+/// Relays a request that this VM can send to no endpoint to one that may: callers do not spread over VMs evenly, while
+/// each VM has its share of what all may send.
+///
+/// # Errors
+///
+/// The refusal if it may not be relayed or no VM accepted it.
+async fn relay_refused(
+    cx: &PublishedContext,
+    mut request: ActiveRequest,
+    refusal: Refusal,
+    mut guard: Option<InProgressGuard>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let now = cx.shared.clock.now();
+    if request.is_relayed || request.trial != Trial::None || cx.shared.reach.is_lost() {
+        return Err(refusal);
+    }
+    let targets = match refusal {
+        Refusal::EndpointsAtLimit { .. } => holder_targets(cx, &request, now),
+        Refusal::NoEndpoint => other_targets(cx, &request, now),
+        _ => return Err(refusal),
+    };
+    let relayed = relay(cx, &mut request, targets, &mut guard).await;
+    if !matches!(relayed, Err(RunState::NotSent)) {
+        cx.shared.retry_budgets.retract_first_try(&request.service);
+    }
+    relayed.map_err(|state| {
+        request.record_attempt(state);
+        request.refusal(refusal, Refusal::Lost)
+    })
+}
+
+/// Relays a request to one of these VMs.
 ///
 /// # Errors
 ///
@@ -187,12 +228,13 @@
 async fn relay(
     cx: &PublishedContext,
     request: &mut ActiveRequest,
+    targets: Vec<RelayTarget>,
     guard: &mut Option<InProgressGuard>,
 ) -> Result<Response<AnswerBody>, RunState> {
     if request.is_relayed || !reserve_retry(cx, request) {
         return Err(RunState::NotSent);
     }
-    let relayed = relay_request(cx, request, guard).await;
+    let relayed = relay_request(cx, request, targets, guard).await;
     if matches!(relayed, Err(RunState::NotSent)) && std::mem::take(&mut request.has_reserved_retry) {
         cx.shared.retry_budgets.refund(&request.service);
     }
--- a/havengrade_router/src/published/request_relay.rs
+++ b/havengrade_router/src/published/request_relay.rs
@@ -1,4 +1,5 @@
-//! Relays callers' requests to another VM while this one reaches no endpoint, and accepts those of other VMs.
+//! Relays callers' requests to another VM while this one reaches no endpoint or may send nothing to those of a service,
+//! and accepts those of other VMs.
 //!
 //! The other VM handles a relayed request as one of its own callers, except that it never relays it further.
 
@@ -18,7 +19,14 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::{SinkExt as _, StreamExt as _};
-use havengrade_core::{ids::VmId, published::attempt::RunState};
+use havengrade_core::{
+    ids::{ServiceId, VmId},
+    published::{
+        attempt::RunState,
+        peers::Peer,
+        send_budget::{HOLDERS, holders},
+    },
+};
 use havengrade_rpc::{
     framed,
     reports::{StateHead, StateQuestion},
@@ -30,7 +38,7 @@
     header::{HeaderName, HeaderValue},
     http::request,
 };
-use rand::seq::SliceRandom as _;
+use rand::seq::{IteratorRandom as _, SliceRandom as _};
 use tokio::time::timeout;
 
 use crate::{
@@ -41,7 +49,7 @@
         connection_pool::{ConnectionError, ConnectionPool, EndpointConnection, NotConnectedSnafu},
         context::PublishedContext,
         outcomes::InProgressGuard,
-        refusal::{AnswerBody, BodyError},
+        refusal::{AnswerBody, BodyError, Refusal},
         rewrite::{encode_relayed_answer, encode_relayed_request},
         state_server::MAX_FRAME_BYTES,
     },
@@ -58,12 +66,20 @@
 const MAX_ASKING_TIME: Duration = Duration::from_millis(400);
 /// Time for which a VM that accepts no requests is not asked again.
 const AVOID_TIME: Duration = Duration::from_secs(2);
+/// Largest number of VMs that are asked for a request for which this one finds no usable endpoint.
+const MAX_OTHERS_ASKED: usize = 2;
+/// Time for which a VM without a usable endpoint for a request is not asked for others of that service.
+const NO_ENDPOINT_AVOID_TIME: Duration = Duration::from_millis(500);
 /// Largest number of connections on which a VM accepts requests of others.
 const MAX_ACCEPTED_CONNECTIONS: usize = 1000;
 
 /// Header of an answer to a VM that relayed a request: this VM reaches no endpoint either, and the request did not run.
 const UNREACHABLE: HeaderName = HeaderName::from_static("havengrade-unreachable");
 
+/// Header of an answer to a VM that relayed a request: this VM can't send it to any endpoint either, for so many
+/// milliseconds, and it did not run.
+const NO_ROOM_MS: HeaderName = HeaderName::from_static("havengrade-no-room-ms");
+
 /// Header of a relayed request: attempts at endpoints before it was relayed.
 pub(super) const SENT_ATTEMPTS: HeaderName = HeaderName::from_static("havengrade-sent-attempts");
 
@@ -85,6 +101,8 @@
     connections: ConnectionPool,
     /// VMs that accepted no requests, with the time until which they are not asked.
     avoided: Mutex<HashMap<VmId, SystemTime>>,
+    /// VMs that can't send requests of a service either, with the time until which they are not asked for it.
+    without_room: Mutex<HashMap<(VmId, ServiceId), SystemTime>>,
     accepted: Arc<AtomicUsize>,
 }
 
@@ -92,7 +110,7 @@
     /// Creates a relay without connections.
     pub fn new(network: Arc<dyn Network>) -> Self {
         let connections = ConnectionPool::new(Arc::new(RelayNetwork(network)), CONNECT_TIMEOUT);
-        Self { connections, avoided: Mutex::default(), accepted: Arc::default() }
+        Self { connections, avoided: Mutex::default(), without_room: Mutex::default(), accepted: Arc::default() }
     }
 
     /// Accepts a connection on which another VM relays requests, unless there are too many; dropping the guard ends it.
@@ -105,6 +123,23 @@
         lock(&self.avoided).get(vm).is_some_and(|until| now < *until)
     }
 
+    fn has_no_room(&self, vm: &str, service: &str, now: SystemTime) -> bool {
+        let key = (vm.to_owned(), service.to_owned());
+        lock(&self.without_room).get(&key).is_some_and(|until| now < *until)
+    }
+
+    /// VMs that lately could not send requests of a service.
+    fn count_without_room(&self, service: &str, now: SystemTime) -> usize {
+        let without_room = lock(&self.without_room);
+        without_room.iter().filter(|((_, known), until)| known == service && now < **until).count()
+    }
+
+    fn record_no_room(&self, vm: &str, service: &str, until: SystemTime, now: SystemTime) {
+        let mut without_room = lock(&self.without_room);
+        without_room.retain(|_, until| now < *until);
+        without_room.insert((vm.to_owned(), service.to_owned()), until);
+    }
+
     fn avoid(&self, vm: &VmId, now: SystemTime) {
         let mut avoided = lock(&self.avoided);
         avoided.retain(|_, until| now < *until);
@@ -121,9 +156,19 @@
     }
 }
 
-/// Tells the VM that relayed a request that this one reaches no endpoint either, so that it asks another one.
-pub(super) fn mark_unreachable(answer: &mut Response<AnswerBody>) {
-    answer.headers_mut().insert(UNREACHABLE, HeaderValue::from_static("1"));
+/// Tells the VM that relayed a request that this one can't send it either, so that it asks another one.
+pub(super) fn mark_not_accepted(answer: &mut Response<AnswerBody>, refusal: Refusal) {
+    let no_room_for = match refusal {
+        Refusal::EndpointsUnreachable => {
+            answer.headers_mut().insert(UNREACHABLE, HeaderValue::from_static("1"));
+            return;
+        },
+        Refusal::EndpointsAtLimit { retry_after } => retry_after,
+        Refusal::NoEndpoint => NO_ENDPOINT_AVOID_TIME,
+        _ => return,
+    };
+    let millis = u64::try_from(no_room_for.min(AVOID_TIME).as_millis()).unwrap_or(u64::MAX);
+    answer.headers_mut().insert(NO_ROOM_MS, HeaderValue::from(millis));
 }
 
 /// The question with which a VM asks whether another one accepts its callers' requests.
@@ -157,7 +202,8 @@
     }
 }
 
-/// Sends a request through another VM and returns the answer with its body, which may be a stream.
+/// Sends a request through another VM and returns the answer with its body, which may be a stream. Asks these VMs one
+/// after the other.
 ///
 /// # Errors
 ///
@@ -165,14 +211,18 @@
 pub(super) async fn relay_request(
     cx: &PublishedContext,
     request: &ActiveRequest,
+    targets: Vec<RelayTarget>,
     guard: &mut Option<InProgressGuard>,
 ) -> Result<Response<AnswerBody>, RunState> {
     let begun = cx.shared.clock.now();
-    for (vm, address) in relay_targets(cx, begun) {
+    for (vm, address) in targets {
         if cx.shared.clock.now() >= begun + MAX_ASKING_TIME {
             break;
         }
         match send_through(cx, request, &vm, address).await {
+            Ok((connection, response)) if response.headers().contains_key(&NO_ROOM_MS) => {
+                record_no_room(cx, request, &vm, connection, response).await;
+            },
             Ok((connection, response)) => {
                 metrics::counter!("requests_relayed", "outcome" => "answered").increment(1);
                 log::info!(
@@ -198,12 +248,72 @@
     Err(RunState::NotSent)
 }
 
-/// The VMs to ask, those of the own failure domain first, in random order.
-fn relay_targets(cx: &PublishedContext, now: SystemTime) -> Vec<(VmId, SocketAddr)> {
+/// Records that another VM can't send a request either, and keeps the connection to it.
+async fn record_no_room(
+    cx: &PublishedContext,
+    request: &ActiveRequest,
+    vm: &VmId,
+    connection: EndpointConnection,
+    response: Response<Incoming>,
+) {
+    let now = cx.shared.clock.now();
+    let millis = response.headers().get(&NO_ROOM_MS).and_then(|value| value.to_str().ok()?.parse().ok());
+    let no_room_for = Duration::from_millis(millis.unwrap_or_default()).min(AVOID_TIME);
+    log::debug!(request = request.id.as_str(), vm = vm.as_str(); "request not relayed: the VM can't send it either");
+    cx.shared.request_relay.record_no_room(vm, &request.service, now + no_room_for, now);
+    if matches!(timeout(CONNECT_TIMEOUT, response.into_body().collect()).await, Ok(Ok(_))) {
+        cx.shared.request_relay.connections.release(vm, connection, now);
+    }
+}
+
+/// A VM that may be asked, and the address of its peer service.
+pub(super) type RelayTarget = (VmId, SocketAddr);
+
+/// The VMs to ask at the limits of endpoints: the holders of some of the service's endpoints, in random order.
+pub(super) fn holder_targets(cx: &PublishedContext, request: &ActiveRequest, now: SystemTime) -> Vec<RelayTarget> {
+    let usable = cx.shared.usable_endpoints.load();
+    let listed = usable.get(&request.service).map(Vec::as_slice).unwrap_or_default();
+    let endpoints = listed.iter().sample(&mut *cx.shared.reach.rng(), MAX_ASKED_VMS / HOLDERS);
+    let me = &cx.shared.settings.vm;
+    let peers = cx.shared.peers();
+    let send_limits = cx.shared.send_limits();
+    let mut targets: Vec<RelayTarget> = Vec::new();
+    for endpoint in endpoints {
+        let others = peers.all().map(|peer| (peer.vm.as_str(), peer.failure_domain.as_str()));
+        let vms = others.chain([(me.id.as_str(), me.failure_domain.as_str())]);
+        for vm in holders(vms, endpoint, send_limits.holder_round(endpoint, now)) {
+            let is_asked = targets.iter().any(|(asked, _)| asked == vm);
+            let peer = peers.all().find(|peer| peer.vm == vm && !is_asked);
+            targets.extend(
+                peer.filter(|peer| may_ask(cx, request, peer, now)).map(|peer| (peer.vm.clone(), peer.address)),
+            );
+        }
+    }
+    drop((peers, send_limits));
+    targets.shuffle(&mut *cx.shared.reach.rng());
+    targets
+}
+
+/// The VMs to ask where this one finds no usable endpoint of a service; none while others found none either, so that an
+/// outage of the service does not multiply its requests.
+pub(super) fn other_targets(cx: &PublishedContext, request: &ActiveRequest, now: SystemTime) -> Vec<RelayTarget> {
+    let without_room = cx.shared.request_relay.count_without_room(&request.service, now);
+    let mut targets = relay_targets(cx, request, now);
+    targets.truncate(MAX_OTHERS_ASKED.saturating_sub(without_room));
+    targets
+}
+
+fn may_ask(cx: &PublishedContext, request: &ActiveRequest, peer: &Peer, now: SystemTime) -> bool {
+    let relay = &cx.shared.request_relay;
+    !relay.is_avoided(&peer.vm, now) && !relay.has_no_room(&peer.vm, &request.service, now)
+}
+
+/// The VMs to ask where endpoints can't be reached, those of the own failure domain first, in random order.
+pub(super) fn relay_targets(cx: &PublishedContext, request: &ActiveRequest, now: SystemTime) -> Vec<RelayTarget> {
     let domain = &cx.shared.settings.vm.failure_domain;
     let (mut near, mut far): (Vec<_>, Vec<_>) = {
         let peers = cx.shared.peers();
-        let asked = peers.all().filter(|peer| !cx.shared.request_relay.is_avoided(&peer.vm, now));
+        let asked = peers.all().filter(|peer| may_ask(cx, request, peer, now));
         asked.cloned().partition(|peer| peer.failure_domain == *domain)
     };
     near.shuffle(&mut *cx.shared.reach.rng());
--- a/havengrade_router/src/published/retry_budgets.rs
+++ b/havengrade_router/src/published/retry_budgets.rs
@@ -45,6 +45,11 @@
         self.with_budget(service, RetryBudget::record_first_try);
     }
 
+    /// Takes back a first try of a service that another VM counts.
+    pub fn retract_first_try(&self, service: &str) {
+        self.with_budget(service, RetryBudget::retract_first_try);
+    }
+
     /// Takes a retry from the budget of a service; returns whether one was left.
     pub fn try_acquire(&self, service: &str) -> bool {
         self.with_budget(service, RetryBudget::try_acquire)
