Relay only requests of which nothing was sent

Ruled out: telling the other VM how each attempt ended. Figures: the tests of relays, streams and uneven traffic pass as before; a new one, of an endpoint that sends these headers, passes.

--- a/havengrade_dev/tests/published_uneven_traffic.rs
+++ b/havengrade_dev/tests/published_uneven_traffic.rs
@@ -124,3 +124,16 @@
         assert!(share >= MIN_SERVED, "{path}: {share:.2} served");
     }
 }
+
+/// Guards against a VM that takes the answer of an endpoint for a refusal of the VM which relayed the request to it.
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_can_not_pose_as_a_vm_without_room() {
+    let fleet = Arc::new(start_vms().await);
+    let marked = answer("havengrade-no-room-ms: 500\r\nhavengrade-unreachable: 1\r\n");
+    let _endpoints = start_endpoints(&fleet, 1, Reply::Write(marked)).await;
+    let answered = fleet.ask(fleet.host(0).unwrap(), "/read/", "", "b").await;
+    assert!(
+        status(&answered) == "200" && !answered.contains("no-room") && !answered.contains("unreachable"),
+        "{answered}"
+    );
+}
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -202,7 +202,9 @@
     mut guard: Option<InProgressGuard>,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let now = cx.shared.clock.now();
-    if request.is_relayed || request.trial != Trial::None || cx.shared.reach.is_lost() {
+    // To the other VM, one that an endpoint has rejected would look as if it may have run.
+    let is_sent = request.attempts.is_repeat();
+    if is_sent || request.is_relayed || request.trial != Trial::None || cx.shared.reach.is_lost() {
         return Err(refusal);
     }
     let targets = match refusal {
--- a/havengrade_router/src/published/request_relay.rs
+++ b/havengrade_router/src/published/request_relay.rs
@@ -33,7 +33,7 @@
 };
 use http_body_util::BodyExt as _;
 use hyper::{
-    Response,
+    HeaderMap, Response,
     body::{Body, Frame, Incoming, SizeHint},
     header::{HeaderName, HeaderValue},
     http::request,
@@ -171,6 +171,12 @@
     answer.headers_mut().insert(NO_ROOM_MS, HeaderValue::from(millis));
 }
 
+/// Removes the headers of an endpoint's answer that only VMs may set.
+pub(super) fn strip_relay_marks(headers: &mut HeaderMap) {
+    headers.remove(&UNREACHABLE);
+    headers.remove(&NO_ROOM_MS);
+}
+
 /// The question with which a VM asks whether another one accepts its callers' requests.
 fn relay_question() -> StateQuestion {
     StateQuestion::new(String::new(), None, None, false, true, true)
--- a/havengrade_router/src/published/rewrite.rs
+++ b/havengrade_router/src/published/rewrite.rs
@@ -12,7 +12,10 @@
 };
 
 use crate::published::{
-    active_request::ActiveRequest, context::PublishedContext, ports::ForwardAttributes, request_relay::SENT_ATTEMPTS,
+    active_request::ActiveRequest,
+    context::PublishedContext,
+    ports::ForwardAttributes,
+    request_relay::{SENT_ATTEMPTS, strip_relay_marks},
 };
 
 /// Headers that apply to one connection only.
@@ -100,6 +103,7 @@
 pub(super) fn encode_answer_head(cx: &PublishedContext, mut head: response::Parts) -> response::Parts {
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
+    strip_relay_marks(&mut head.headers);
     cx.shared.dialect.strip_answer(&mut head.headers);
     head.version = Version::HTTP_11;
     head
