Say in doc comments that parts are judged as requests are

Cause: read as a newcomer: comments of reports, entries and answers named requests only. Change: comments, and one parameter's alias. Ruled out: renaming the types, which are on the wire and in tests.

--- a/havengrade_core/src/answer_history.rs
+++ b/havengrade_core/src/answer_history.rs
@@ -1,5 +1,5 @@
-//! Requests that endpoints answered recently, as evidence that a request which was in progress at a crash did not
-//! cause it.
+//! Requests, and parts of their prompts, that endpoints answered recently, as evidence that one which was in progress at
+//! a crash did not cause it.
 
 use std::{
     collections::HashMap,
@@ -8,12 +8,12 @@
 
 use crate::fingerprint::{SubjectFingerprint, VersionFingerprint};
 
-/// Time for which an answer counts as evidence that the request is harmless.
+/// Time for which an answer counts as evidence that the request or part is harmless.
 pub(crate) const ANSWER_LIFETIME: Duration = Duration::from_secs(60);
 /// Answers in each of the two generations: what a VM with a hundred requests a second answers in 40 s.
 const GENERATION_SIZE: usize = 4096;
 
-/// A request, and the version of the endpoints that ran it.
+/// A request or part, and the version of the endpoints that ran it.
 pub(crate) type RunKey = (SubjectFingerprint, VersionFingerprint);
 
 /// Recent answers in two generations, of which the older one is dropped as a whole.
--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -73,19 +73,19 @@
     observations: CrashObservations,
     /// Time of the last crash of any endpoint.
     last_crash: Option<SystemTime>,
-    /// Number of reports on each crash, by request and endpoint; holds the own crashes, and those of requests that
+    /// Number of reports on each crash, by request or part and endpoint; holds the own crashes, and those of requests that
     /// have several.
     report_counts: HashMap<(SubjectFingerprint, EndpointId), u32>,
     quarantined: HashMap<SubjectFingerprint, EntryState>,
     /// Recent sends of requests that were in progress at crashes, by endpoint.
     suspect_sends: HashMap<EndpointFingerprint, Vec<(SubjectFingerprint, SystemTime)>>,
-    /// Requests whose quarantine awaits reports of other VMs, with the time of the decision.
+    /// Requests and parts whose quarantine awaits reports of other VMs, with the time of the decision.
     suspects: HashMap<SubjectFingerprint, SystemTime>,
-    /// Requests that an answer at this VM released and that may still be on the stored list.
+    /// Requests and parts that an answer at this VM released and that may still be on the stored list.
     released: HashSet<SubjectFingerprint>,
     /// Recent answers that this VM received.
     answered: AnswerHistory,
-    /// Answers to requests that were in progress at crashes, each with its time and the number of reports on it.
+    /// Answers to requests and parts that were in progress at crashes, each with its time and the number of reports on it.
     cleared: HashMap<RunKey, (SystemTime, u32)>,
     /// Whether the entries from before the start are known.
     is_loaded: bool,
@@ -167,7 +167,7 @@
         }
     }
 
-    fn status_before_quarantine(&self, fingerprint: SubjectFingerprint, now: SystemTime) -> QuarantineStatus {
+    fn status_before_quarantine(&self, fingerprint: RequestFingerprint, now: SystemTime) -> QuarantineStatus {
         if let Some(settled) = self.suspects.get(&fingerprint) {
             return QuarantineStatus::Pending { decided_in: settled.duration_since(now).unwrap_or_default() };
         }
--- a/havengrade_core/src/quarantine_entry.rs
+++ b/havengrade_core/src/quarantine_entry.rs
@@ -1,4 +1,4 @@
-//! Entries of the quarantine, and the trials by which a quarantined request may be released.
+//! Entries of the quarantine, and the trials by which a quarantined request or part may be released.
 
 use std::time::{Duration, SystemTime};
 
@@ -15,14 +15,14 @@
 /// Expected duration of a trial, for which other callers of the same request wait.
 const TRIAL_DURATION: Duration = Duration::from_secs(2);
 
-/// A quarantined request, as the shared list stores it beyond the life of all VMs.
+/// A quarantined request or part of prompts, as the shared list stores it beyond the life of all VMs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineEntry {
-    /// The request.
+    /// The request or part.
     pub fingerprint: SubjectFingerprint,
     /// Version of the last endpoint that crashed; an answer from another version does not release the request.
     pub version: VersionFingerprint,
-    /// Time of the earliest crash that is attributed to the request.
+    /// Time of the earliest crash that is attributed to it.
     pub first_crash: SystemTime,
     /// Start of the quarantine.
     pub since: SystemTime,
--- a/havengrade_core/src/quarantine_report.rs
+++ b/havengrade_core/src/quarantine_report.rs
@@ -1,4 +1,4 @@
-//! Reports between VMs about requests that crash endpoints.
+//! Reports between VMs about requests and parts of prompts that crash endpoints.
 
 use std::time::{Duration, SystemTime};
 
@@ -9,10 +9,10 @@
     quarantine_entry::QuarantineEntry,
 };
 
-/// A request that was in progress at an endpoint when the endpoint crashed.
+/// A request that was in progress at an endpoint when the endpoint crashed, or a part of its prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReportedCrash {
-    /// The request.
+    /// The request or part.
     pub fingerprint: SubjectFingerprint,
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -26,14 +26,14 @@
     pub request: Option<RequestFingerprint>,
 }
 
-/// A quarantined request, with ages in place of times.
+/// A quarantined request or part, with ages in place of times.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReportedQuarantineEntry {
-    /// The request.
+    /// The request or part.
     pub fingerprint: SubjectFingerprint,
     /// Version of the last endpoint that crashed.
     pub version: VersionFingerprint,
-    /// Time since the earliest crash that is attributed to the request.
+    /// Time since the earliest crash that is attributed to it.
     pub first_crash_age: Duration,
     /// Time since the start of the quarantine.
     pub quarantined_for: Duration,
@@ -49,10 +49,10 @@
     pub is_stored: bool,
 }
 
-/// A request that an endpoint answered completely.
+/// A request that an endpoint answered completely, or a part of its prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReportedAnswer {
-    /// The request.
+    /// The request or part.
     pub fingerprint: SubjectFingerprint,
     /// Version of the endpoint.
     pub version: VersionFingerprint,
@@ -60,14 +60,14 @@
     pub age: Duration,
 }
 
-/// A VM's report on requests that crash endpoints.
+/// A VM's report on requests and parts that crash endpoints.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct QuarantineReport {
-    /// Crashes, one entry for each request that was in progress there.
+    /// Crashes, one entry for each request that was in progress there and for each part that may be the cause.
     pub crashes: Vec<ReportedCrash>,
-    /// Quarantined requests.
+    /// Quarantined requests and parts.
     pub held: Vec<ReportedQuarantineEntry>,
-    /// Answered requests, of those that were in progress at crashes.
+    /// Answered requests and parts, of those that were in progress at crashes.
     pub answered: Vec<ReportedAnswer>,
 }
 
