Report the parts that were at most crashes before others

As seen by callers: where the requests with a bad part contain many parts that come only once, it is held later, and more endpoints crash meanwhile. Cause: a report carries 16 new crashes, and those of parts went out in the order of their marks, so that the one that counts waited among parts that nobody sees again; a caller chooses how many there are. Change: parts at most crashes go first. A test of the report that failed before (none of three crashes of the part in it). Ruled out: larger reports.

--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -600,9 +600,10 @@
             state.report_count += 1;
             report.held.push(ReportedQuarantineEntry::new(&state.entry, state.is_stored, now));
         }
-        // Those of parts go first: they are few, and decide on many requests.
+        // Parts go first, those at most crashes before others: each of them decides on many requests.
         let crashes = self.report_counts.iter().map(|((fingerprint, endpoint), report_count)| {
-            ((!self.is_part(*fingerprint), *fingerprint, endpoint.clone()), *report_count)
+            let part_crashes = if self.is_part(*fingerprint) { self.crash_count(*fingerprint) } else { 0 };
+            ((Reverse(part_crashes), *fingerprint, endpoint.clone()), *report_count)
         });
         for (_, fingerprint, endpoint) in least_reported(crashes) {
             let observations = self.observations.get(&fingerprint).into_iter().flatten();
--- a/havengrade_core/tests/quarantine_parts.rs
+++ b/havengrade_core/tests/quarantine_parts.rs
@@ -241,3 +241,18 @@
         assert!(is_free(&quarantine, &request(99, &[COMMON]), 1150 + 200 * index));
     }
 }
+
+/// Guards against a bad part that other VMs hear of late, because the requests that crash endpoints contain many parts
+/// that come only once.
+#[test]
+fn parts_at_several_crashes_are_reported_before_parts_that_came_once() {
+    let mut quarantine = Quarantine::default();
+    for index in 0..3 {
+        let once = (0..40).map(|part| 100 + 40 * index + part);
+        let parts: Vec<u64> = once.chain([BAD]).collect();
+        crash(&mut quarantine, &format!("e{index}"), &[request(1 + index, &parts)], 1000 + 100 * index);
+    }
+    let report = quarantine.next_report(at(1400));
+    let of_bad = report.crashes.iter().filter(|crash| crash.fingerprint == BAD).count();
+    assert_eq!(of_bad, 3, "of {} crashes in the report", report.crashes.len());
+}
