Add a failing test of a part of others that one caller has held

As seen by callers: a caller whose requests crash endpoints by themselves adds a part to them that others use less than once a minute; after four crashes and one in its trial, requests of others with the part are refused for ten minutes. Cause: a part is judged by its id, whichever client accounts the requests are of. Ruled out: an id that includes the account, since a bad part may come from several, each of which would need four crashes. Conclusion: open; a hold for one account that a second one widens is the next thing.

--- a/havengrade_dev/tests/published_crashing_part.rs
+++ b/havengrade_dev/tests/published_crashing_part.rs
@@ -326,3 +326,23 @@
     assert!(late <= MAX_LATE, "{late} requests with the part reached endpoints");
     assert_eq!(held, 0, "harmless requests were held back");
 }
+
+/// Guards against a caller who has a part that others use rarely held for minutes, by requests that crash endpoints by
+/// themselves: some crash before the part is held, and one in its trial.
+#[tokio::test(start_paused = true)]
+async fn a_rare_part_of_one_account_is_not_held_because_of_requests_of_others() {
+    let (fleet, _endpoints) = Fleet::start(Day { vms: 1, ..DAY }).await;
+    let host = fleet.vms.host(0).unwrap();
+    let prompt = |number: u32| format!("havengrade-prompt-parts: rare:100,f{number}:50\r\n");
+    for number in 0..30 {
+        let body = format!("deadly-own-{number}");
+        fleet.vms.ask(host, "/open/", &prompt(number), &body).await;
+        sleep(EVERY_200_MS).await;
+    }
+    sleep(CONTACT).await;
+    let ends = fleet.vms.record.lock().unwrap().ends.len();
+    assert!(ends > KNOWN_AFTER, "{ends} endpoints ended: the day shows nothing");
+    // The callers before had no account.
+    let answer = fleet.vms.ask(host, "/read/", &prompt(99), "fine-99 100").await;
+    assert!(is_whole(&answer), "{}", reason(&answer));
+}
