Let the first send of a suspect wait for a store that is back soon

As seen by callers: a harmless request with three crashes was refused at the first claim that failed, although the store was back after one second and eight were left. Cause: a claim that could not be written ended the request. Why it holds: nothing is sent without a claim; one that was written though its answer was lost counts as another VM's. Ruled out: waiting for as long as the caller does, since a store that is away for seconds is seldom back in time.

--- a/havengrade_core/src/quarantine_entry.rs
+++ b/havengrade_core/src/quarantine_entry.rs
@@ -65,7 +65,7 @@
 /// ```
 pub fn next_trial(known: &[QuarantineEntry], wanted: &QuarantineEntry, now: SystemTime) -> Option<QuarantineEntry> {
     let mut same = known.iter().filter(|entry| entry.fingerprint == wanted.fingerprint && now < entry.until);
-    let is_first_send = wanted.last_trial.is_none() && wanted.next_trial_at().is_some_and(|due| now < due);
+    let is_first_send = wanted.is_first_send(now);
     let was_claimed = if is_first_send {
         same.next().is_some()
     } else {
@@ -95,6 +95,11 @@
         self.trials > 0 || self.last_trial.is_none()
     }
 
+    /// Whether the entry is that of a suspect, for its single send before the first trial is due.
+    pub fn is_first_send(&self, now: SystemTime) -> bool {
+        self.last_trial.is_none() && self.next_trial_at().is_some_and(|due| now < due)
+    }
+
     /// Whether both entries state the same claimed send; the times that VMs report for it differ by the delay of reports.
     pub(crate) fn is_same_send(&self, other: &Self) -> bool {
         let (Some(one), Some(two)) = (self.last_trial, other.last_trial) else { return false };
--- a/havengrade_router/src/published/quarantine.rs
+++ b/havengrade_router/src/published/quarantine.rs
@@ -46,6 +46,8 @@
 const MAX_WAIT: Duration = Duration::from_secs(12);
 /// Longest time until a decision for which a request waits; otherwise its caller is asked to retry.
 const MAX_DECISION_TIME: Duration = Duration::from_millis(6000);
+/// Longest time for which the first send of a suspect waits for a store that can't be written: it is probably harmless.
+const MAX_STORE_WAIT: Duration = Duration::from_millis(3000);
 /// Interval at which a waiting request checks its status, in milliseconds.
 const POLL_INTERVAL_MS: RangeInclusive<u64> = 100..=300;
 /// Part of a request's time limit that must be left for a claimed send. One that its deadline or its caller cuts off
@@ -139,7 +141,12 @@
         Ok(claimed) => claimed,
         Err(error) => {
             log::warn!(request = request.id.as_str(); "send of a suspected request not claimed: {error}");
-            return Err(refusal);
+            let may_retry = entry.is_first_send(now) && now < request.received_at + MAX_STORE_WAIT;
+            if !may_retry || !may_wait(request, now) {
+                return Err(refusal);
+            }
+            sleep(CLAIM_RETRY_DELAY).await;
+            return Ok(false);
         },
     };
     let Some(claimed) = claimed else {
