Bound the time for which a due trial waits for calm

As seen by callers: a harmless suspect whose send broke beside another cause was not tried again while endpoints crashed elsewhere, until its callers had no time left. Cause: a trial waits for 1.5 s without a crash, from before claimed sends reserved their endpoints; each further crash began it anew. Change: a trial that is due waits for calm for 2 s at most. Why it holds: a crash elsewhere does not spoil the trial, since other requests avoid its endpoint and the list grants no other claim there.

--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -42,6 +42,8 @@
 const SETTLE_TIME: Duration = Duration::from_millis(1000);
 /// Time without any crash that must pass before a trial: a harmless request would fail while other causes are active.
 const CALM_BEFORE_TRIAL: Duration = Duration::from_millis(1500);
+/// Longest time for which a trial that is due waits for that: its caller waits as well, and its endpoint is reserved.
+const MAX_CALM_WAIT: Duration = Duration::from_millis(2000);
 /// Time for which a crash counts against a request, chosen for requests that come rarely.
 const OBSERVATION_LIFETIME: Duration = Duration::from_secs(3600);
 /// Time for which an endpoint may still run a request that was sent to it.
@@ -158,7 +160,8 @@
         let needs_full_calm = is_attributed && self.is_likely_cause(fingerprint, now);
         let last_crash = if needs_full_calm { self.last_crash } else { self.last_crash_outside_quarantine(now) };
         let calm = last_crash.map_or(SystemTime::UNIX_EPOCH, |at| at + CALM_BEFORE_TRIAL);
-        match self.next_trial_at(&state.entry, now).map(|at| time_until(at.max(calm), now)) {
+        let calm_after = |due: SystemTime| due.max(calm.min(due + MAX_CALM_WAIT));
+        match self.next_trial_at(&state.entry, now).map(|due| time_until(calm_after(due), now)) {
             Some(None) => QuarantineStatus::TrialDue(state.entry),
             Some(Some(left)) => QuarantineStatus::Pending { decided_in: left },
             None => {
