Take back the release of suspects by answers of other versions

As seen by callers: nothing yet; found by reading. Cause: the entry of a suspect counted as refuted by any answer where fewer than three crashes are known, so that a VM that has not heard of the crashes of a new version would drop the entry of a request that the old one answers, delete it from the stored list and send it without a claim. Ruled out: refuting only where the VM itself drops crashes, since late reports of others bring the entry back for good.

--- a/havengrade_core/src/quarantine.rs
+++ b/havengrade_core/src/quarantine.rs
@@ -478,32 +478,22 @@
                 self.observations.remove(&fingerprint);
             }
         }
-        let entry = self.quarantined.get(&fingerprint).map(|state| state.entry);
-        if !is_known && entry.is_none() {
+        let refutes = |state: &EntryState| state.entry.version == version && state.entry.first_crash <= at;
+        let is_refuted = self.quarantined.get(&fingerprint).is_some_and(refutes);
+        if !is_known && !is_refuted {
             return None;
         }
         let known = self.cleared.entry(run).or_insert((at, 0));
         if known.0 < at {
             *known = (at, 0);
         }
-        if !self.is_refuted(&entry?) {
+        if !is_refuted {
             return None;
         }
         self.quarantined.remove(&fingerprint);
         Some(QuarantineChange::Released { fingerprint })
     }
 
-    /// Whether an answer has refuted an entry: one of its version, or one after the send of a suspect that leaves too few
-    /// crashes to suspect it.
-    fn is_refuted(&self, entry: &QuarantineEntry) -> bool {
-        let is_suspect = entry.is_attributed() || self.crash_count(entry.fingerprint) >= MIN_UNEXPLAINED_CRASHES;
-        let mut answers = self.cleared.iter().filter(|((answered, _), _)| *answered == entry.fingerprint);
-        answers.any(|((_, version), (at, _))| {
-            let is_of_version = *version == entry.version && entry.first_crash <= *at;
-            is_of_version || (!is_suspect && entry.last_trial <= Some(*at))
-        })
-    }
-
     /// Quarantines the requests to which crashes are attributed, once reports of other VMs have had time to arrive;
     /// returns the new ones.
     pub fn quarantine_suspects(&mut self, now: SystemTime) -> Vec<QuarantineChange> {
@@ -708,7 +698,7 @@
 
     fn merge_entry(&mut self, reported: QuarantineEntry, is_stored: bool) -> Option<QuarantineChange> {
         let fingerprint = reported.fingerprint;
-        if self.is_refuted(&reported) {
+        if self.cleared.get(&(fingerprint, reported.version)).is_some_and(|(at, _)| reported.first_crash <= *at) {
             return None;
         }
         if let Some(known) = self.quarantined.get_mut(&fingerprint) {
@@ -731,10 +721,12 @@
     /// Merges the stored list; returns the changes. Entries that an answer has refuted are to be removed from the list.
     pub fn merge_stored(&mut self, entries: &[QuarantineEntry], now: SystemTime) -> Vec<QuarantineChange> {
         self.is_loaded = true;
-        let is_refuted =
-            |stored: &&QuarantineEntry| self.is_refuted(stored) && !self.quarantined.contains_key(&stored.fingerprint);
-        let refuted: Vec<_> = entries.iter().filter(is_refuted).map(|stored| stored.fingerprint).collect();
-        self.released.extend(refuted);
+        let is_refuted = |stored: &&QuarantineEntry| {
+            let answered = self.cleared.get(&(stored.fingerprint, stored.version));
+            answered.is_some_and(|(at, _)| stored.first_crash <= *at)
+                && !self.quarantined.contains_key(&stored.fingerprint)
+        };
+        self.released.extend(entries.iter().filter(is_refuted).map(|stored| stored.fingerprint));
         let live = entries.iter().filter(|stored| now < stored.until);
         live.filter_map(|stored| {
             self.merge_entry(QuarantineEntry { until: stored.until.min(now + QUARANTINE_DURATION), ..*stored }, true)
