--- a/review/harness/src/endpoint.rs
+++ b/review/harness/src/endpoint.rs
@@ -35,7 +35,6 @@
     pub(crate) pause: Duration,
     /// Event before which the stream is silent for a time, as when the run is preempted and read anew.
     pub(crate) silence: Option<(u32, Duration)>,
-    pub(crate) early: bool,
     /// Requests that run at the same time; others are turned away. No limit if it is not set.
     pub(crate) room: Option<usize>,
     /// If it is set, all requests are turned away, and their senders are asked to rest for so many seconds.
@@ -51,7 +50,6 @@
             events: 30,
             pause: Duration::from_millis(100),
             silence: None,
-            early: false,
             room: None,
             rests_s: None,
             brittle: None,
@@ -130,8 +128,8 @@
     /// Its entry on the list.
     pub(crate) fn entry(&self, state: &str, sequence: u64) -> Value {
         json!({
-            "service": self.service, "address": self.address, "zone": "d0", "version": "v1", "slots": self.slots, "state": state,
-            "cold_remaining_ms": 0, "sequence": sequence,
+            "service": self.service, "address": self.address, "zone": "d0", "version": "v1", "slots": self.slots,
+            "state": state, "cold_remaining_ms": 0, "sequence": sequence,
         })
     }
 }
@@ -174,20 +172,6 @@
             let Some(head) = read_head(&mut connection, &mut buf).await? else { return Ok(()) };
             let manner = self.manner.lock().unwrap_or_else(PoisonError::into_inner).clone();
             let length = header(&head, "content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
-            if length > 0 && manner.early {
-                self.answer(&mut connection, &head, &manner).await?;
-                sleep(Duration::from_millis(1000)).await;
-                while buf.len() < length {
-                    read_more(&mut connection, &mut buf).await?;
-                }
-                let bad = buf[..length].iter().filter(|b| **b != b'x').count();
-                self.record.note(&format!(
-                    "rest of body: {bad} other bytes, then {:?}",
-                    String::from_utf8_lossy(&buf[length..buf.len().min(length + 40)])
-                ));
-                drop(buf.drain(..length));
-                continue;
-            }
             while buf.len() < length {
                 read_more(&mut connection, &mut buf).await?;
             }
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -50,7 +50,7 @@
         if sent.success() { Ok(()) } else { Err(format!("no signal {signal} to {}", self.name).into()) }
     }
 
-    /// Ends the process without a planned stop and starts it again.
+    /// Ends the process without a planned stop and starts it again with the same settings.
     pub(crate) fn restart(&mut self) -> Result<(), Fault> {
         self.child.kill()?;
         self.child.wait()?;
