--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -3,12 +3,12 @@
 
 use std::{
     env, fs,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU16, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -128,15 +128,16 @@
     directory: Temporary,
 }
 
-/// The loopback address of this run. Others use none of its ports, so that a port that is free stays so.
+/// The loopback address of this run; others use none of its ports.
 pub(crate) fn host() -> Ipv4Addr {
     let [_, high, middle, low] = std::process::id().to_be_bytes();
     Ipv4Addr::new(127, 64 | high, middle, low.max(1))
 }
 
-/// A port of the loopback address that is free now.
-fn free_port() -> Result<SocketAddr, Fault> {
-    Ok(TcpListener::bind((host(), 0))?.local_addr()?)
+/// A port of the loopback address that nothing else of the run uses. Those that the system chooses by itself are higher.
+fn next_port() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(21000);
+    (host(), NEXT.fetch_add(1, Ordering::Relaxed)).into()
 }
 
 impl World {
@@ -147,7 +148,7 @@
         record: &Record,
     ) -> Result<Self, Fault> {
         let store = Arc::new(StoreStandIn::default());
-        let store_address = free_port()?;
+        let store_address = next_port();
         let server = start(Arc::new(SystemNetwork), store_address, store.clone()).await?;
         store.put(wire::name("operators_topic"), wire::name("config_key"), Some(&config.to_string()));
         let directory = env::temp_dir().join(format!("havengrade-review-{}", std::process::id()));
@@ -202,8 +203,7 @@
     pub(crate) async fn start_routers(&mut self, count: usize) -> Result<(), Fault> {
         for index in 0..count {
             let name = format!("vm-{index}");
-            let [operators, peers, callers, readiness, metrics] =
-                [free_port()?, free_port()?, free_port()?, free_port()?, free_port()?];
+            let [operators, peers, callers, readiness, metrics] = std::array::from_fn(|_| next_port());
             let settings = format!(
                 "[vm]\nid = \"{name}\"\nfailure_domain = \"d{}\"\ntraffic_threads = 1\n\n\
                  [listen]\noperators = \"{operators}\"\npeers = \"{peers}\"\n\n\
@@ -223,6 +223,7 @@
         }
         for router in &self.routers {
             if !router.wait_ready(MAX_START).await {
+                self.keep_logs();
                 return Err(format!("{} is not ready", router.name).into());
             }
         }
