Log the configuration under which a request was admitted, and where it came from

A request that ran left no line on the version and the age of the configuration in which its key was looked up; only refusals did. So neither a key found in an older table nor a wrong age could be seen. The lines on answers and on ends of streams now have both; the line on a configuration that is put in force tells its age and its source, as that of the endpoint list does.

--- a/havengrade_router/src/published/active_request.rs
+++ b/havengrade_router/src/published/active_request.rs
@@ -68,6 +68,10 @@
     pub(super) service: ServiceId,
     /// Client account; none where the route needs no key.
     pub(super) account: Option<AccountId>,
+    /// Version of the configuration in which the route and the key were looked up.
+    pub(super) config_version: u64,
+    /// Age of that configuration at the lookup.
+    pub(super) config_age: Duration,
     /// Priority; 0 is the most urgent.
     pub(super) priority: u8,
     /// Model that the router chose.
@@ -223,6 +227,8 @@
         route,
         service,
         account,
+        config_version: routes.version(),
+        config_age: cx.shared.config_age(received_at).unwrap_or_default(),
         model,
         received_at,
         has_reserved_retry: false,
--- a/havengrade_router/src/published/event_stream.rs
+++ b/havengrade_router/src/published/event_stream.rs
@@ -570,6 +570,8 @@
             session = request.attributes.session.as_deref().unwrap_or_default(),
             tries = request.tried_endpoints.len(),
             list_age_ms = request.endpoint_list_age.as_millis() as u64,
+            configuration = request.config_version,
+            config_age_ms = request.config_age.as_millis() as u64,
             first_event_ms = self.first_after.as_millis() as u64,
             last_event = self.last_id.as_deref().unwrap_or_default(),
             resumed = self.resumed,
--- a/havengrade_router/src/published/feed_consumers.rs
+++ b/havengrade_router/src/published/feed_consumers.rs
@@ -73,7 +73,7 @@
         }
         // Last, since the VM accepts callers as soon as it has a configuration.
         for publication in publications {
-            activate(cx, publication);
+            activate(cx, publication, at, source);
         }
         {
             let mut view = cx.shared.store.view();
@@ -116,13 +116,21 @@
 }
 
 /// Activates a configuration, unless the active one is at least as new.
-fn activate(cx: &PublishedContext, publication: Publication) {
+fn activate(cx: &PublishedContext, publication: Publication, at: SystemTime, source: &EventSource) {
     let known = cx.shared.routes.load().version();
     if publication.version <= known {
         return;
     }
     let routes = publication.routes.len();
-    log::info!(version = publication.version, before = known, routes = routes; "configuration in force");
+    let age = cx.shared.clock.now().duration_since(at).unwrap_or_default();
+    log::info!(
+        version = publication.version,
+        before = known,
+        routes = routes,
+        age_ms = age.as_millis() as u64,
+        source = source.to_string().as_str();
+        "configuration in force"
+    );
     metrics::gauge!("configuration_version").set(publication.version as f64);
     cx.shared.set_routes(RouteTable::new(publication));
 }
--- a/havengrade_router/src/published/outcomes.rs
+++ b/havengrade_router/src/published/outcomes.rs
@@ -207,6 +207,8 @@
         status = status.as_u16(),
         tries = request.tried_endpoints.len(),
         list_age_ms = request.endpoint_list_age.as_millis() as u64,
+        configuration = request.config_version,
+        config_age_ms = request.config_age.as_millis() as u64,
         took_ms = took.as_millis() as u64;
         "request answered"
     );
