--- /dev/null
+++ b/havengrade_dev/tests/published_withdrawn_keys.rs
@@ -0,0 +1,125 @@
+//! Keys that operators withdraw while a VM can't know it, while a request arrives, and while a configuration changes.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use havengrade_dev::stand_in::memory_store::MemoryStore;
+use havengrade_router::{published::ports::OperatorEvent, settings::Settings};
+use tokio::{
+    io::AsyncWriteExt as _,
+    time::{Instant, sleep},
+};
+
+use support::published::{Bench, publication, read_all, request, status};
+
+/// Time after which a withdrawn key must no longer be accepted.
+const WITHDRAWAL_TIME: Duration = Duration::from_millis(700);
+/// Slashes in a path. The lookup of its route takes tens of milliseconds, since it tries a prefix at each of them.
+const SLASHES: usize = 12_000;
+const CALLERS: usize = 6;
+
+fn publish(store: &MemoryStore, version: u64, key: &str) {
+    store.operate(OperatorEvent::Publication(publication(version, &[key])));
+}
+
+/// A request with a key whose lookup takes long, and which so is often under way when the configuration changes.
+fn slow_request(id: &str, key: &str) -> String {
+    let path = format!("/read/{}", "/".repeat(SLASHES));
+    request("GET", &path, id, "", "").replace("havengrade-key: k1", &format!("havengrade-key: {key}"))
+}
+
+/// Sends requests with a key until a time; returns those that were served and those refused as unknown.
+async fn send_until(bench: &Bench, ids: &AtomicU64, key: &str, until: Instant) -> (usize, usize) {
+    let (mut served, mut unknown) = (0, 0);
+    while Instant::now() < until {
+        let id = format!("{key}-{}", ids.fetch_add(1, Ordering::Relaxed));
+        let answer = bench.ask(&slow_request(&id, key)).await;
+        served += usize::from(status(&answer) == "200");
+        unknown += usize::from(status(&answer) == "401");
+    }
+    (served, unknown)
+}
+
+/// Guards against a withdrawn key that runs on a VM which has just reached the store again.
+///
+/// The key was looked up in the old configuration. Before the age of the configuration was read, another thread put the
+/// new one in force and confirmed it, so that the key counted as recently confirmed. In the same moment a key that the new
+/// configuration has was refused as unknown, although the old one was too old to tell.
+#[tokio::test(flavor = "multi_thread", worker_threads = 8)]
+async fn a_confirmation_of_a_new_configuration_does_not_vouch_for_keys_of_the_old_one() {
+    let mut settings = Settings::default();
+    settings.published.withdrawal_ms = WITHDRAWAL_TIME.as_millis() as u64;
+    let bench = Bench::begin_with(vec![Default::default()], MemoryStore::default(), settings).await;
+    bench.wait_until_ready().await;
+    let ids = AtomicU64::default();
+    for version in 2..6 {
+        let (withdrawn, added) = (format!("k{}", version - 1), format!("k{version}"));
+        bench.store.set_away(true);
+        sleep(Duration::from_millis(100)).await;
+        publish(&bench.store, version, &added);
+        // Longer than an unknown key may be refused as such.
+        sleep(Duration::from_millis(2600)).await;
+        let arrived = bench.arrivals().len();
+        let until = Instant::now() + Duration::from_millis(1200);
+        let callers = futures::future::join_all((0..CALLERS).map(|caller| {
+            let key = if caller % 2 == 0 { &withdrawn } else { &added };
+            send_until(&bench, &ids, key, until)
+        }));
+        let store = bench.store.clone();
+        let back = async move {
+            sleep(Duration::from_millis(150)).await;
+            store.set_away(false);
+        };
+        let (counts, ()) = tokio::join!(callers, back);
+        let prefix = format!("{withdrawn}-");
+        let ran = bench.arrivals()[arrived..].iter().filter(|id| id.starts_with(&prefix)).count();
+        assert_eq!(ran, 0, "requests ran with key {withdrawn}, which version {version} had withdrawn");
+        let refused: usize = counts.iter().skip(1).step_by(2).map(|(_, unknown)| unknown).sum();
+        assert_eq!(refused, 0, "requests were refused for key {added}, which version {version} has");
+        let served: usize = counts.iter().skip(1).step_by(2).map(|(served, _)| served).sum();
+        assert!(served > 0, "no request was served with key {added}");
+    }
+}
+
+/// Guards against a request that runs with a key that was withdrawn while its body arrived.
+///
+/// The key was looked up when the head had been read; before the send only the age of the configuration was looked at.
+#[tokio::test(start_paused = true)]
+async fn a_request_whose_key_is_withdrawn_while_its_body_arrives_does_not_run() {
+    let bench = Bench::start(vec![vec![]]).await;
+    let text = request("POST", "/read/1", "a", "", "body");
+    let (head, body) = text.split_at(text.len() - 2);
+    let mut connection = bench.connect(0).await;
+    connection.write_all(head.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    publish(&bench.store, 2, "k2");
+    sleep(Duration::from_secs(1)).await;
+    connection.write_all(body.as_bytes()).await.unwrap();
+    let answer = read_all(&mut connection).await;
+    assert_eq!(status(&answer), "401", "{answer}");
+    assert!(bench.arrivals().is_empty(), "the request ran");
+}
+
+/// Guards against a request that goes to the service of a route that was moved while its body arrived.
+#[tokio::test(start_paused = true)]
+async fn a_request_whose_route_is_removed_while_its_body_arrives_does_not_run() {
+    let bench = Bench::start(vec![vec![]]).await;
+    let text = request("POST", "/read/1", "a", "", "body");
+    let (head, body) = text.split_at(text.len() - 2);
+    let mut connection = bench.connect(0).await;
+    connection.write_all(head.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    let mut changed = publication(2, &["k1"]);
+    changed.routes.retain(|route| route.name != "read");
+    bench.store.operate(OperatorEvent::Publication(changed));
+    sleep(Duration::from_secs(1)).await;
+    connection.write_all(body.as_bytes()).await.unwrap();
+    let answer = read_all(&mut connection).await;
+    assert_eq!(status(&answer), "404", "{answer}");
+    assert!(bench.arrivals().is_empty(), "the request ran");
+}
--- a/havengrade_dev/tests/support/published.rs
+++ b/havengrade_dev/tests/support/published.rs
@@ -111,14 +111,23 @@
 
     pub(crate) async fn start_with(replies: Vec<Replies>) -> Self {
         let bench = Self::begin(replies, MemoryStore::default()).await;
-        while !bench.is_ready().await {
+        bench.wait_until_ready().await;
+        bench
+    }
+
+    pub(crate) async fn wait_until_ready(&self) {
+        while !self.is_ready().await {
             sleep(Duration::from_millis(10)).await;
         }
-        bench
     }
 
     /// A router that has just started.
     pub(crate) async fn begin(replies: Vec<Replies>, store: MemoryStore) -> Self {
+        Self::begin_with(replies, store, Settings::default()).await
+    }
+
+    /// A router that has just started with these settings, but for its addresses.
+    pub(crate) async fn begin_with(replies: Vec<Replies>, store: MemoryStore, mut settings: Settings) -> Self {
         let pipes = Pipes::default();
         let mut endpoints = Vec::new();
         for (index, replies) in (0..).zip(replies) {
@@ -128,7 +137,6 @@
             store.list(DirectoryEvent::Seen(listed(&pipes, index, "v1")));
         }
         store.operate(OperatorEvent::Publication(publication(1, &["k1"])));
-        let mut settings = Settings::default();
         settings.published.callers = Some(pipes.address(ROUTER, 0));
         settings.listen.peers = pipes.address(ROUTER, 1);
         settings.published.readiness = pipes.address(ROUTER, 2);
