Keep the time of a configuration's confirmation in its table

What callers saw: a request ran with a withdrawn key on a VM that had just reached the store again.

Cause: the table of routes and keys was one variable, the time at which the configuration was last the newest another. The traffic thread loaded the old table; the control thread put the new one in force and confirmed it; then the traffic thread read that confirmation for the key of the old table. The same pair decided whether an unknown key or route is refused with 401 or 404.

Ruled out: positions and ages told by other VMs, on one thread (they are read in one step there); they are now read under one lock all the same.

Change: the time is part of RouteTable. A confirmation reaches the active table only, and a lookup and its age come from one table. A new table takes over the confirmation of the one that it replaces if that is later: at that time the new one did not exist yet.

--- a/havengrade_core/src/published/route.rs
+++ b/havengrade_core/src/published/route.rs
@@ -1,6 +1,10 @@
 //! The published configuration, and the lookup of a request's route in it.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, SystemTime},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -212,10 +216,15 @@
     pub limits: CallerLimits,
 }
 
-/// A published configuration with indexes for lookups.
+/// A published configuration with indexes for lookups, and the time at which it was last known to be the newest.
+///
+/// That time is part of the table, so that a confirmation of a newer configuration never vouches for what was looked up
+/// in an older one.
 #[derive(Debug, Default)]
 pub struct RouteTable {
     publication: Publication,
+    /// Time of the last confirmation, in milliseconds since the Unix epoch; 0 for never.
+    confirmed_ms: AtomicU64,
     by_host: HashMap<String, HashMap<String, usize>>,
     by_key: HashMap<String, usize>,
     by_service: HashMap<ServiceId, usize>,
@@ -235,7 +244,37 @@
         }
         let named = publication.services.iter().enumerate();
         let by_service = named.map(|(index, service)| (service.name.clone(), index)).collect();
-        Self { publication, by_host, by_key, by_service }
+        Self { publication, confirmed_ms: AtomicU64::new(0), by_host, by_key, by_service }
+    }
+
+    /// Records that this configuration was the newest at `at`.
+    ///
+    /// ```
+    /// use std::time::{Duration, SystemTime};
+    /// use havengrade_core::published::route::{Publication, RouteTable};
+    ///
+    /// let table = RouteTable::new(Publication::default());
+    /// let at = SystemTime::UNIX_EPOCH + Duration::from_secs(9);
+    /// table.confirm(at);
+    /// table.confirm(at - Duration::from_secs(1));
+    /// assert_eq!(table.confirmed_at(), Some(at));
+    /// assert_eq!(table.age(at + Duration::from_secs(2)), Some(Duration::from_secs(2)));
+    /// ```
+    pub fn confirm(&self, at: SystemTime) {
+        let since_epoch = at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let millis = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
+        self.confirmed_ms.fetch_max(millis, Ordering::AcqRel);
+    }
+
+    /// The last time at which this configuration was known to be the newest.
+    pub fn confirmed_at(&self) -> Option<SystemTime> {
+        let millis = self.confirmed_ms.load(Ordering::Acquire);
+        (millis > 0).then(|| SystemTime::UNIX_EPOCH + Duration::from_millis(millis))
+    }
+
+    /// Time since this configuration was last known to be the newest.
+    pub fn age(&self, now: SystemTime) -> Option<Duration> {
+        self.confirmed_at().map(|at| now.duration_since(at).unwrap_or_default())
     }
 
     /// Version of the configuration; 0 before the first one.
--- a/havengrade_router/src/published/active_request.rs
+++ b/havengrade_router/src/published/active_request.rs
@@ -187,8 +187,10 @@
     check_host(&head)?;
     let id = attributes.id.clone().ok_or(Refusal::Malformed)?;
     let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
-    let route =
-        routes.find(host, head.uri.path()).ok_or_else(|| refuse_unknown(cx, Refusal::NoRoute, received_at))?.clone();
+    let route = routes
+        .find(host, head.uri.path())
+        .ok_or_else(|| refuse_unknown(&routes, Refusal::NoRoute, received_at))?
+        .clone();
     let account = find_account(cx, &routes, &route, &attributes, received_at)?;
     let service = route.service_for(&id).ok_or(Refusal::NoEndpoint)?.clone();
     let time_limit = attributes.time_limit.unwrap_or(route.time_limit).min(route.time_limit);
@@ -228,7 +230,7 @@
         service,
         account,
         config_version: routes.version(),
-        config_age: cx.shared.config_age(received_at).unwrap_or_default(),
+        config_age: routes.age(received_at).unwrap_or_default(),
         model,
         received_at,
         has_reserved_retry: false,
@@ -242,8 +244,8 @@
 }
 
 /// Returns the given refusal, or [`Refusal::StaleConfig`] if the configuration is too old for it.
-fn refuse_unknown(cx: &PublishedContext, refusal: Refusal, now: SystemTime) -> Refusal {
-    let is_trusted = cx.shared.config_age(now).is_some_and(|age| age <= MAX_TRUSTED_CONFIG_AGE);
+fn refuse_unknown(routes: &RouteTable, refusal: Refusal, now: SystemTime) -> Refusal {
+    let is_trusted = routes.age(now).is_some_and(|age| age <= MAX_TRUSTED_CONFIG_AGE);
     if is_trusted { refusal } else { Refusal::StaleConfig }
 }
 
@@ -261,8 +263,8 @@
         return Ok(None);
     }
     let account = attributes.key.as_deref().and_then(|key| routes.account(key));
-    let account = account.ok_or_else(|| refuse_unknown(cx, Refusal::UnknownKey, now))?;
-    if !cx.shared.may_use_key(now) {
+    let account = account.ok_or_else(|| refuse_unknown(routes, Refusal::UnknownKey, now))?;
+    if !cx.shared.may_use_key_of(routes, now) {
         return Err(Refusal::StaleConfig);
     }
     Ok(Some((account.name.clone(), account.priority)))
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -120,8 +120,6 @@
     peer_known: Notify,
     /// Number of requests in progress.
     pub in_progress: AtomicUsize,
-    /// When the active configuration was last known to be the newest, in ms since the Unix epoch; 0 for never.
-    config_confirmed_ms: AtomicU64,
     knows_endpoints: AtomicBool,
     /// Notifies waiting tasks that the configuration or the endpoints became known.
     state_learned: Notify,
@@ -188,7 +186,6 @@
             transfer_limiter: Mutex::default(),
             peer_known: Notify::new(),
             in_progress: AtomicUsize::new(0),
-            config_confirmed_ms: AtomicU64::new(0),
             knows_endpoints: AtomicBool::new(false),
             state_learned: Notify::new(),
             drain_since_ms: AtomicU64::new(0),
@@ -228,23 +225,28 @@
 
     /// Records that the active configuration was the newest at `at`.
     pub fn confirm_config(&self, at: SystemTime) {
-        self.config_confirmed_ms.fetch_max(to_millis(at), Ordering::AcqRel);
+        self.routes.load().confirm(at);
     }
 
     /// The last time at which the active configuration was known to be the newest.
     pub fn config_confirmed_at(&self) -> Option<SystemTime> {
-        from_millis(self.config_confirmed_ms.load(Ordering::Acquire))
+        self.routes.load().confirmed_at()
     }
 
-    /// Whether requests with a key may be sent to endpoints, given the age of the configuration.
+    /// Whether requests with a key of the active configuration may be sent to endpoints, given its age.
     pub fn may_use_key(&self, now: SystemTime) -> bool {
+        self.may_use_key_of(&self.routes.load(), now)
+    }
+
+    /// Whether requests with a key that was looked up in a configuration may be sent to endpoints, given its age.
+    pub fn may_use_key_of(&self, routes: &RouteTable, now: SystemTime) -> bool {
         let settings = self.published_settings.load();
-        settings.withdrawal.may_use_key(self.config_confirmed_at(), Duration::from_millis(settings.withdrawal_ms), now)
+        settings.withdrawal.may_use_key(routes.confirmed_at(), Duration::from_millis(settings.withdrawal_ms), now)
     }
 
     /// Age of the active configuration: time since it was last known to be the newest.
     pub fn config_age(&self, now: SystemTime) -> Option<Duration> {
-        self.config_confirmed_at().map(|at| now.duration_since(at).unwrap_or_default())
+        self.routes.load().age(now)
     }
 
     /// Age of the endpoint list: time since it was last known to be up to date.
@@ -269,8 +271,13 @@
         self.state_learned.notify_waiters();
     }
 
-    /// Activates a configuration.
-    pub fn set_routes(&self, routes: RouteTable) {
+    /// Activates a configuration that was the newest at `at`.
+    pub fn set_routes(&self, routes: RouteTable, at: SystemTime) {
+        routes.confirm(at);
+        // When the active configuration was last known to be the newest, this one did not exist yet or was it as well.
+        if let Some(at) = self.config_confirmed_at() {
+            routes.confirm(at);
+        }
         self.routes.store(Arc::new(routes));
         self.notify_state_learned();
     }
@@ -348,9 +355,9 @@
 
     /// Whether this VM reports to the load balancer that it accepts new connections.
     pub fn is_ready(&self, now: SystemTime) -> bool {
-        let needs_keys = self.routes.load().needs_keys();
         let may_serve = self.knows_routes() && !self.is_draining() && !self.is_left_behind(now);
-        may_serve && (!needs_keys || self.may_use_key(now))
+        let routes = self.routes.load();
+        may_serve && (!routes.needs_keys() || self.may_use_key_of(&routes, now))
     }
 
     /// Number of the next report to other VMs.
--- a/havengrade_router/src/published/feed_consumers.rs
+++ b/havengrade_router/src/published/feed_consumers.rs
@@ -71,19 +71,20 @@
                 OperatorEvent::Domains(event) => apply_domains(cx, event),
             }
         }
-        // Last, since the VM accepts callers as soon as it has a configuration.
-        for publication in publications {
-            activate(cx, publication, at, source);
-        }
         {
+            // Locked throughout, since other VMs are told the position together with the age of the configuration.
             let mut view = cx.shared.store.view();
+            // After the other events, since the VM accepts callers as soon as it has a configuration.
+            for publication in publications {
+                activate(cx, publication, at, source);
+            }
+            cx.shared.confirm_config(at);
             view.operators_position = Some(position);
             if *source == EventSource::Store {
                 view.operators_read_at = at;
             }
         }
         cx.shared.store.record_era(era(position));
-        cx.shared.confirm_config(at);
         if is_first_read {
             cx.shared.notify_state_learned();
         }
@@ -132,7 +133,7 @@
         "configuration in force"
     );
     metrics::gauge!("configuration_version").set(publication.version as f64);
-    cx.shared.set_routes(RouteTable::new(publication));
+    cx.shared.set_routes(RouteTable::new(publication), at);
 }
 
 /// Applies changes to the endpoint list.
