Look a request up again if the configuration changes before its first send

What callers saw: a request whose key, or route, had been taken away while its body arrived or while it waited for a connection still ran. Found while looking for the cause of requests with withdrawn keys.

Cause: route and key were looked up once, when the head had been read. The check before each send asked for the age of the configuration in force only, which says nothing of a key from an earlier one.

Change: after its body a request is looked up again if another configuration is in force, and before its first send its key is. A request that has been sent is finished under the key with which it began.

--- a/havengrade_dev/tests/published_withdrawn_keys.rs
+++ b/havengrade_dev/tests/published_withdrawn_keys.rs
@@ -16,7 +16,7 @@
     time::{Instant, sleep},
 };
 
-use support::published::{Bench, publication, read_all, request, status};
+use support::published::{Bench, FIRST_ENDPOINT, ROUTER, get, publication, read_all, request, status};
 
 /// Time after which a withdrawn key must no longer be accepted.
 const WITHDRAWAL_TIME: Duration = Duration::from_millis(700);
@@ -102,6 +102,24 @@
     assert!(!shared.may_use_key_of(&replaced, now), "the replaced configuration counts as recent");
 }
 
+/// Guards against a request that is sent with a key that was withdrawn while it waited for a connection.
+#[tokio::test(start_paused = true)]
+async fn a_request_whose_key_is_withdrawn_before_another_endpoint_is_tried_does_not_run() {
+    let bench = Bench::start(vec![vec![], vec![]]).await;
+    bench.pipes.cut(ROUTER, FIRST_ENDPOINT);
+    let ids: Vec<String> = (0..8).map(|index| format!("r{index}")).collect();
+    let answers = futures::future::join_all(ids.iter().map(|id| async { bench.ask(&get("/read/1", id)).await }));
+    let withdrawn = async {
+        sleep(Duration::from_millis(100)).await;
+        publish(&bench.store, 2, "k2");
+        bench.arrivals().len()
+    };
+    let (answers, arrived) = tokio::join!(answers, withdrawn);
+    let refused = answers.iter().filter(|answer| status(answer) == "401").count();
+    assert!(refused > 0, "every request chose the endpoint that is reached: {answers:#?}");
+    assert_eq!(bench.arrivals().len(), arrived, "requests ran after their key was withdrawn");
+}
+
 /// Guards against a request that runs with a key that was withdrawn while its body arrived.
 ///
 /// The key was looked up when the head had been read; before the send only the age of the configuration was looked at.
--- a/havengrade_router/src/published/active_request.rs
+++ b/havengrade_router/src/published/active_request.rs
@@ -183,27 +183,22 @@
     if !cx.shared.knows_routes() {
         return Err(Refusal::Starting);
     }
-    let routes = cx.shared.routes.load_full();
     check_host(&head)?;
     let id = attributes.id.clone().ok_or(Refusal::Malformed)?;
-    let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
-    let route = routes
-        .find(host, head.uri.path())
-        .ok_or_else(|| refuse_unknown(&routes, Refusal::NoRoute, received_at))?
-        .clone();
-    let account = find_account(cx, &routes, &route, &attributes, received_at)?;
-    let service = route.service_for(&id).ok_or(Refusal::NoEndpoint)?.clone();
-    let time_limit = attributes.time_limit.unwrap_or(route.time_limit).min(route.time_limit);
-    if may_outlast_shutdown(cx, time_limit, received_at) {
+    let routes = cx.shared.routes.load_full();
+    let found = look_up(cx, &routes, &head, &attributes, received_at)?;
+    if may_outlast_shutdown(cx, found.time_limit, received_at) {
         return Err(Refusal::Stopping);
     }
-    let limits = routes.limits();
-    let body = match timeout(time_limit, Limited::new(body, limits.body_bytes).collect()).await {
+    let body = match timeout(found.time_limit, Limited::new(body, routes.limits().body_bytes).collect()).await {
         Ok(Ok(collected)) => collected.to_bytes(),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => return Err(Refusal::TooLarge),
         Ok(Err(_)) => return Err(Refusal::Malformed),
         Err(_) => return Err(Refusal::NoTimeLeft),
     };
+    let RouteLookup { route, account, time_limit, config_version, config_age } =
+        look_up_again(cx, found, &head, &attributes)?;
+    let service = route.service_for(&id).ok_or(Refusal::NoEndpoint)?.clone();
     let repeat = match route.shape {
         AnswerShape::Events { is_resumable: true } => Repeat::Allowed,
         AnswerShape::Events { is_resumable: false } => Repeat::Never,
@@ -229,8 +224,8 @@
         route,
         service,
         account,
-        config_version: routes.version(),
-        config_age: routes.age(received_at).unwrap_or_default(),
+        config_version,
+        config_age,
         model,
         received_at,
         has_reserved_retry: false,
@@ -243,6 +238,74 @@
     })
 }
 
+/// What a configuration has for a request.
+struct RouteLookup {
+    route: PublishedRoute,
+    account: AccountAndPriority,
+    /// Longest time that the request may take.
+    time_limit: Duration,
+    config_version: u64,
+    config_age: Duration,
+}
+
+/// Looks up the route and the client account of a request, all in one configuration.
+fn look_up(
+    cx: &PublishedContext,
+    routes: &RouteTable,
+    head: &request::Parts,
+    attributes: &RequestAttributes,
+    now: SystemTime,
+) -> Result<RouteLookup, Refusal> {
+    let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let route = routes.find(host, head.uri.path());
+    let route = route.ok_or_else(|| refuse_unknown(routes, Refusal::NoRoute, now))?.clone();
+    let account = find_account(cx, routes, &route, attributes, now)?;
+    Ok(RouteLookup {
+        time_limit: attributes.time_limit.unwrap_or(route.time_limit).min(route.time_limit),
+        route,
+        account,
+        config_version: routes.version(),
+        config_age: routes.age(now).unwrap_or_default(),
+    })
+}
+
+/// Looks up a request again if another configuration was activated while its body arrived.
+fn look_up_again(
+    cx: &PublishedContext,
+    found: RouteLookup,
+    head: &request::Parts,
+    attributes: &RequestAttributes,
+) -> Result<RouteLookup, Refusal> {
+    let routes = cx.shared.routes.load_full();
+    if routes.version() == found.config_version {
+        return Ok(found);
+    }
+    look_up(cx, &routes, head, attributes, cx.shared.clock.now())
+}
+
+/// Checks the key of a request that is about to be sent, which may have waited since its key was looked up.
+///
+/// Only the first send needs a key that is still valid: a request that has begun is finished.
+///
+/// # Errors
+///
+/// [`Refusal`] if the key was withdrawn, or if it is not known whether it was.
+pub(super) fn check_key(cx: &PublishedContext, request: &ActiveRequest, now: SystemTime) -> Result<(), Refusal> {
+    if !request.requires_key() {
+        return Ok(());
+    }
+    let routes = cx.shared.routes.load_full();
+    if !cx.shared.may_use_key_of(&routes, now) {
+        return Err(request.refusal(Refusal::StaleConfig, Refusal::Lost));
+    }
+    if routes.version() == request.config_version || request.attempts.is_repeat() {
+        return Ok(());
+    }
+    let found = look_up(cx, &routes, &request.head, &request.attributes, now)?;
+    let account = found.account.map(|(account, _)| account);
+    if account.is_some() && account != request.account { Err(Refusal::StaleConfig) } else { Ok(()) }
+}
+
 /// Returns the given refusal, or [`Refusal::StaleConfig`] if the configuration is too old for it.
 fn refuse_unknown(routes: &RouteTable, refusal: Refusal, now: SystemTime) -> Refusal {
     let is_trusted = routes.age(now).is_some_and(|age| age <= MAX_TRUSTED_CONFIG_AGE);
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::published::{
-    active_request::{ActiveRequest, Trial, admit},
+    active_request::{ActiveRequest, Trial, admit, check_key},
     answer_body::{AnswerError, MAX_FRAMED_ANSWER_BYTES, read_answer},
     attempt::{AnsweredAttempt, DEADLINE_SLACK, log_failed_attempt, prepare_attempt, record_failure, send_attempt},
     context::PublishedContext,
@@ -290,9 +290,7 @@
         if request.time_left(now) < MIN_ATTEMPT_TIME {
             return Err(request.refusal(Refusal::NoTimeLeft, Refusal::TimedOut));
         }
-        if request.requires_key() && !cx.shared.may_use_key(now) {
-            return Err(request.refusal(Refusal::StaleConfig, Refusal::Lost));
-        }
+        check_key(cx, request, now)?;
         request.set_claim_required(claim.is_some());
         let chosen = match choose_endpoint(cx, request, now) {
             Err(refusal) if quarantine::may_wait_for_claims(cx, request, refusal, now) => {
