Don't confirm a configuration whose successor can't be decoded

What callers could see: keys that the newest configuration takes away are accepted for as long as no further version comes, on all VMs, if that configuration can't be decoded. Found while looking for the cause of requests with withdrawn keys; not seen in the users' record.

Cause: a malformed configuration was left out with a line, while the position after it was read, confirmed and told to other VMs.

Change: such a record is an event of its own. The configuration in force goes on, but is not confirmed from then on, so that the operators' policy for keys decides: refused after withdrawal_ms under the strict one, used on under the other. VMs that get the state from others learn it with that state. Routes without keys are served as before.

--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -249,6 +249,11 @@
         self.routes.load().age(now)
     }
 
+    /// Age of the view of operators' events: time since it was last known to be up to date.
+    pub fn operators_age(&self, now: SystemTime) -> Duration {
+        self.store.view().operators_age(now)
+    }
+
     /// Age of the endpoint list: time since it was last known to be up to date.
     pub fn endpoint_list_age(&self, now: SystemTime) -> Duration {
         now.duration_since(self.store.view().endpoints_confirmed_at).unwrap_or_default()
@@ -376,7 +381,7 @@
     fn is_left_behind(&self, now: SystemTime) -> bool {
         let fresh_answer = from_millis(self.fresh_answer_ms.load(Ordering::Acquire));
         let do_others_follow = fresh_answer.is_some_and(|at| now < at + FRESH_ANSWER_LIFETIME);
-        let age = self.config_age(now).unwrap_or_default().max(self.endpoint_list_age(now));
+        let age = self.operators_age(now).max(self.endpoint_list_age(now));
         do_others_follow && age >= MAX_LAG_BEHIND_OTHERS
     }
 
--- a/havengrade_router/src/published/feed_consumers.rs
+++ b/havengrade_router/src/published/feed_consumers.rs
@@ -64,9 +64,14 @@
     ) {
         let is_first_read = cx.shared.store.view().operators_position.is_none();
         let mut publications = Vec::new();
+        let mut is_unreadable = cx.shared.store.view().is_config_unreadable;
         for event in events {
             match event {
-                OperatorEvent::Publication(publication) => publications.push(publication),
+                OperatorEvent::Publication(publication) => {
+                    publications.push(publication);
+                    is_unreadable = false;
+                },
+                OperatorEvent::UnreadablePublication => is_unreadable = true,
                 OperatorEvent::Rollout(order) => apply_order(cx, order, is_first_read),
                 OperatorEvent::Domains(event) => apply_domains(cx, event),
             }
@@ -75,11 +80,19 @@
             // Locked throughout, since other VMs are told the position together with the age of the configuration.
             let mut view = cx.shared.store.view();
             // After the other events, since the VM accepts callers as soon as it has a configuration.
+            // An older configuration is not confirmed where the newest one can't be decoded: keys may be withdrawn in it.
+            let confirmed_at = if is_unreadable { cx.shared.config_confirmed_at() } else { Some(at) };
+            let confirmed_at = confirmed_at.unwrap_or(SystemTime::UNIX_EPOCH);
             for publication in publications {
-                activate(cx, publication, at, source);
+                activate(cx, publication, confirmed_at, source);
             }
-            cx.shared.confirm_config(at);
+            cx.shared.confirm_config(confirmed_at);
+            if is_unreadable && !view.is_config_unreadable {
+                log::error!(version = cx.shared.routes.load().version(); "the newest configuration can't be decoded; this one ages");
+            }
+            view.is_config_unreadable = is_unreadable;
             view.operators_position = Some(position);
+            view.operators_confirmed_at = view.operators_confirmed_at.max(at);
             if *source == EventSource::Store {
                 view.operators_read_at = at;
             }
--- a/havengrade_router/src/published/ports.rs
+++ b/havengrade_router/src/published/ports.rs
@@ -163,6 +163,8 @@
 pub enum OperatorEvent {
     /// Complete configuration.
     Publication(Publication),
+    /// Complete configuration that can't be decoded, so that the one before it is not the newest any more.
+    UnreadablePublication,
     /// Order to roll a service out to a new version.
     Rollout(RolloutOrder),
     /// Change of the emptied failure domains, or the list of all of them.
--- a/havengrade_router/src/published/state_fetch.rs
+++ b/havengrade_router/src/published/state_fetch.rs
@@ -331,7 +331,8 @@
 fn operator_events(part: OperatorsPart) -> Vec<OperatorEvent> {
     let orders = part.orders.into_iter().map(OperatorEvent::Rollout);
     let domains = OperatorEvent::Domains(part.domains);
-    orders.chain([domains, OperatorEvent::Publication(part.publication)]).collect()
+    let unreadable = part.is_config_unreadable.then_some(OperatorEvent::UnreadablePublication);
+    orders.chain([domains, OperatorEvent::Publication(part.publication)]).chain(unreadable).collect()
 }
 
 fn relayed_events<T>(
--- a/havengrade_router/src/published/state_parts.rs
+++ b/havengrade_router/src/published/state_parts.rs
@@ -26,6 +26,9 @@
     pub(super) publication: Publication,
     pub(super) orders: Vec<RolloutOrder>,
     pub(super) domains: DomainEvent,
+    /// Whether `publication` is older than the newest configuration, which the sender can't decode.
+    #[serde(default)]
+    pub(super) is_config_unreadable: bool,
 }
 
 /// The endpoint list, or changes of it.
@@ -40,7 +43,9 @@
     get_or_encode(&mut cache.operators, position, || {
         let orders = cx.shared.rollouts().orders().cloned().collect();
         let domains = cx.shared.emptied_domains.load().snapshot();
-        deflate_json(&OperatorsPart { publication: cx.shared.routes.load().publication().clone(), orders, domains })
+        let publication = cx.shared.routes.load().publication().clone();
+        let is_config_unreadable = cx.shared.store.view().is_config_unreadable;
+        deflate_json(&OperatorsPart { publication, orders, domains, is_config_unreadable })
     })
 }
 
--- a/havengrade_router/src/published/state_server.rs
+++ b/havengrade_router/src/published/state_server.rs
@@ -240,11 +240,10 @@
     }
 
     fn add_operators(&mut self, cx: &PublishedContext, query: &StateQuestion, now: SystemTime) -> io::Result<()> {
-        let (position, confirmed_at) = {
+        let (position, age) = {
             let view = cx.shared.store.view();
-            (view.operators_position.unwrap_or_default(), cx.shared.config_confirmed_at())
+            (view.operators_position.unwrap_or_default(), view.operators_age(now))
         };
-        let age = now.duration_since(confirmed_at.unwrap_or(SystemTime::UNIX_EPOCH)).unwrap_or_default();
         let is_newer = query.operators_position.is_none_or(|known| from_i64(known) < position);
         let part = if is_newer { encode_operators_part(cx, position)? } else { Bytes::new() };
         self.head.operators = Some(self.add_part(position, age, part));
--- a/havengrade_router/src/published/store_access.rs
+++ b/havengrade_router/src/published/store_access.rs
@@ -23,6 +23,10 @@
 pub struct StoreView {
     /// Position up to which operators' events have been applied; none before the first read.
     pub operators_position: Option<u64>,
+    /// Time at which that position was known to be the newest.
+    pub operators_confirmed_at: SystemTime,
+    /// Whether the newest configuration up to that position can't be decoded, so that the active one is an older one.
+    pub is_config_unreadable: bool,
     /// Recent changes to the endpoint list.
     pub endpoint_changes: ChangeLog,
     /// The current endpoint list.
@@ -47,6 +51,11 @@
         self.relist_grace_until.duration_since(now).unwrap_or_default()
     }
 
+    /// Time since the position in the operators' events was last known to be the newest.
+    pub fn operators_age(&self, now: SystemTime) -> Duration {
+        now.duration_since(self.operators_confirmed_at).unwrap_or_default()
+    }
+
     /// Age of the older one of the last own reads of both feeds, for a VM that reads the store for others.
     ///
     /// A view that another VM sent is newer, but shows nothing of whether this VM reaches the store.
@@ -85,6 +94,8 @@
     fn default() -> Self {
         let view = StoreView {
             operators_position: None,
+            operators_confirmed_at: SystemTime::UNIX_EPOCH,
+            is_config_unreadable: false,
             endpoint_changes: ChangeLog::default(),
             listed_endpoints: Arc::default(),
             is_restoring: false,
--- a/havengrade_router/src/published/store_queries.rs
+++ b/havengrade_router/src/published/store_queries.rs
@@ -30,7 +30,7 @@
 /// Largest number of changes in an answer, so that it fits into a packet; more are transferred over a connection.
 const MAX_CHANGES: usize = 8;
 
-/// Age of the configuration or the endpoint list from which a VM that offers to be a fallback reader is asked.
+/// Age of the view of operators' events or of the endpoint list from which a VM that offers to be a fallback reader is asked.
 const FALLBACK_AGE: Duration = Duration::from_millis(1200);
 
 /// Number of an unsolicited answer, which only hints at new operators' events.
@@ -138,8 +138,7 @@
             fetch_change(cx, hint, position);
         }
         let now = cx.shared.clock.now();
-        let is_stale = cx.shared.config_age(now).is_none_or(|age| age >= FALLBACK_AGE)
-            || cx.shared.endpoint_list_age(now) >= FALLBACK_AGE;
+        let is_stale = cx.shared.operators_age(now) >= FALLBACK_AGE || cx.shared.endpoint_list_age(now) >= FALLBACK_AGE;
         if is_stale && answer_age(hint) < STALE_READER_AGE {
             self.add_fallback_reader(cx, hint);
         }
@@ -158,8 +157,7 @@
 
 /// Whether this VM, which has become a fallback reader, has read what others would ask it for.
 pub(super) fn can_offer_reads(cx: &PublishedContext, now: SystemTime) -> bool {
-    cx.shared.endpoint_list_age(now) < STALE_READER_AGE
-        && cx.shared.config_age(now).is_some_and(|age| age < STALE_READER_AGE)
+    cx.shared.endpoint_list_age(now) < STALE_READER_AGE && cx.shared.operators_age(now) < STALE_READER_AGE
 }
 
 /// The hint that a reader sends to all other VMs after operators wrote something.
@@ -247,7 +245,7 @@
     Some(StoreAnswer::new(
         query.number,
         to_i64(view.operators_position?),
-        age(cx.shared.config_confirmed_at()?, view.operators_read_age(now)),
+        age(view.operators_confirmed_at, view.operators_read_age(now)),
         to_i64(view.endpoint_changes.position()),
         age(view.endpoints_confirmed_at, view.endpoints_read_age(now)),
         changes,
