Look the account up again before a request of the own interface is routed

What callers could see: a request of a client account that operators had removed ran if its body arrived after the removal.

Cause: the account was copied when the head had been read. After the body the age of the configuration was checked and the route decided in the one in force, with the copy of the account.

Change: the key is looked up in the configuration that decides the route, which is loaded after its age has been checked.

--- a/havengrade_dev/src/fleet.rs
+++ b/havengrade_dev/src/fleet.rs
@@ -9,7 +9,8 @@
 
 use havengrade_core::{
     config::{
-        BaseRevision, Change, ChangeFile, ChangeRecord, Config, ConfigRecord, Endpoint, EndpointKind, ScopedChange,
+        BaseRevision, Change, ChangeFile, ChangeRecord, Config, ConfigRecord, Endpoint, EndpointKind, Scope, ScopeKind,
+        ScopedChange,
     },
     ids::{EndpointId, VmId},
     membership::ListedVm,
@@ -252,6 +253,18 @@
         self.append_change(change_id, vec![ScopedChange { base: BaseRevision::Any, change }]);
     }
 
+    /// Removes a client account straight in the log, without a router's call.
+    pub fn remove_account_at_once(&self, change_id: &str, account: &str) {
+        let scope = Scope { kind: ScopeKind::Account, name: account.to_owned() };
+        let catalogs = self.routers.values().map(|router| router.context().shared.catalog.load_full());
+        let base = catalogs.filter_map(|catalog| {
+            let known = catalog.config.scopes().find(|(known, _)| **known == scope);
+            known.map(|(_, offset)| BaseRevision::At(offset))
+        });
+        let base = base.last().unwrap_or(BaseRevision::Absent);
+        self.append_change(change_id, vec![ScopedChange { base, change: Change::Remove { scope: scope.clone() } }]);
+    }
+
     fn append_change(&self, change_id: &str, changes: Vec<ScopedChange>) {
         let record = ChangeRecord {
             change_id: change_id.to_owned(),
--- a/havengrade_router/src/traffic/routes.rs
+++ b/havengrade_router/src/traffic/routes.rs
@@ -80,6 +80,7 @@
 
 /// A request that was read but not routed yet.
 struct ReceivedRequest {
+    key: String,
     account: Account,
     headers: CallerHeaders,
     body: Bytes,
@@ -122,6 +123,7 @@
     let (head, body) = request.into_parts();
     check_headers(&head.headers, limits.max_header_bytes)?;
     let account = authenticate_account(cx, &head.headers)?;
+    let key = caller_headers::bearer_token(&head.headers).unwrap_or_default().to_owned();
     let headers = caller_headers::parse_headers(&head.headers)?;
     let collected = Limited::new(body, limits.max_body_bytes).collect();
     let Ok(collected) = timeout(Duration::from_millis(limits.read_timeout_ms), collected).await else {
@@ -129,7 +131,7 @@
         return Err(Problem::not_run(StatusCode::REQUEST_TIMEOUT, "slow_body", detail));
     };
     let body = collected.map_err(|error| body_problem(error.as_ref(), limits.max_body_bytes))?.to_bytes();
-    Ok(ReceivedRequest { account, headers, body, id: cx.shared.new_request_id() })
+    Ok(ReceivedRequest { key, account, headers, body, id: cx.shared.new_request_id() })
 }
 
 fn check_headers(headers: &HeaderMap, limit: usize) -> Result<(), Problem> {
@@ -235,14 +237,17 @@
     if let Some(reason) = shared.not_serving_reason(now) {
         return Err(Problem::from(reason));
     }
+    // Loaded after the check of the age, so that this configuration is at least as new as the one that was checked. The
+    // account is looked up again, since another one may have been active when the head of the request was read.
     let (catalog, evidence) = (shared.catalog.load(), shared.evidence.load());
-    let decision = decide_route(&catalog, &received.account, meta, &evidence, &mut *shared.rng(), now)
+    let account = authenticate(&catalog, &received.key).map_err(|refusal| Problem::from(&refusal))?;
+    let decision = decide_route(&catalog, account, meta, &evidence, &mut *shared.rng(), now)
         .map_err(|refusal| Problem::from(&refusal))?;
-    shared.admission().admit(&received.account, shared.live_vm_count(), now)?;
+    shared.admission().admit(account, shared.live_vm_count(), now)?;
     if shared.requests.insert(entry.clone(), shared.settings.limits.max_requests) {
         return Ok(decision);
     }
-    shared.admission().release(&received.account.id);
+    shared.admission().release(&account.id);
     let detail = "this VM has as many requests in progress as it may; try another";
     Err(Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "vm_full", detail).with_retry_after(RETRY_DELAY))
 }
