Count the time for which a machine was suspended

What callers could see: a request that ran with a withdrawn key at a VM that had been suspended.

Cause: ages were measured by the steady clock, which stands still while a machine is suspended, so that a configuration looked as young as before.

Ages, deadlines, leases and idle times of connections count the suspended time; timers of the runtime still do not. Tests keep the time of the runtime, or bring a timer of their own.

--- a/havengrade_dev/tests/published_withdrawn_keys.rs
+++ b/havengrade_dev/tests/published_withdrawn_keys.rs
@@ -4,13 +4,16 @@
 mod support;
 
 use std::{
-    sync::atomic::{AtomicU64, Ordering},
-    time::Duration,
+    sync::{
+        OnceLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, SystemTime},
 };
 
 use havengrade_core::published::route::RouteTable;
 use havengrade_dev::stand_in::memory_store::MemoryStore;
-use havengrade_router::{published::ports::OperatorEvent, settings::Settings};
+use havengrade_router::{clock::Clock, published::ports::OperatorEvent, settings::Settings};
 use tokio::{
     io::AsyncWriteExt as _,
     time::{Instant, sleep},
@@ -55,7 +58,8 @@
 async fn a_confirmation_of_a_new_configuration_does_not_vouch_for_keys_of_the_old_one() {
     let mut settings = Settings::default();
     settings.published.withdrawal_ms = WITHDRAWAL_TIME.as_millis() as u64;
-    let bench = Bench::begin_with(vec![Default::default()], MemoryStore::default(), settings).await;
+    let clock = Clock::starting_at(SystemTime::now());
+    let bench = Bench::begin_with(vec![Default::default()], MemoryStore::default(), settings, clock).await;
     bench.wait_until_ready().await;
     let ids = AtomicU64::default();
     for version in 2..4 {
@@ -157,3 +161,31 @@
     assert_eq!(status(&answer), "404", "{answer}");
     assert!(bench.arrivals().is_empty(), "the request ran");
 }
+
+/// Start of the time of the test on a suspended VM.
+static START: OnceLock<Instant> = OnceLock::new();
+/// Time for which the VM of that test was suspended so far, in milliseconds.
+static SUSPENDED_MS: AtomicU64 = AtomicU64::new(0);
+
+/// Time of a machine that was suspended; timers of the runtime do not count that time.
+fn time_with_suspension() -> Duration {
+    let running = START.get().map(Instant::elapsed).unwrap_or_default();
+    running + Duration::from_millis(SUSPENDED_MS.load(Ordering::Relaxed))
+}
+
+/// Guards against a withdrawn key that is accepted after the machine was suspended, which its steady clock does not count.
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_was_suspended_counts_that_time_for_the_age_of_its_configuration() {
+    START.set(Instant::now()).unwrap();
+    let clock = Clock::with_timer(SystemTime::now(), time_with_suspension);
+    let bench = Bench::begin_with(vec![Default::default()], MemoryStore::default(), Settings::default(), clock).await;
+    bench.wait_until_ready().await;
+    bench.store.set_away(true);
+    sleep(Duration::from_millis(100)).await;
+    publish(&bench.store, 2, "k2");
+    assert_eq!(status(&bench.ask(&get("/read/1", "before")).await), "200");
+    SUSPENDED_MS.store(10_000, Ordering::Relaxed);
+    assert_eq!(status(&bench.ask(&get("/read/1", "after")).await), "503");
+    assert_eq!(bench.arrivals(), ["before"]);
+    assert!(!bench.is_ready().await, "the VM does not know which keys are valid");
+}
--- a/havengrade_dev/tests/support/published.rs
+++ b/havengrade_dev/tests/support/published.rs
@@ -123,11 +123,17 @@
 
     /// A router that has just started.
     pub(crate) async fn begin(replies: Vec<Replies>, store: MemoryStore) -> Self {
-        Self::begin_with(replies, store, Settings::default()).await
+        let origin = SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000);
+        Self::begin_with(replies, store, Settings::default(), Clock::starting_at(origin)).await
     }
 
-    /// A router that has just started with these settings, but for its addresses.
-    pub(crate) async fn begin_with(replies: Vec<Replies>, store: MemoryStore, mut settings: Settings) -> Self {
+    /// A router that has just started with these settings, but for its addresses, and this clock.
+    pub(crate) async fn begin_with(
+        replies: Vec<Replies>,
+        store: MemoryStore,
+        mut settings: Settings,
+        clock: Clock,
+    ) -> Self {
         let pipes = Pipes::default();
         let mut endpoints = Vec::new();
         for (index, replies) in (0..).zip(replies) {
@@ -141,8 +147,7 @@
         settings.listen.peers = pipes.address(ROUTER, 1);
         settings.published.readiness = pipes.address(ROUTER, 2);
         settings.published.metrics = pipes.address(ROUTER, 3);
-        let origin = SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000);
-        let parts = RouterEnvironment { network: pipes.network(ROUTER), clock: Clock::starting_at(origin), seed: 7 };
+        let parts = RouterEnvironment { network: pipes.network(ROUTER), clock, seed: 7 };
         let router = PublishedRouter::start(settings, parts, store.ports("vm-1"), &Handle::current()).await.unwrap();
         Self { pipes, store, router, endpoints }
     }
--- a/havengrade_router/src/main.rs
+++ b/havengrade_router/src/main.rs
@@ -25,11 +25,8 @@
         log::error!("signal handlers can't be installed");
         return ExitCode::from(EXIT_NOT_STARTED);
     };
-    let environment = RouterEnvironment {
-        network: Arc::new(SystemNetwork),
-        clock: Clock::starting_at(SystemTime::now()),
-        seed: rand::rng().next_u64(),
-    };
+    let environment =
+        RouterEnvironment { network: Arc::new(SystemNetwork), clock: Clock::system(), seed: rand::rng().next_u64() };
     let router = match Router::start(start.settings.clone(), environment, traffic).await {
         Ok(router) => router,
         Err(error) => {
