--- a/havengrade_dev/src/fleet.rs
+++ b/havengrade_dev/src/fleet.rs
@@ -257,11 +257,11 @@
     pub fn remove_account_at_once(&self, change_id: &str, account: &str) {
         let scope = Scope { kind: ScopeKind::Account, name: account.to_owned() };
         let catalogs = self.routers.values().map(|router| router.context().shared.catalog.load_full());
-        let base = catalogs.filter_map(|catalog| {
+        let mut offsets = catalogs.filter_map(|catalog| {
             let known = catalog.config.scopes().find(|(known, _)| **known == scope);
-            known.map(|(_, offset)| BaseRevision::At(offset))
+            known.map(|(_, offset)| offset)
         });
-        let base = base.last().unwrap_or(BaseRevision::Absent);
+        let base = offsets.next().map_or(BaseRevision::Absent, BaseRevision::At);
         self.append_change(change_id, vec![ScopedChange { base, change: Change::Remove { scope: scope.clone() } }]);
     }
 
--- a/havengrade_router/src/main.rs
+++ b/havengrade_router/src/main.rs
@@ -1,6 +1,6 @@
 //! The `havengrade-router` program.
 
-use std::{process::ExitCode, sync::Arc, time::SystemTime};
+use std::{process::ExitCode, sync::Arc};
 
 use clap::Parser as _;
 use havengrade_router::{
