Confirm with a feed of published routes what it returned

Latent, no request is known to have met it: on one control thread the feed is asked for its confirmation in the same step as for its events. Of the class of requests with withdrawn keys.

Cause: over the router's own configuration the time of the confirmation was read when it was asked for, after the configuration. Change: it is read with the configuration, before it.

Before: a configuration that is 30 s behind is confirmed for now; the test fails. After: it is confirmed for the time of its read.

--- a/havengrade_dev/tests/withdrawn_keys.rs
+++ b/havengrade_dev/tests/withdrawn_keys.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use havengrade_router::published::{config_ports::ports, ports::OperatorEvent};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     time::sleep,
@@ -39,3 +40,24 @@
     let runs: usize = bench.fleet.engines.values().map(|engine| engine.started().len()).sum();
     assert_eq!(runs, 0, "an engine ran the request");
 }
+
+/// Guards against a feed of published routes that confirms a configuration which it has not returned.
+///
+/// The time of the confirmation was read when it was asked for, not when the configuration was.
+#[tokio::test(start_paused = true)]
+async fn the_feed_of_published_routes_confirms_what_it_returned() {
+    let bench = Bench::start(3).await;
+    let cx = bench.fleet.routers["vm-1"].context();
+    let mut feed = ports(cx).operators;
+    let read_at = cx.shared.clock.now();
+    let events = feed.next(Duration::ZERO).await.unwrap();
+    assert!(matches!(events.as_slice(), [OperatorEvent::Publication(_)]));
+    bench.fleet.remove_account_at_once("remove-harvest", "harvest");
+    // Longer than a read of the log waits for a record.
+    sleep(Duration::from_secs(30)).await;
+    let asked = cx.shared.clock.now();
+    assert!(feed.confirmed_at(asked).unwrap() <= read_at, "the configuration that was read is confirmed for later");
+    let events = feed.next(Duration::ZERO).await.unwrap();
+    assert!(matches!(events.as_slice(), [OperatorEvent::Publication(_)]), "the change is not returned");
+    assert!(feed.confirmed_at(asked).unwrap() > read_at);
+}
--- a/havengrade_router/src/published/config_ports.rs
+++ b/havengrade_router/src/published/config_ports.rs
@@ -92,12 +92,14 @@
 struct ConfigFeed<T> {
     shared: Arc<SharedState>,
     position: Option<u64>,
+    /// Time at which the configuration of the last read was known to be the newest.
+    confirmed_at: SystemTime,
     part: fn(&Config, &SharedState) -> T,
 }
 
 impl<T> ConfigFeed<T> {
     fn new(shared: Arc<SharedState>, part: fn(&Config, &SharedState) -> T) -> Self {
-        Self { shared, position: None, part }
+        Self { shared, position: None, confirmed_at: SystemTime::UNIX_EPOCH, part }
     }
 }
 
@@ -109,6 +111,8 @@
             if !self.shared.is_caught_up() {
                 return NotDoneSnafu { reason: "the configuration has not been replayed yet" }.fail();
             }
+            // Read before the configuration, which so is the one that was confirmed or a newer one.
+            self.confirmed_at = self.shared.config_confirmed_at();
             let catalog = self.shared.catalog.load_full();
             let position = catalog.config.revision.map_or(0, |offset| offset + 1);
             if self.position != Some(position) {
@@ -131,7 +135,7 @@
     }
 
     fn confirmed_at(&self, asked: SystemTime) -> Option<SystemTime> {
-        Some(self.shared.config_confirmed_at().min(asked))
+        Some(self.confirmed_at.min(asked))
     }
 
     fn rewound(&self) -> Box<dyn Feed<T>> {
