Ask another VM where one denies a relayed request by its own configuration

Cause: a VM to which a request is relayed looks it up in its own configuration, which may be the older one, and its denial, or its refusal for a configuration that is not confirmed, was passed on to the caller.

Change: such a refusal is marked like that of a VM without room, and the next VM is asked. If none serves, the caller gets the relaying VM's own refusal, and the request has not run.

--- a/havengrade_dev/tests/published_relayed_requests.rs
+++ b/havengrade_dev/tests/published_relayed_requests.rs
@@ -13,7 +13,7 @@
         atomic::{AtomicBool, Ordering},
     },
     task::{Context, Poll},
-    time::{Duration, SystemTime},
+    time::Duration,
 };
 
 use async_trait::async_trait;
@@ -25,19 +25,15 @@
     },
 };
 use havengrade_router::{
-    clock::Clock,
     net::{BoxConnection, DatagramSocket, Listener, Network},
     published::router::PublishedRouter,
-    router::RouterEnvironment,
-    settings::Settings,
 };
 use tokio::{
     io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, ReadBuf},
-    runtime::Handle,
     time::{Instant, sleep, timeout},
 };
 
-use support::published::{Bench, CALLERS, FIRST_ENDPOINT, ROUTER, event_ids, get, status, stream};
+use support::published::{Bench, CALLERS, FIRST_ENDPOINT, ROUTER, event_ids, get, start_vm, status, stream};
 
 const ENDPOINTS: Host = 3;
 const OTHER_ROUTER: Host = 2;
@@ -78,19 +74,6 @@
     start_vm(bench, OTHER_ROUTER, bench.pipes.network(OTHER_ROUTER)).await
 }
 
-async fn start_vm(bench: &Bench, host: Host, network: Arc<dyn Network>) -> PublishedRouter {
-    let vm = format!("vm-{host}");
-    let mut settings = Settings::default();
-    settings.vm.id.clone_from(&vm);
-    settings.published.callers = Some(bench.pipes.address(host, 0));
-    settings.listen.peers = bench.pipes.address(host, 1);
-    settings.published.readiness = bench.pipes.address(host, 2);
-    settings.published.metrics = bench.pipes.address(host, 3);
-    let origin = SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000);
-    let parts = RouterEnvironment { network, clock: Clock::starting_at(origin), seed: 6 + u64::from(host) };
-    PublishedRouter::start(settings, parts, bench.store.ports(&vm), &Handle::current()).await.unwrap()
-}
-
 /// A stream whose first two events come at once and whose other two come one by one, each after a pause.
 fn paused_stream(pause: Duration) -> Reply {
     Reply::Pieces(vec![stream(1..=2, ""), event(3), event(4) + LAST_CHUNK], pause)
--- a/havengrade_dev/tests/support/published.rs
+++ b/havengrade_dev/tests/support/published.rs
@@ -19,7 +19,7 @@
 };
 use havengrade_router::{
     clock::Clock,
-    net::BoxConnection,
+    net::{BoxConnection, Network},
     published::{ports::OperatorEvent, router::PublishedRouter},
     router::RouterEnvironment,
     settings::Settings,
@@ -152,6 +152,10 @@
         Self { pipes, store, router, endpoints }
     }
 
+    pub(crate) fn network(&self, host: Host) -> Arc<dyn Network> {
+        self.pipes.network(host)
+    }
+
     pub(crate) async fn connect(&self, port: u16) -> BoxConnection {
         self.pipes.network(CALLERS).connect(self.pipes.address(ROUTER, port)).await.unwrap()
     }
@@ -183,6 +187,20 @@
     }
 }
 
+/// Starts a further VM before the endpoints of a bench.
+pub(crate) async fn start_vm(bench: &Bench, host: Host, network: Arc<dyn Network>) -> PublishedRouter {
+    let vm = format!("vm-{host}");
+    let mut settings = Settings::default();
+    settings.vm.id.clone_from(&vm);
+    settings.published.callers = Some(bench.pipes.address(host, 0));
+    settings.listen.peers = bench.pipes.address(host, 1);
+    settings.published.readiness = bench.pipes.address(host, 2);
+    settings.published.metrics = bench.pipes.address(host, 3);
+    let origin = SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000);
+    let parts = RouterEnvironment { network, clock: Clock::starting_at(origin), seed: 6 + u64::from(host) };
+    PublishedRouter::start(settings, parts, bench.store.ports(&vm), &Handle::current()).await.unwrap()
+}
+
 pub(crate) async fn read_all(connection: &mut BoxConnection) -> String {
     let mut answer = Vec::new();
     // A stream that is broken off ends in an error after what was read.
--- a/havengrade_router/src/published/request_relay.rs
+++ b/havengrade_router/src/published/request_relay.rs
@@ -74,14 +74,16 @@
 const MAX_OTHERS_ASKED: usize = 2;
 /// Time for which a VM without a usable endpoint for a request is not asked for others of that service.
 const NO_ENDPOINT_AVOID_TIME: Duration = Duration::from_millis(500);
+/// Time for which a VM that refuses a relayed request by its own state is not asked for others of that service.
+const REFUSED_AVOID_TIME: Duration = Duration::from_millis(500);
 /// Largest number of connections on which a VM accepts requests of others.
 const MAX_ACCEPTED_CONNECTIONS: usize = 1000;
 
 /// Header of an answer to a VM that relayed a request: this VM reaches no endpoint either, and the request did not run.
 const UNREACHABLE: HeaderName = HeaderName::from_static("havengrade-unreachable");
 
-/// Header of an answer to a VM that relayed a request: this VM can't send it to any endpoint either, for so many
-/// milliseconds, and it did not run.
+/// Header of an answer to a VM that relayed a request: this VM can't send it to any endpoint either, or refuses it by its
+/// own state, for so many milliseconds, and it did not run.
 const NO_ROOM_MS: HeaderName = HeaderName::from_static("havengrade-no-room-ms");
 
 /// Header of a relayed request: attempts at endpoints before it was relayed.
@@ -201,6 +203,10 @@
             return;
         },
         Refusal::EndpointsAtLimit { retry_after } => retry_after,
+        // The relaying VM has admitted the request: this one's configuration is an older one, or not confirmed.
+        Refusal::NoRoute | Refusal::UnknownKey | Refusal::StaleConfig | Refusal::Starting | Refusal::Stopping => {
+            REFUSED_AVOID_TIME
+        },
         Refusal::NoEndpoint => NO_ENDPOINT_AVOID_TIME,
         _ => return,
     };
