Leave out prefixes of a path that are longer than any route's

What callers could see: one request with a path of 16 KB keeps a traffic thread busy for tens of milliseconds, before its key is checked. Found on the way to the test of withdrawn keys, which used it to widen the moment between two reads.

Cause: the route was looked up by the prefix at each slash of the path, so that the work grew with the square of its length.

Change: the lookup begins at the length of the host's longest prefix.

The test counts the prefixes that are tried; there was no function to count before.

--- a/havengrade_core/src/published/route.rs
+++ b/havengrade_core/src/published/route.rs
@@ -216,6 +216,14 @@
     pub limits: CallerLimits,
 }
 
+/// The routes of a host, as indexes into the configuration.
+#[derive(Debug, Default)]
+struct HostRoutes {
+    by_prefix: HashMap<String, usize>,
+    /// Length of the longest prefix, in bytes.
+    longest_prefix: usize,
+}
+
 /// A published configuration with indexes for lookups, and the time at which it was last known to be the newest.
 ///
 /// That time is part of the table, so that a confirmation of a newer configuration never vouches for what was looked up
@@ -225,7 +233,7 @@
     publication: Publication,
     /// Time of the last confirmation, in milliseconds since the Unix epoch; 0 for never.
     confirmed_ms: AtomicU64,
-    by_host: HashMap<String, HashMap<String, usize>>,
+    by_host: HashMap<String, HostRoutes>,
     by_key: HashMap<String, usize>,
     by_service: HashMap<ServiceId, usize>,
 }
@@ -233,10 +241,11 @@
 impl RouteTable {
     /// Indexes a configuration.
     pub fn new(publication: Publication) -> Self {
-        let mut by_host: HashMap<String, HashMap<String, usize>> = HashMap::new();
+        let mut by_host: HashMap<String, HostRoutes> = HashMap::new();
         for (index, route) in publication.routes.iter().enumerate() {
-            let prefixes = by_host.entry(route.host.to_ascii_lowercase()).or_default();
-            prefixes.insert(route.path_prefix.clone(), index);
+            let routes = by_host.entry(route.host.to_ascii_lowercase()).or_default();
+            routes.longest_prefix = routes.longest_prefix.max(route.path_prefix.len());
+            routes.by_prefix.insert(route.path_prefix.clone(), index);
         }
         let mut by_key = HashMap::new();
         for (index, account) in publication.accounts.iter().flatten().enumerate() {
@@ -318,14 +327,23 @@
     /// ```
     pub fn find(&self, host: &str, path: &str) -> Option<&PublishedRoute> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
-        let prefixes = self.by_host.get(&name)?;
-        let mut end = path.len();
-        while let Some(slash) = path.get(..end)?.rfind('/') {
-            if let Some(index) = prefixes.get(path.get(..=slash)?) {
-                return self.publication.routes.get(*index);
-            }
-            end = slash;
-        }
-        None
+        let routes = self.by_host.get(&name)?;
+        let index = path_prefixes(path, routes.longest_prefix).find_map(|prefix| routes.by_prefix.get(prefix))?;
+        self.publication.routes.get(*index)
     }
 }
+
+/// The prefixes of a path that end with a slash and have at most so many bytes, longest first.
+///
+/// Callers choose how many slashes a path has, so that longer ones are left out before they are looked up.
+///
+/// ```
+/// use havengrade_core::published::route::path_prefixes;
+///
+/// assert_eq!(path_prefixes("/tag/lot/7", 5).collect::<Vec<_>>(), ["/tag/", "/"]);
+/// ```
+pub fn path_prefixes(path: &str, longest: usize) -> impl Iterator<Item = &str> {
+    let bytes = path.as_bytes();
+    let ends = (1..=bytes.len().min(longest)).rev().filter(|end| bytes.get(end - 1) == Some(&b'/'));
+    ends.filter_map(|end| path.get(..end))
+}
--- a/havengrade_core/tests/published.rs
+++ b/havengrade_core/tests/published.rs
@@ -14,7 +14,9 @@
         directory::{Directory, DirectoryEvent, ListedEndpoint, OutageEvidence, RELIST_GRACE},
         peers::Work,
         placement::{Candidate, PlacementContext, Prompt, place},
-        route::{AnswerShape, Publication, PublishedAccount, PublishedRoute, Repeat, RouteTable, RouteTarget},
+        route::{
+            AnswerShape, Publication, PublishedAccount, PublishedRoute, Repeat, RouteTable, RouteTarget, path_prefixes,
+        },
         withdrawal_policy::WithdrawalPolicy,
     },
 };
@@ -387,3 +389,14 @@
     let most = highest_count_between_reports(false);
     assert!(most <= 34, "{most} of 84 requests went to one of six endpoints");
 }
+
+/// Guards against a request whose path has so many slashes that the lookup of its route keeps a thread busy.
+///
+/// A prefix was looked up at each slash: 12,000 of them took a hundred megabytes of hashing, before any key was checked.
+#[test]
+fn slashes_behind_the_longest_prefix_are_not_tried() {
+    let path = format!("/read/{}", "/".repeat(12_000));
+    assert_eq!(path_prefixes(&path, "/read/".len()).collect::<Vec<_>>(), ["/read/", "/"]);
+    assert_eq!(path_prefixes("/r\u{e9}/\u{e9}", 4).collect::<Vec<_>>(), ["/"]);
+    assert_eq!(path_prefixes("", 9).count(), 0);
+}
--- a/havengrade_dev/tests/published_withdrawn_keys.rs
+++ b/havengrade_dev/tests/published_withdrawn_keys.rs
@@ -11,7 +11,7 @@
     time::{Duration, SystemTime},
 };
 
-use havengrade_core::published::route::RouteTable;
+use havengrade_core::published::route::{PublishedRoute, RouteTable};
 use havengrade_dev::stand_in::memory_store::MemoryStore;
 use havengrade_router::{clock::Clock, published::ports::OperatorEvent, settings::Settings};
 use tokio::{
@@ -31,6 +31,17 @@
     store.operate(OperatorEvent::Publication(publication(version, &[key])));
 }
 
+/// Publishes a configuration with a prefix that is as long as a path, so that all of its slashes are tried.
+fn publish_with_long_prefix(store: &MemoryStore, version: u64, key: &str) {
+    let mut changed = publication(version, &[key]);
+    changed.routes.push(PublishedRoute {
+        name: "long".into(),
+        path_prefix: format!("/read/{}long/", "/".repeat(SLASHES)),
+        ..changed.routes[0].clone()
+    });
+    store.operate(OperatorEvent::Publication(changed));
+}
+
 /// A request with a key whose lookup takes long, and which so is often under way when the configuration changes.
 fn slow_request(id: &str, key: &str) -> String {
     let path = format!("/read/{}", "/".repeat(SLASHES));
@@ -61,12 +72,14 @@
     let clock = Clock::starting_at(SystemTime::now());
     let bench = Bench::begin_with(vec![Default::default()], MemoryStore::default(), settings, clock).await;
     bench.wait_until_ready().await;
+    publish_with_long_prefix(&bench.store, 2, "k2");
+    sleep(Duration::from_secs(1)).await;
     let ids = AtomicU64::default();
-    for version in 2..4 {
+    for version in 3..5 {
         let (withdrawn, added) = (format!("k{}", version - 1), format!("k{version}"));
         bench.store.set_away(true);
         sleep(Duration::from_millis(100)).await;
-        publish(&bench.store, version, &added);
+        publish_with_long_prefix(&bench.store, version, &added);
         // Longer than an unknown key may be refused as such.
         sleep(Duration::from_millis(2600)).await;
         let arrived = bench.arrivals().len();
