Bound the bodies of all requests together

Cause: a body was bounded by the operators' limit, their sum was not; each is kept until its request has ended, since it may be sent again.

A request whose body has no room gets 503 with the time to come back at once, before its body is read where its length is announced, and its connection is closed, so that the balancer may send it to another VM. A gauge has the bytes that are kept.

--- a/havengrade_router/src/published/active_request.rs
+++ b/havengrade_router/src/published/active_request.rs
@@ -5,7 +5,6 @@
     time::{Duration, SystemTime},
 };
 
-use bytes::Bytes;
 use havengrade_core::{
     fingerprint::{RequestFingerprint, fingerprint, prompt_part_fingerprint},
     ids::{AccountId, EndpointId, ServiceId},
@@ -16,14 +15,13 @@
     },
     quarantine::JudgedRequest,
 };
-use http_body_util::{BodyExt as _, Limited};
 use hyper::{Version, body::Incoming, header, http::request};
-use tokio::time::timeout;
 
 use crate::published::{
     context::PublishedContext,
     ports::RequestAttributes,
     refusal::Refusal,
+    request_body::KeptBody,
     request_relay::{RelayedRequest, learn_tolerated_rejections, take_sent_attempts},
     shutdown::may_outlast_shutdown,
 };
@@ -59,7 +57,7 @@
     /// Method, URI and headers.
     pub(super) head: request::Parts,
     /// Whole body.
-    pub(super) body: Bytes,
+    pub(super) body: KeptBody,
     /// Attributes that the caller's headers give.
     pub(super) attributes: RequestAttributes,
     /// Matched route.
@@ -120,7 +118,7 @@
                 &host.unwrap_or_default(),
                 path.as_bytes(),
                 self.account.as_deref().unwrap_or_default().as_bytes(),
-                &self.body,
+                &self.body.bytes,
             ]);
             let shared = self.attributes.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
             let parts = shared.iter().take(MAX_JUDGED_PARTS).map(|part| prompt_part_fingerprint(&part.id)).collect();
@@ -190,12 +188,7 @@
     if may_outlast_shutdown(cx, found.time_limit, received_at) {
         return Err(Refusal::Stopping);
     }
-    let body = match timeout(found.time_limit, Limited::new(body, routes.limits().body_bytes).collect()).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => return Err(Refusal::TooLarge),
-        Ok(Err(_)) => return Err(Refusal::Malformed),
-        Err(_) => return Err(Refusal::NoTimeLeft),
-    };
+    let body = cx.shared.request_bodies.read(body, routes.limits().body_bytes, found.time_limit).await?;
     let RouteLookup { route, account, time_limit, config_version, config_age } =
         look_up_again(cx, found, &head, &attributes)?;
     let service = route.service_for(&id).ok_or(Refusal::NoEndpoint)?.clone();
--- a/havengrade_router/src/published/context.rs
+++ b/havengrade_router/src/published/context.rs
@@ -46,6 +46,7 @@
         part_cache::PartCache,
         ports::{Dialect, QuarantineList},
         reach_monitor::ReachMonitor,
+        request_body::RequestBodies,
         request_relay::RequestRelay,
         retry_budgets::RetryBudgets,
         silence_monitor::SilenceMonitor,
@@ -96,6 +97,8 @@
     pub store: StoreAccess,
     /// Load, failures and availability of each endpoint.
     pub endpoint_states: EndpointTable,
+    /// Bodies of requests in progress.
+    pub request_bodies: RequestBodies,
     /// Bytes of streams that wait for callers.
     pub stream_buffers: Arc<StreamBuffers>,
     /// Persistent connections to endpoints.
@@ -174,6 +177,7 @@
             emptied_domains: ArcSwap::default(),
             store: StoreAccess::default(),
             endpoint_states: EndpointTable::default(),
+            request_bodies: RequestBodies::default(),
             stream_buffers: Arc::default(),
             connection_pool: ConnectionPool::new(network.clone(), connect_timeout),
             reach: ReachMonitor::new(seed),
--- a/havengrade_router/src/published/mod.rs
+++ b/havengrade_router/src/published/mod.rs
@@ -31,6 +31,7 @@
 pub mod refusal;
 mod registration;
 mod replacement;
+pub mod request_body;
 mod request_relay;
 mod retry_budgets;
 mod rewrite;
--- a/havengrade_router/src/published/refusal.rs
+++ b/havengrade_router/src/published/refusal.rs
@@ -28,6 +28,8 @@
     UnknownKey,
     /// The body is larger than the limit.
     TooLarge,
+    /// This VM has no room for the body beside those of other requests; the request did not run.
+    BodiesFull,
     /// The VM is starting: the configuration or the endpoints are not known yet.
     Starting,
     /// The configuration is too old to tell whether the key or the route is valid.
@@ -83,6 +85,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::TooLarge => "too_large",
+            Self::BodiesFull => "bodies_full",
             Self::Starting => "starting",
             Self::StaleConfig => "stale_configuration",
             Self::Stopping => "stopping",
@@ -108,7 +111,8 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Starting
+            Self::BodiesFull
+            | Self::Starting
             | Self::StaleConfig
             | Self::Stopping
             | Self::NoEndpoint
@@ -130,7 +134,7 @@
     fn retry_reason(self, cx: &PublishedContext, now: SystemTime) -> Option<RetryReason> {
         match self {
             Self::Starting => Some(RetryReason::StoreUnreachable { known_for: cx.shared.uptime(now) }),
-            Self::StaleConfig | Self::Stopping => Some(RetryReason::VmUnavailable),
+            Self::StaleConfig | Self::Stopping | Self::BodiesFull => Some(RetryReason::VmUnavailable),
             Self::EndpointsUnreachable => Some(RetryReason::EndpointsUnreachable),
             Self::NoEndpoint | Self::NoTimeLeft => Some(RetryReason::EndpointsFull),
             Self::EndpointsAtLimit { retry_after } => Some(RetryReason::EndpointsAtLimit { retry_after }),
@@ -150,6 +154,7 @@
             self,
             Self::Malformed
                 | Self::TooLarge
+                | Self::BodiesFull
                 | Self::Starting
                 | Self::StaleConfig
                 | Self::Stopping
--- a/havengrade_router/src/published/rewrite.rs
+++ b/havengrade_router/src/published/rewrite.rs
@@ -38,13 +38,13 @@
     resume_after: Option<&str>,
     now: SystemTime,
 ) -> Request<Full<Bytes>> {
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    let mut outgoing = Request::new(Full::new(request.body.bytes.clone()));
     *outgoing.method_mut() = request.head.method.clone();
     let path = request.head.uri.path_and_query().cloned();
     *outgoing.uri_mut() = path.map_or_else(|| request.head.uri.clone(), Uri::from);
     let mut headers = request.head.headers.clone();
     strip_hop_by_hop(&mut headers);
-    if request.body.is_empty() && !headers.contains_key(header::CONTENT_LENGTH) {
+    if request.body.bytes.is_empty() && !headers.contains_key(header::CONTENT_LENGTH) {
         headers.remove(header::CONTENT_LENGTH);
     }
     let attributes = ForwardAttributes {
@@ -67,7 +67,7 @@
     request: &ActiveRequest,
     now: SystemTime,
 ) -> Request<Full<Bytes>> {
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    let mut outgoing = Request::new(Full::new(request.body.bytes.clone()));
     *outgoing.method_mut() = request.head.method.clone();
     *outgoing.uri_mut() = request.head.uri.clone();
     let mut headers = request.head.headers.clone();
--- a/havengrade_router/src/published/server.rs
+++ b/havengrade_router/src/published/server.rs
@@ -186,6 +186,7 @@
     metrics::gauge!("configuration_age_seconds").set(cx.shared.config_age(now).unwrap_or_default().as_secs_f64());
     metrics::gauge!("endpoints_age_seconds").set(endpoints_age.as_secs_f64());
     metrics::gauge!("stream_bytes_buffered").set(cx.shared.stream_buffers.buffered_bytes() as f64);
+    metrics::gauge!("request_body_bytes_kept").set(cx.shared.request_bodies.kept_bytes() as f64);
     metrics::gauge!("vms_known").set(cx.shared.peers().len() as f64);
     admission::set_gauges(cx, now);
     record_congestion(cx, now);
