--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod lost_machines;
 mod names;
+mod silent_streams;
 mod site;
 mod slow_callers;
 mod store;
@@ -35,6 +36,7 @@
         "changing-routes" => changing_routes::run(record).await,
         "failing-endpoint" => failing_endpoint::run(record).await,
         "lost-machines" => lost_machines::run(record).await,
+        "silent-streams" => silent_streams::run(record).await,
         "slow-callers" => slow_callers::run(record).await,
         _ => ExitCode::from(2),
     }
--- a/review/harness-2/src/site.rs
+++ b/review/harness-2/src/site.rs
@@ -50,6 +50,10 @@
     Whole(Arc<[u8]>),
     /// A stream of so many events, with a pause after each.
     Events(u32, Duration),
+    /// A stream of so many events, with a short pause after each and a long one after the second.
+    Silent { events: u32, pause: Duration, silence: Duration },
+    /// That the request has not run, after a time.
+    LateRejection(Duration),
 }
 
 /// What an endpoint does with a request.
@@ -150,7 +154,14 @@
         record.line(&format!("{own} runs {} {}", head.get(name("id")), head.start));
         let sent = match answering(own, &head) {
             Reply::Whole(bytes) => conn.get_mut().write_all(&bytes).await,
-            Reply::Events(events, pause) => send_events(&mut conn, own, &head, events, pause).await,
+            Reply::Events(events, pause) => send_events(&mut conn, own, &head, events, pause, pause).await,
+            Reply::Silent { events, pause, silence } => {
+                send_events(&mut conn, own, &head, events, pause, silence).await
+            },
+            Reply::LateRejection(delay) => {
+                sleep(delay).await;
+                conn.get_mut().write_all(&rejection(&head)).await
+            },
         };
         if sent.is_err() {
             return;
@@ -159,7 +170,14 @@
 }
 
 /// Sends the events that follow the last one which the request names.
-async fn send_events(conn: &mut Conn, own: &str, head: &Head, events: u32, pause: Duration) -> io::Result<()> {
+async fn send_events(
+    conn: &mut Conn,
+    own: &str,
+    head: &Head,
+    events: u32,
+    pause: Duration,
+    pause_after_second: Duration,
+) -> io::Result<()> {
     let answer = format!(
         "HTTP/1.1 200 -\r\n{}: {}\r\n{}: {own}\r\ncontent-type: text/event-stream\r\n\
          transfer-encoding: chunked\r\n\r\n",
@@ -172,11 +190,19 @@
     for number in last + 1..=events {
         let event = format!("id: {number}\ndata: event {number}\n\n");
         conn.get_mut().write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
-        sleep(pause).await;
+        sleep(if number == 2 { pause_after_second } else { pause }).await;
     }
     conn.get_mut().write_all(b"0\r\n\r\n").await
 }
 
+/// The answer of a full endpoint.
+fn rejection(head: &Head) -> Vec<u8> {
+    let id = head.get(name("id"));
+    let answer =
+        format!("HTTP/1.1 503 -\r\n{}: {id}\r\n{}: 1\r\ncontent-length: 0\r\n\r\n", name("id"), name("not_run"));
+    answer.into_bytes()
+}
+
 /// Address of a machine.
 pub fn machine_ip(index: u16) -> Ipv4Addr {
     let [high, low] = (index + 1).to_be_bytes();
