Review: figures of many routes that are fetched

Rule: Fault, a process that goes over the memory of its machine is killed. Disruption: the manifest grows by 430 routes that are used, while the figures are fetched each 5 s. Replaces the case of manifests that replace routes, which failed without its disruption on a busy machine.

--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -1,7 +1,7 @@
 //! Cases of the second review, each a subcommand that the `run.sh` of its folder starts.
 
-mod changing_routes;
 mod failing_endpoint;
+mod fetched_figures;
 mod http;
 mod lost_machines;
 mod names;
@@ -33,7 +33,7 @@
 
 async fn run(case: &str, record: &str) -> ExitCode {
     match case {
-        "changing-routes" => changing_routes::run(record).await,
+        "fetched-figures" => fetched_figures::run(record).await,
         "failing-endpoint" => failing_endpoint::run(record).await,
         "lost-machines" => lost_machines::run(record).await,
         "silent-streams" => silent_streams::run(record).await,
--- a/review/harness-2/src/site.rs
+++ b/review/harness-2/src/site.rs
@@ -48,6 +48,8 @@
 pub enum Reply {
     /// These bytes.
     Whole(Arc<[u8]>),
+    /// These bytes, after a time.
+    Late(Arc<[u8]>, Duration),
     /// A stream of so many events, with a pause after each.
     Events(u32, Duration),
     /// A stream of so many events, with a short pause after each and a long one after the second.
@@ -154,6 +156,10 @@
         record.line(&format!("{own} runs {} {}", head.get(name("id")), head.start));
         let sent = match answering(own, &head) {
             Reply::Whole(bytes) => conn.get_mut().write_all(&bytes).await,
+            Reply::Late(bytes, delay) => {
+                sleep(delay).await;
+                conn.get_mut().write_all(&bytes).await
+            },
             Reply::Events(events, pause) => send_events(&mut conn, own, &head, events, pause, pause).await,
             Reply::Silent { events, pause, silence } => {
                 send_events(&mut conn, own, &head, events, pause, silence).await
