Call no request "not run" that an endpoint ran and answered with 503

The caller gets that 503, takes it for the guarantee that nothing ran, and sends the order again: 15 of 600 orders ran twice.

Cause: the router knows of each attempt whether the endpoint ran it, and its own refusals follow from that. The endpoint's answer did not: every whole answer was returned as it came, so a status that guarantees "not run" to callers (408, 429, 503) was passed on after a run. Found by the VMs' log: for the attempts at fault there is a line `request answered` with status 503 (13 of 13), none of `request refused`, none of a relay.

Change: where the request must not run again and such a status comes after a run, the caller gets 502 `failed_after_run`, an answer of the router's own without the endpoint's body, signature and time to come back. All other failures, and those of requests that may be repeated, come unchanged. The rule sits where every whole answer passes, so it holds for orders, for streams that can't be resumed and for requests that another VM relays.

Test: `a_failure_after_a_run_does_not_guarantee_that_the_request_did_not_run` failed before in its first of 48 cases ("/once/ 408 Late"); the two beside it pass before and after.

--- a/havengrade_ctl/src/explain.rs
+++ b/havengrade_ctl/src/explain.rs
@@ -156,6 +156,9 @@
         },
         "no_endpoint" => format!("no endpoint took it within {held} ms; it did not run"),
         "no_time_left" => format!("its time was over after {held} ms before an endpoint took it; it did not run"),
+        "failed_after_run" => {
+            "the endpoint ran it and answered with a status that means \"not run\"; it must not run again".into()
+        },
         "lost" => format!("it was sent, and no answer came; given up after {held} ms, it may have run"),
         "timed_out" => format!("no answer came within its time of {held} ms; it may have run"),
         "malformed" => "its head or body can be read in more than one way".into(),
--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -34,7 +34,7 @@
         self, check_unframed_answer, log_send_after_crashes, record_abandoned_attempt, record_answer,
         record_broken_attempt,
     },
-    refusal::{AnswerBody, Refusal, full_body},
+    refusal::{AnswerBody, Refusal, full_body, guarantees_not_run},
     request_relay::{
         RelayTarget, RelayedRequest, holder_targets, mark_not_accepted, other_targets, relay_request, relay_targets,
     },
@@ -54,6 +54,8 @@
     Answered { answer: Response<AnswerBody>, is_failure: bool },
     /// No answer.
     Failed(RunState),
+    /// The router's own answer, in place of the endpoint's.
+    Refused(Refusal),
     /// An answer in which its model has low confidence; the stronger model is used instead.
     LowConfidence { stronger: ModelId },
 }
@@ -174,6 +176,7 @@
                 failed_answer = Some(answer);
             },
             AttemptResult::Failed(state) => request.record_attempt(state),
+            AttemptResult::Refused(refusal) => return Err(refusal),
             AttemptResult::LowConfidence { stronger } => {
                 request.record_attempt(RunState::Ran);
                 request.model = Some(stronger);
@@ -448,6 +451,11 @@
     } else {
         record_success(cx, endpoint);
     }
+    // Callers send a request again, whatever its route, once they are told that it did not run.
+    if guarantees_not_run(head.status) && !request.attempts.is_repeatable() {
+        log_failed_attempt(request, endpoint, &format!("status {} after a run", head.status.as_u16()));
+        return AttemptResult::Refused(Refusal::FailedAfterRun);
+    }
     log_answered_request(request, endpoint, head.status, now);
     let head = encode_answer_head(cx, head);
     AttemptResult::Answered { answer: Response::from_parts(head, full_body(answer)), is_failure }
--- a/havengrade_router/src/published/refusal.rs
+++ b/havengrade_router/src/published/refusal.rs
@@ -71,6 +71,9 @@
     },
     /// The time limit was reached before the request could be sent.
     NoTimeLeft,
+    /// An endpoint ran the request, which must not run again, and answered with a status that would guarantee that it did
+    /// not run.
+    FailedAfterRun,
     /// The request may have run, but no answer came.
     Lost,
     /// The request may have run, but no answer came in time.
@@ -99,6 +102,7 @@
             Self::Quarantined { .. } => "quarantined",
             Self::Shortage { .. } => "shortage",
             Self::NoTimeLeft => "no_time_left",
+            Self::FailedAfterRun => "failed_after_run",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
         }
@@ -125,7 +129,7 @@
             | Self::Quarantined { .. }
             | Self::Shortage { .. }
             | Self::NoTimeLeft => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::FailedAfterRun | Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -183,6 +187,17 @@
     }
 }
 
+/// Whether a status guarantees callers that their request did not run and never will.
+pub(super) fn guarantees_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Creates a body from bytes that are all available.
 pub fn full_body(bytes: Bytes) -> AnswerBody {
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
