Take only an engine's rejection of a new stream for "not run"

What callers saw: a request that may run only once runs again at another engine, or its caller is told `run_state: not_run`, although an engine ran it and failed.

Cause: any status other than a success before the first piece of an answer counted as "not run", except 404. That includes a 500 after a run, and the refusal to resume a stream whose start was accepted or lost.

Change: only the start of a stream can be rejected, by a client error or 503. Other failures may have run.

--- a/havengrade_dev/src/stand_in/engine.rs
+++ b/havengrade_dev/src/stand_in/engine.rs
@@ -38,6 +38,10 @@
     DiesAfter(usize),
     /// The engine refuses for load.
     Refuses,
+    /// The engine runs the request and answers with an error.
+    Fails,
+    /// The connection breaks before the first piece; the stream goes on, and the engine is too busy to resume it.
+    BreaksAndRefuses,
 }
 
 /// A stream that was started.
@@ -80,6 +84,8 @@
     next_ticket: u64,
     loads: VecDeque<(Instant, u32)>,
     faults: VecDeque<EngineFault>,
+    /// Streams that can't be resumed for load.
+    refused_streams: BTreeSet<String>,
     started: Vec<StartedStream>,
     leaving: bool,
     /// Time for which the engine asks for rest, where it turns all streams away.
@@ -227,8 +233,13 @@
             state.streams.insert(id.clone(), generation.clone());
         }
         tokio::spawn(self.clone().generate(generation.clone(), priority));
-        if matches!(fault, Some(EngineFault::DiesAfter(_))) {
-            lock(&self.state).streams.remove(&id);
+        match fault {
+            Some(EngineFault::DiesAfter(_)) => drop(lock(&self.state).streams.remove(&id)),
+            Some(EngineFault::BreaksAndRefuses) => drop(lock(&self.state).refused_streams.insert(id)),
+            Some(EngineFault::Fails) => {
+                return bytes(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "failed".into());
+            },
+            Some(EngineFault::BreaksAfter(_) | EngineFault::Refuses) | None => {},
         }
         attach(generation, 0, fault)
     }
@@ -248,7 +259,11 @@
     }
 
     fn resume(&self, id: &str, from: usize) -> Reply {
-        match lock(&self.state).streams.get(id) {
+        let state = lock(&self.state);
+        if state.refused_streams.contains(id) {
+            return bytes(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "busy".into());
+        }
+        match state.streams.get(id) {
             Some(generation) => attach(generation.clone(), from, None),
             None => bytes(StatusCode::NOT_FOUND, "text/plain", "no such stream".into()),
         }
@@ -282,7 +297,8 @@
 fn attach(generation: Arc<Generation>, from: usize, fault: Option<EngineFault>) -> Reply {
     let breaks_at = match fault {
         Some(EngineFault::BreaksAfter(count) | EngineFault::DiesAfter(count)) => Some(count),
-        Some(EngineFault::Refuses) | None => None,
+        Some(EngineFault::BreaksAndRefuses) => Some(0),
+        Some(EngineFault::Refuses | EngineFault::Fails) | None => None,
     };
     let reader = Reader { generation, next: from, breaks_at, has_ended: false };
     let frames = stream::unfold(reader, |mut reader| async move {
--- a/havengrade_dev/tests/silent_engines.rs
+++ b/havengrade_dev/tests/silent_engines.rs
@@ -5,54 +5,20 @@
 
 use std::time::Duration;
 
-use havengrade_core::{
-    config::{Account, ChangeFile, RequestClass},
-    secret::digest,
-};
 use havengrade_dev::{
     caller::{Ask, Got},
     fabric::Host,
     fleet::router_host,
-    scenario::{CHEAP, key_of},
+    scenario::CHEAP,
     stand_in::expected_answer,
 };
-use support::{Bench, chat};
+use support::{Bench, ONCE, chat, start_with_once};
 use tokio::time::{Instant, sleep};
 
-/// Class whose chat requests may run only once, and the client account that may send them.
-const ONCE: &str = "once";
 /// Time after which an answer has begun and is not complete.
 const BEGUN_AFTER: Duration = Duration::from_millis(16);
 const ENGINES: [&str; 6] = ["engine-1", "engine-2", "engine-3", "engine-4", "engine-5", "engine-6"];
 
-/// A deployment in which the client account [`ONCE`] may send chat requests that may not be repeated.
-async fn start() -> Bench {
-    let bench = Bench::start(1).await;
-    let class = RequestClass {
-        id: ONCE.to_owned(),
-        priority: 0,
-        deadline_ms: 20_000,
-        repeatable: false,
-        durable: false,
-        cascade: Some("quick".to_owned()),
-        pins_sessions: false,
-        session_s: 3600,
-    };
-    let account = Account {
-        id: ONCE.to_owned(),
-        key_sha256: hex::encode(digest(key_of(ONCE).as_bytes())),
-        versions: vec!["swift@*".to_owned(), "sage@*".to_owned()],
-        classes: vec![ONCE.to_owned()],
-        max_concurrent: 200,
-        requests_per_second: 1000,
-        weight: 1,
-    };
-    let change = ChangeFile { class: vec![class], account: vec![account], ..ChangeFile::default() };
-    bench.fleet.apply_at_once("once", &change);
-    sleep(Duration::from_secs(2)).await;
-    bench
-}
-
 fn engine_host(engine: &str) -> Host {
     let number: Host = engine.trim_start_matches("engine-").parse().unwrap();
     9 + number
@@ -90,7 +56,7 @@
 /// Guards against an answer that is given up for a silence of its engine although no other engine may run the request.
 #[tokio::test(start_paused = true)]
 async fn a_request_that_may_not_be_repeated_outlives_the_silence_of_its_engine() {
-    let bench = start().await;
+    let bench = start_with_once().await;
     for (silent_s, stream) in [(3, true), (9, true), (9, false)] {
         let prompt = format!("which lot, {silent_s} {stream}");
         let silent_for = Duration::from_secs(silent_s);
@@ -105,7 +71,7 @@
 /// Guards against an answer that is given up for a silence of its engine while no other engine is there to continue it.
 #[tokio::test(start_paused = true)]
 async fn a_request_outlives_the_silence_of_all_engines() {
-    let bench = start().await;
+    let bench = start_with_once().await;
     for stream in [true, false] {
         let ask = Ask { stream, ..chat("lot-question", "ripe?") };
         let silent_for = Duration::from_secs(6);
@@ -118,7 +84,7 @@
 /// Guards against a request that waits for a silent engine until its deadline although another one could go on with it.
 #[tokio::test(start_paused = true)]
 async fn a_request_leaves_a_silent_engine_where_another_one_is_there() {
-    let bench = start().await;
+    let bench = start_with_once().await;
     let sent = Instant::now();
     let ask = Ask { stream: true, ..chat("lot-question", "ripe?") };
     let busy = |bench: &Bench| ENGINES.into_iter().filter(|id| bench.fleet.engines[*id].load() > 0).collect();
--- a/havengrade_dev/tests/support/mod.rs
+++ b/havengrade_dev/tests/support/mod.rs
@@ -12,14 +12,21 @@
     time::{Duration, SystemTime},
 };
 
+use havengrade_core::{
+    config::{Account, ChangeFile, RequestClass},
+    secret::digest,
+};
 use havengrade_dev::{
     caller::{Ask, Caller, Got},
     fabric::{Fabric, Host, Pipes},
     fleet::{Fleet, FleetOptions, router_host},
-    scenario::{CRATES, EVENTS},
+    scenario::{CRATES, EVENTS, key_of},
 };
 use havengrade_router::{net::BoxConnection, settings::Settings};
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    time::sleep,
+};
 
 /// Host from which callers call.
 const CALLERS: Host = 250;
@@ -107,3 +114,34 @@
 pub(crate) fn chat(class: &str, prompt: &str) -> Ask {
     Ask { class: class.into(), prompt: prompt.into(), ..Ask::default() }
 }
+
+/// Class whose chat requests may run only once, and the client account that may send them.
+pub(crate) const ONCE: &str = "once";
+
+/// A deployment in which the client account [`ONCE`] may send chat requests that may not be repeated.
+pub(crate) async fn start_with_once() -> Bench {
+    let bench = Bench::start(1).await;
+    let class = RequestClass {
+        id: ONCE.to_owned(),
+        priority: 0,
+        deadline_ms: 20_000,
+        repeatable: false,
+        durable: false,
+        cascade: Some("quick".to_owned()),
+        pins_sessions: false,
+        session_s: 3600,
+    };
+    let account = Account {
+        id: ONCE.to_owned(),
+        key_sha256: hex::encode(digest(key_of(ONCE).as_bytes())),
+        versions: vec!["swift@*".to_owned(), "sage@*".to_owned()],
+        classes: vec![ONCE.to_owned()],
+        max_concurrent: 200,
+        requests_per_second: 1000,
+        weight: 1,
+    };
+    let change = ChangeFile { class: vec![class], account: vec![account], ..ChangeFile::default() };
+    bench.fleet.apply_at_once("once", &change);
+    sleep(Duration::from_secs(2)).await;
+    bench
+}
--- a/havengrade_router/src/traffic/engine_stream.rs
+++ b/havengrade_router/src/traffic/engine_stream.rs
@@ -7,7 +7,7 @@
 use havengrade_core::{config::Endpoint, cost::TokenUsage};
 use http_body_util::{BodyExt as _, Full};
 use hyper::{
-    Method, Request, Response,
+    Method, Request, Response, StatusCode,
     body::Incoming,
     header::{HeaderName, HeaderValue},
 };
@@ -99,13 +99,14 @@
             return Err(EngineError::NotRun(error.to_string()));
         }
         let mut resume_attempts = 0;
+        let mut is_start = true;
         loop {
             let received_before = stream.received_pieces;
             if let Ok(response) = &opened {
                 record_backoff(self.cx, &self.endpoint.id, response.status(), response.headers());
             }
             let end = match opened {
-                Ok(response) => match status_error(&response, self.endpoint, received_before) {
+                Ok(response) => match status_error(response.status(), self.endpoint, is_start) {
                     Some(error) => {
                         stream.is_finished = true;
                         return Err(error);
@@ -135,6 +136,7 @@
                 "resuming the stream: {reason}"
             );
             sleep(RESUME_DELAY).await;
+            is_start = false;
             opened = self.open(self.resume_request(stream.received_pieces)).await;
         }
     }
@@ -166,14 +168,15 @@
 }
 
 /// Returns the error for a status that isn't a success.
-fn status_error(response: &Response<Incoming>, endpoint: &Endpoint, received: usize) -> Option<EngineError> {
-    let status = response.status();
+///
+/// Only an engine that rejects the start of a stream, for load or as malformed, tells that it runs nothing.
+fn status_error(status: StatusCode, endpoint: &Endpoint, is_start: bool) -> Option<EngineError> {
     if status.is_success() {
         return None;
     }
     let detail = format!("{} answered {status}", endpoint.id);
-    // An engine that rejects a request for load or as malformed does so before it runs anything.
-    let has_not_run = received == 0 && status != hyper::StatusCode::NOT_FOUND;
+    let is_rejection = status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE;
+    let has_not_run = is_start && is_rejection && status != StatusCode::NOT_FOUND;
     Some(if has_not_run { EngineError::NotRun(detail) } else { EngineError::MayHaveRun(detail) })
 }
 
