Take no status outside 200 to 599 for an answer

Report of other operators: a worker in trouble sent an answer whose status was 000, and the client got it as an answer.

What callers saw here: not 000, 001 or 099, which the HTTP library rejects, but 101 and 600 to 999 came through as the endpoint's answer. 101 also ends HTTP on the caller's connection. The HTTP client of the own interface and of the store took both for answers.

Cause: the HTTP library takes any three digits from 100 on for a status, and nothing behind it looked again.

Change: such a status is an error of its connection, at endpoints and other VMs (`ConnectionError::InvalidStatus`) and in the HTTP client. The attempt may have run and counts as a failure, like other bytes that are no answer.

--- a/havengrade_router/src/http.rs
+++ b/havengrade_router/src/http.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
-    HeaderMap, Method, Request, Response, Uri,
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
     body::{Body as _, Incoming},
     header::{CONTENT_TYPE, HeaderValue},
 };
@@ -50,6 +50,14 @@
         /// Error of the HTTP client.
         source: ClientError,
     },
+    /// The status is none of a final answer.
+    #[snafu(display("{address} answered with the invalid status {status}"))]
+    InvalidStatus {
+        /// Address of the server.
+        address: SocketAddr,
+        /// Status of the answer.
+        status: u16,
+    },
     /// The body of the answer was cut off, too long or malformed.
     #[snafu(display("answer of {address} broke off: {reason}"))]
     InvalidBody {
@@ -115,7 +123,7 @@
     ///
     /// [`HttpError::UnexpectedStatus`] for any other status.
     pub fn into_ok_body(self, address: SocketAddr) -> Result<Bytes, HttpError> {
-        if self.status == hyper::StatusCode::OK.as_u16() {
+        if self.status == StatusCode::OK.as_u16() {
             return Ok(self.body);
         }
         let body = String::from_utf8_lossy(&self.body).into_owned();
@@ -141,6 +149,21 @@
     request
 }
 
+/// Whether a status is one of a final answer.
+///
+/// The HTTP library lets statuses up to 999 pass, and 101, with which a connection leaves HTTP.
+///
+/// ```
+/// use havengrade_router::http::is_final_status;
+/// use hyper::StatusCode;
+///
+/// assert!(is_final_status(StatusCode::OK));
+/// assert!(!is_final_status(StatusCode::SWITCHING_PROTOCOLS));
+/// ```
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// An HTTP client with one connection pool and the option to bypass it.
 #[derive(Clone)]
 pub struct HttpClient {
@@ -175,7 +198,7 @@
     ///
     /// # Errors
     ///
-    /// [`HttpError::NotSent`], [`HttpError::Lost`] or [`HttpError::TimedOut`].
+    /// [`HttpError::NotSent`], [`HttpError::Lost`], [`HttpError::InvalidStatus`] or [`HttpError::TimedOut`].
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -191,6 +214,9 @@
             return TimedOutSnafu { address }.fail();
         };
         match result {
+            Ok(response) if !is_final_status(response.status()) => {
+                InvalidStatusSnafu { address, status: response.status().as_u16() }.fail()
+            },
             Ok(response) => Ok(response),
             Err(error) if error.is_connect() => Err(error).context(NotSentSnafu { address }),
             Err(error) => Err(error).context(LostSnafu { address }),
--- a/havengrade_router/src/published/attempt.rs
+++ b/havengrade_router/src/published/attempt.rs
@@ -269,7 +269,7 @@
 ) -> RunState {
     log_failed_attempt(request, endpoint, &error.to_string());
     let state = run_state(error);
-    if matches!(error, ConnectionError::Lost { .. }) {
+    if matches!(error, ConnectionError::Lost { .. } | ConnectionError::InvalidStatus { .. }) {
         record_broken_outcome(cx, request, endpoint);
     }
     if state == RunState::MayHaveRun {
@@ -283,7 +283,10 @@
 fn run_state(error: &ConnectionError) -> RunState {
     match error {
         ConnectionError::NotConnected { .. } | ConnectionError::NotSent { .. } => RunState::NotSent,
-        ConnectionError::Lost { .. } | ConnectionError::NoAnswer | ConnectionError::Replaced => RunState::MayHaveRun,
+        ConnectionError::Lost { .. }
+        | ConnectionError::InvalidStatus { .. }
+        | ConnectionError::NoAnswer
+        | ConnectionError::Replaced => RunState::MayHaveRun,
     }
 }
 
--- a/havengrade_router/src/published/connection_pool.rs
+++ b/havengrade_router/src/published/connection_pool.rs
@@ -20,6 +20,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
+    http::is_final_status,
     net::{BoxConnection, Network},
     published::{
         endpoint_body::{ConnectionDriver, EndpointBody, PollLock},
@@ -67,6 +68,12 @@
         /// Error of the HTTP library.
         source: hyper::Error,
     },
+    /// The status of the answer is none of a final one.
+    #[snafu(display("invalid status {status}"))]
+    InvalidStatus {
+        /// Status of the answer.
+        status: u16,
+    },
     /// The request was written, but no answer came in time.
     #[snafu(display("no answer in time"))]
     NoAnswer,
@@ -95,6 +102,9 @@
         self.is_new = false;
         self.allowance.limit(MAX_BYTES_BEFORE_ANSWER);
         let mut error = match self.sender.try_send_request(request).await {
+            Ok(response) if !is_final_status(response.status()) => {
+                return InvalidStatusSnafu { status: response.status().as_u16() }.fail();
+            },
             Ok(response) => {
                 self.allowance.lift();
                 return Ok(response.map(|body| EndpointBody::new(body, self.poll_lock.clone())));
