Bound the memory of endless answers at the router's own interface

Report of other operators: a faulty worker sent bytes that were no answer, without end, and the machine that kept them ran out of memory.

Whether it can happen here: `endless_answers` shows that it can't at published routes; it covers endpoints only, neither the own interface nor the store. At the own interface it could: 60 requests at a time before endpoints that never end an answer took 1,992 MB (plain services, a body without length) and 175 MB (engines, a line without end). A VM of 110 MB ends there, and all requests with it.

Cause: a bound on one answer (16 MB; 1 MB a line) that is none on all of them, and none at all on the pieces of a stream.

Change: beyond its first 64 KB an answer of an endpoint needs room, of which all share 16 MB (`answer_room.rs`); without room it is given up. A line has 64 KB at most, an answer of an engine 16 MB, a head 64 KB. A body whose announced length is too large is refused at once. The platform's services have room of their own.

--- a/havengrade_router/src/http.rs
+++ b/havengrade_router/src/http.rs
@@ -10,8 +10,8 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt as _, Full};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
     body::{Body as _, Incoming},
@@ -28,7 +28,10 @@
 use tokio::time::timeout;
 use tower_service::Service;
 
-use crate::net::{BoxConnection, Network};
+use crate::{
+    answer_room::{AnswerBytes, AnswerRoom},
+    net::{BoxConnection, Network},
+};
 
 /// A failed call.
 #[derive(Debug, Snafu)]
@@ -169,6 +172,7 @@
 pub struct HttpClient {
     pooled: Client<Connector, Full<Bytes>>,
     fresh: Client<Connector, Full<Bytes>>,
+    room: AnswerRoom,
 }
 
 /// Whether a call may use an open connection of the pool.
@@ -188,10 +192,22 @@
             Client::builder(TokioExecutor::new())
                 .pool_timer(TokioTimer::new())
                 .pool_max_idle_per_host(max_idle)
+                .http1_max_buf_size(MAX_READ_BYTES)
                 .retry_canceled_requests(max_idle > 0)
                 .build(connector.clone())
         };
-        Self { pooled: client(MAX_IDLE_CONNECTIONS), fresh: client(0) }
+        Self { pooled: client(MAX_IDLE_CONNECTIONS), fresh: client(0), room: AnswerRoom::default() }
+    }
+
+    /// Returns a client with the same connections whose answers take no room from those of this one.
+    #[must_use]
+    pub fn with_own_room(&self) -> Self {
+        Self { room: AnswerRoom::default(), ..self.clone() }
+    }
+
+    /// Starts to count the bytes of an answer that the caller of [`Self::send`] reads.
+    pub(crate) fn begin_answer(&self) -> AnswerBytes {
+        self.room.begin()
     }
 
     /// Sends a request and returns the head of the answer with an unread body.
@@ -223,7 +239,8 @@
         }
     }
 
-    /// Sends a request and reads the complete answer, with a body of up to `max_body` bytes, within `limit`.
+    /// Sends a request and reads the complete answer, with a body of up to `max_body` bytes, within `limit`. One that gets
+    /// no room beside others within half of that time counts as broken off.
     ///
     /// # Errors
     ///
@@ -239,22 +256,42 @@
         let exchange = async {
             let response = self.send(address, request, reuse, limit).await?;
             let (head, body) = response.into_parts();
-            let length = body.size_hint().exact();
-            let collected = Limited::new(body, max_body).collect().await;
-            let collected = collected.map_err(|error| HttpError::InvalidBody { address, reason: error.to_string() })?;
-            let body = collected.to_bytes();
-            // The HTTP library reports the end of a body, too, if the task that reads its connection ends.
-            if length.is_some_and(|length| length != body.len() as u64) {
-                return InvalidBodySnafu { address, reason: "it is shorter than its announced length" }.fail();
-            }
+            let body = self.read_body(body, max_body, limit / 2).await;
+            let body = body.map_err(|reason| HttpError::InvalidBody { address, reason })?;
             let content_type = head.headers.get(CONTENT_TYPE);
             let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
             Ok(Answer { status: head.status.as_u16(), content_type, headers: head.headers, body })
         };
         timeout(limit, exchange).await.unwrap_or_else(|_| TimedOutSnafu { address }.fail())
     }
+
+    /// Reads a body to its end, or tells why that is not possible.
+    async fn read_body(&self, mut body: Incoming, max_bytes: usize, room_limit: Duration) -> Result<Bytes, String> {
+        let too_long = || format!("it has more than {max_bytes} bytes");
+        let length = body.size_hint();
+        if length.lower() > max_bytes as u64 {
+            return Err(too_long());
+        }
+        let mut counted = self.begin_answer();
+        let mut buf = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|error| error.to_string())?.into_data() else { continue };
+            if buf.len() + data.len() > max_bytes {
+                return Err(too_long());
+            }
+            counted.add(data.len(), room_limit).await.map_err(|error| error.to_string())?;
+            buf.extend_from_slice(&data);
+        }
+        // The HTTP library reports the end of a body, too, if the task that reads its connection ends.
+        if length.exact().is_some_and(|length| length != buf.len() as u64) {
+            return Err("it is shorter than its announced length".to_owned());
+        }
+        Ok(buf.freeze())
+    }
 }
 
+/// Largest number of bytes that are read from a connection before they are used, which bounds the head of an answer.
+const MAX_READ_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections for each address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
--- a/havengrade_router/src/lib.rs
+++ b/havengrade_router/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
 #![cfg_attr(test, allow(clippy::unwrap_used))]
 
+mod answer_room;
 pub mod cli;
 pub mod clock;
 pub mod endpoints;
--- a/havengrade_router/src/router.rs
+++ b/havengrade_router/src/router.rs
@@ -218,7 +218,7 @@
         log,
         vm_list,
         rating,
-        http,
+        http: http.with_own_room(),
         forced_shutdown: CancellationToken::new(),
         graceful_shutdown: CancellationToken::new(),
         tracked_tasks: TaskTracker::new(),
--- a/havengrade_router/src/traffic/engine_stream.rs
+++ b/havengrade_router/src/traffic/engine_stream.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    answer_room::AnswerBytes,
     http::{ConnectionReuse, HttpError, get, post},
     kernel::Context,
     traffic::{backoff::record_backoff, chat_api::EngineChunk},
@@ -29,7 +30,9 @@
 /// Priority of a request; 0 is the highest.
 const PRIORITY: HeaderName = HeaderName::from_static("x-priority");
 /// Longest line of a stream, in bytes.
-const MAX_LINE_BYTES: usize = 1 << 20;
+const MAX_LINE_BYTES: usize = 64 << 10;
+/// Largest answer, in bytes of the lines of its pieces.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Most connections that may be opened in a row to resume a stream without receiving a new piece; those of a silent
 /// engine don't count while nothing else may give the answer.
 const MAX_RESUMES: u32 = 3;
@@ -68,18 +71,22 @@
     Interrupted(String),
     /// The engine sent nothing within a time limit; the stream may be resumed.
     Silent(String),
+    /// The answer is too long, or no room is left for the rest of it.
+    TooLong(String),
 }
 
 /// An open stream, which is cancelled at its engine when it is dropped unfinished.
 struct OpenStream<'a> {
     call: &'a EngineCall<'a>,
     received_pieces: usize,
+    counted: &'a mut AnswerBytes,
     usage: TokenUsage,
     is_finished: bool,
 }
 
 impl EngineCall<'_> {
-    /// Reads the complete answer and passes each piece to the sink exactly once.
+    /// Reads the complete answer and passes each piece to the sink exactly once; `counted` counts the bytes of all calls
+    /// that supply the answer.
     ///
     /// A silent engine may still be working on the answer, so it is given up only if `may_be_replaced`, given whether it
     /// has sent a piece, tells that something else may give the answer.
@@ -87,10 +94,11 @@
         &self,
         body: &Value,
         sink: &mut dyn PieceSink,
+        counted: &mut AnswerBytes,
         may_be_replaced: &(dyn Fn(bool) -> bool + Sync),
     ) -> Result<TokenUsage, EngineError> {
-        let mut stream =
-            OpenStream { call: self, received_pieces: 0, usage: TokenUsage::default(), is_finished: false };
+        let usage = TokenUsage::default();
+        let mut stream = OpenStream { call: self, received_pieces: 0, counted, usage, is_finished: false };
         let mut opened = self.open(self.start_request(body)).await;
         if let Err(error) = &opened
             && error.is_known_not_sent()
@@ -123,6 +131,7 @@
                 },
                 ConnectionEnd::Interrupted(reason) => (reason, true),
                 ConnectionEnd::Silent(reason) => (reason, may_be_replaced(stream.received_pieces > 0)),
+                ConnectionEnd::TooLong(reason) => return Err(EngineError::MayHaveRun(reason)),
             };
             if stream.received_pieces > received_before {
                 resume_attempts = 0;
@@ -199,12 +208,24 @@
             if data == "[DONE]" {
                 return ConnectionEnd::Complete;
             }
+            if let Err(reason) = self.reserve_room(data.len()).await {
+                return ConnectionEnd::TooLong(reason);
+            }
             if let Err(reason) = self.accept_chunk(data, index, sink) {
                 return ConnectionEnd::Interrupted(reason);
             }
         }
     }
 
+    /// Counts the bytes of a piece; tells why it must not be kept.
+    async fn reserve_room(&mut self, bytes: usize) -> Result<(), String> {
+        self.counted.add(bytes, self.call.stall_timeout()).await.map_err(|error| error.to_string())?;
+        if self.counted.get() > MAX_ANSWER_BYTES {
+            return Err(format!("the answer has more than {MAX_ANSWER_BYTES} bytes"));
+        }
+        Ok(())
+    }
+
     /// Passes a piece to the sink if it is the next one; a piece received before is skipped.
     fn accept_chunk(&mut self, data: &str, index: Option<usize>, sink: &mut dyn PieceSink) -> Result<(), String> {
         let chunk: EngineChunk = serde_json::from_str(data).map_err(|error| error.to_string())?;
--- a/havengrade_router/src/traffic/execution.rs
+++ b/havengrade_router/src/traffic/execution.rs
@@ -166,6 +166,7 @@
     let mut problem = no_endpoint(request.backoff_left(Some(version)));
     let quarantine = RequestQuarantine::new(request, Some(version), "");
     let mut collector = Collector { entry: &request.entry, source: None, content: String::new() };
+    let mut counted = request.cx.http.begin_answer();
     while let Some(endpoint) = next_endpoint(request, Some(version), &tried_endpoints) {
         tried_endpoints.push(endpoint.id.clone());
         if let Err(refusal) = quarantine.admit().await {
@@ -196,7 +197,7 @@
             request.is_repeatable()
                 && (may_ask_next_version || may_try_another(request, Some(version), &tried_endpoints))
         };
-        let result = call.run(&body, &mut collector, &may_be_replaced).await;
+        let result = call.run(&body, &mut collector, &mut counted, &may_be_replaced).await;
         drop(in_flight);
         request.record_attempt(&endpoint.id, result.is_ok());
         record_result(request, version, result.is_ok());
