Bound the memory of whole answers that wait for slow callers

Cause: a large answer needs room while it is read from its endpoint. The room was given back once it had been read, and from then on the answer waited in the HTTP library, without a bound on all such answers and without a time limit. A test that counts what the process allocates shows 48 times 4 MB.

Change: a whole answer of more than 64 KB keeps its room, and is counted, until its caller's connection has taken it, in pieces of 16 KB. Answers beyond 1 MB take room by their length, of 16 MB for all, where there was one place; if the length is known they wait for it before they are read. A caller who has not read such an answer by the deadline and the time limit of the route after it loses the connection, as with relayed answers.

--- a/havengrade_router/src/published/forward.rs
+++ b/havengrade_router/src/published/forward.rs
@@ -34,12 +34,13 @@
         self, check_unframed_answer, log_send_after_crashes, record_abandoned_attempt, record_answer,
         record_broken_attempt,
     },
-    refusal::{AnswerBody, Refusal, full_body, guarantees_not_run},
+    refusal::{AnswerBody, Refusal, guarantees_not_run},
     request_relay::{
         RelayTarget, RelayedRequest, holder_targets, mark_not_accepted, other_targets, relay_request, relay_targets,
     },
     rewrite::encode_answer_head,
     speeds,
+    stream_buffer::CallerConnection,
 };
 
 /// Delay before another endpoint is chosen for a request that can't be sent because of claimed sends or whose endpoint
@@ -458,7 +459,9 @@
     }
     log_answered_request(request, endpoint, head.status, now);
     let head = encode_answer_head(cx, head);
-    AttemptResult::Answered { answer: Response::from_parts(head, full_body(answer)), is_failure }
+    let connection = request.head.extensions.get::<CallerConnection>().cloned().unwrap_or_default();
+    let body = answer.into_body(connection, request.time_left(now) + request.route.time_limit);
+    AttemptResult::Answered { answer: Response::from_parts(head, body), is_failure }
 }
 
 /// Whether the head of an answer tells where it ends; otherwise it ends with its connection, as it also does when its
--- a/havengrade_router/src/published/stream_buffer.rs
+++ b/havengrade_router/src/published/stream_buffer.rs
@@ -31,10 +31,10 @@
 pub(super) const MAX_UNRESERVED_BYTES: usize = 64 << 10;
 /// Largest event, and size of an answer above which it is huge, in bytes.
 pub(super) const MAX_LARGE_BYTES: usize = 1 << 20;
-/// Number of large events and answers that are read at a time, with another eighth of the memory.
+/// Number of large events and answers that are read, or wait for callers, at a time, with another eighth of the memory.
 const MAX_LARGE: usize = 16;
-/// Number of huge answers that are read at a time, each with up to an eighth of the memory.
-const MAX_HUGE: usize = 1;
+/// Bytes of all huge answers, with another eighth of the memory.
+const MAX_HUGE_BYTES: usize = 16 << 20;
 /// Bytes that a shorter frame counts as, for the memory of its entry in the queue.
 const MIN_FRAME_BYTES: usize = 256;
 
@@ -53,7 +53,7 @@
             buffered: Arc::default(),
             waiting: Arc::new(Semaphore::new(MAX_WAITING_BYTES)),
             large: Arc::new(Semaphore::new(MAX_LARGE)),
-            huge: Arc::new(Semaphore::new(MAX_HUGE)),
+            huge: Arc::new(Semaphore::new(MAX_HUGE_BYTES)),
         }
     }
 }
@@ -76,9 +76,9 @@
         acquire(&self.large, 1, limit).await
     }
 
-    /// Reserves room for an answer beyond [`MAX_LARGE_BYTES`], as [`Self::reserve_large`] does.
-    pub(super) async fn reserve_huge(&self, limit: Duration) -> Option<OwnedSemaphorePermit> {
-        acquire(&self.huge, 1, limit).await
+    /// Reserves room for an answer beyond [`MAX_LARGE_BYTES`] by its length, as [`Self::reserve_large`] does.
+    pub(super) async fn reserve_huge(&self, bytes: usize, limit: Duration) -> Option<OwnedSemaphorePermit> {
+        acquire(&self.huge, bytes, limit).await
     }
 
     /// Creates the queue of one stream, and the stream of its frames for the caller.
