Bound the memory of the times that are recorded for each route

Cause: the recorder's default for a histogram is a summary of fine sketches, some hundred KB for each route that is used, filled when the metrics are fetched. Without a fetch, each recorded time was kept until the next one.

--- a/havengrade_router/src/launch.rs
+++ b/havengrade_router/src/launch.rs
@@ -77,6 +77,7 @@
         log::error!("failed to create the async runtimes");
         return ExitCode::from(EXIT_NOT_STARTED);
     };
+    control.spawn(metrics::run_upkeep());
     let code = control.block_on(serve(start, traffic.handle()));
     // Traffic may still be writing to slow callers, so the shutdown of its runtime does not block the exit.
     thread::spawn(move || drop(traffic));
