--- a/havengrade_dev/src/fabric.rs
+++ b/havengrade_dev/src/fabric.rs
@@ -7,7 +7,6 @@
     pin::Pin,
     sync::{Arc, Mutex},
     task::{Context, Poll, Waker},
-    time::Duration,
 };
 
 use async_trait::async_trait;
@@ -18,7 +17,6 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf, duplex},
     sync::{Mutex as AsyncMutex, mpsc},
-    time::sleep,
 };
 
 /// Number of a host.
@@ -70,8 +68,6 @@
     lossy: u32,
     /// Datagrams that were sent.
     datagrams: u32,
-    /// Longest time that a datagram takes.
-    datagram_delay: Duration,
 }
 
 /// Pipes in memory, which can be cut one way or both.
@@ -91,20 +87,6 @@
         lock(&self.wiring).lossy = datagrams;
     }
 
-    /// Lets datagrams take up to so long, each another time, so that they overtake each other.
-    pub fn delay_datagrams(&self, longest: Duration) {
-        lock(&self.wiring).datagram_delay = longest;
-    }
-
-    /// Time that the datagram takes which was counted last.
-    fn datagram_delay(&self) -> Duration {
-        /// Number of different times, and a step between two of them that is coprime to it.
-        const TIMES: u32 = 101;
-        const STEP: u32 = 37;
-        let wiring = lock(&self.wiring);
-        wiring.datagram_delay * (wiring.datagrams.wrapping_mul(STEP) % TIMES) / TIMES
-    }
-
     /// Counts a datagram; tells whether it is lost.
     fn loses(&self) -> bool {
         let mut wiring = lock(&self.wiring);
@@ -214,16 +196,9 @@
     async fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
         let socket = lock(&self.pipes.wiring).sockets.get(&to).cloned();
         let is_lost = self.pipes.is_cut(self.host, host_of(to)) || self.pipes.loses();
-        let (false, Some(socket)) = (is_lost, socket) else { return Ok(()) };
-        let (bytes, delay) = (bytes.to_vec(), self.pipes.datagram_delay());
-        // Like any datagram, one to a socket that was closed is lost without a word.
-        if delay.is_zero() {
-            let _ = socket.send(bytes);
-        } else {
-            tokio::spawn(async move {
-                sleep(delay).await;
-                let _ = socket.send(bytes);
-            });
+        if let (false, Some(socket)) = (is_lost, socket) {
+            // Like any datagram, one to a socket that was closed is lost without a word.
+            let _ = socket.send(bytes.to_vec());
         }
         Ok(())
     }
--- a/havengrade_router/src/published/feed_reader.rs
+++ b/havengrade_router/src/published/feed_reader.rs
@@ -231,9 +231,8 @@
 
     /// Time until the next check.
     fn poll_delay(&self) -> Duration {
-        let store = &self.cx.shared.store;
-        let is_paused = self.last_pause.is_some() || store.is_paused(Instant::now());
-        let reads_continuously = store.may_read() && store.is_reader() && !is_paused;
+        let reads_continuously =
+            self.cx.shared.store.may_read() && self.cx.shared.store.is_reader() && self.last_pause.is_none();
         if reads_continuously { self.consumer.read_interval(&self.cx) } else { POLL_INTERVAL }
     }
 
