Test that a misdirected request is sent to another endpoint

421 is the fourth status that guarantees "not run". An endpoint that answers it has not run the request, so it never reaches the caller of one that ran: the request is served by another endpoint.

--- a/havengrade_dev/tests/published_failed_runs.rs
+++ b/havengrade_dev/tests/published_failed_runs.rs
@@ -28,7 +28,7 @@
 const HEADERS: [&str; 4] =
     ["", "retry-after: 1\r\n", "havengrade-signature: s\r\n", "havengrade-signature: s\r\nretry-after: 1\r\n"];
 
-/// The configuration of the bench with a further route of streams that can't be resumed.
+/// The usual configuration with a further route of streams that can't be resumed.
 fn publication_with_tail() -> Publication {
     let mut publication = publication(2, &["k1"]);
     publication.routes.push(route("tail", TAIL, Repeat::Never, AnswerShape::Events { is_resumable: false }));
@@ -118,8 +118,10 @@
 #[tokio::test(start_paused = true)]
 async fn a_rejected_request_is_still_sent_to_another_endpoint() {
     let vms = TwoVms::start(false).await;
-    for (number, code) in GUARANTEES.into_iter().enumerate() {
-        let rejection = failure(code, "havengrade-not-run: 1\r\n");
+    let marked = GUARANTEES.map(|code| (code, "havengrade-not-run: 1\r\n"));
+    // 421 needs no header: whoever answers it is not the endpoint that the request was meant for.
+    for (number, (code, headers)) in marked.into_iter().chain([("421 Misdirected", "")]).enumerate() {
+        let rejection = failure(code, headers);
         *vms.replies.lock().unwrap() = vec![Reply::Write(rejection), signed("done")].into();
         let answer = vms.bench.ask(&get(ONCE, &format!("r{number}"))).await;
         assert!(status(&answer) == "200" && answer.ends_with("done"), "{code}: {answer}");
