--- a/havengrade_dev/tests/published_config_age.rs
+++ b/havengrade_dev/tests/published_config_age.rs
@@ -17,7 +17,7 @@
 const STEP: Duration = Duration::from_millis(10);
 
 #[derive(Clone, Copy, Debug)]
-enum Disturbance {
+enum Fault {
     /// The VMs are stopped: they neither read nor send.
     Stopped,
     /// The VMs do not reach the store.
@@ -30,17 +30,11 @@
     OnlyReached,
 }
 
-const KINDS: [Disturbance; 5] = [
-    Disturbance::Stopped,
-    Disturbance::CutFromStore,
-    Disturbance::CutFromVms,
-    Disturbance::Deaf,
-    Disturbance::OnlyReached,
-];
+const FAULTS: [Fault; 5] = [Fault::Stopped, Fault::CutFromStore, Fault::CutFromVms, Fault::Deaf, Fault::OnlyReached];
 
-fn disturb(bench: &Bench, vms: Host, index: usize, kind: Disturbance) {
+fn inject(bench: &Bench, vms: Host, index: usize, kind: Fault) {
     let host = Host::try_from(index + 1).unwrap();
-    if matches!(kind, Disturbance::OnlyReached) {
+    if matches!(kind, Fault::OnlyReached) {
         let readers: BTreeSet<usize> = bench.readers().into_iter().collect();
         let is_reader = |host: Host| readers.contains(&(usize::from(host) - 1));
         for (from, to) in (1..=vms).flat_map(|from| (1..=vms).map(move |to| (from, to))) {
@@ -49,33 +43,33 @@
             }
         }
     }
-    let is_cut_off = matches!(kind, Disturbance::Stopped | Disturbance::CutFromVms);
+    let is_cut_off = matches!(kind, Fault::Stopped | Fault::CutFromVms);
     for other in (1..=vms).filter(|other| *other != host) {
         if is_cut_off {
             bench.pipes.cut(host, other);
         }
-        if is_cut_off || matches!(kind, Disturbance::Deaf) {
+        if is_cut_off || matches!(kind, Fault::Deaf) {
             bench.pipes.cut(other, host);
         }
     }
-    if matches!(kind, Disturbance::Stopped | Disturbance::CutFromStore | Disturbance::OnlyReached) {
+    if matches!(kind, Fault::Stopped | Fault::CutFromStore | Fault::OnlyReached) {
         bench.store.turn_away(&name(index), true);
     }
 }
 
-/// Disturbs readers of the store and some other VMs, and has operators publish at random times.
+/// Injects a fault into readers of the store and some other VMs, and has operators publish at random times.
 ///
-/// Returns the longest time for which an undisturbed VM used an older configuration after the newest one was written.
-async fn longest_use(vms: Host, kind: Disturbance, readers_only: bool, seed: u64) -> (Duration, usize) {
+/// Returns the longest time for which a sound VM used an older configuration after the newest one was written.
+async fn longest_use(vms: Host, kind: Fault, readers_only: bool, seed: u64) -> (Duration, usize) {
     let bench = Bench::start_in(vms, 4).await;
     sleep(Duration::from_secs(3)).await;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut disturbed: BTreeSet<usize> = bench.readers().into_iter().collect();
+    let mut faulty: BTreeSet<usize> = bench.readers().into_iter().collect();
     if !readers_only {
-        disturbed.extend((0..usize::from(vms)).filter(|_| rng.random::<f64>() < 0.3));
+        faulty.extend((0..usize::from(vms)).filter(|_| rng.random::<f64>() < 0.3));
     }
-    for index in &disturbed {
-        disturb(&bench, vms, *index, kind);
+    for index in &faulty {
+        inject(&bench, vms, *index, kind);
         sleep(Duration::from_millis(rng.random_range(0..300))).await;
     }
     let mut longest = (Duration::ZERO, 0);
@@ -86,7 +80,7 @@
         while written.elapsed() < Duration::from_secs(5) {
             sleep(STEP).await;
             let versions = bench.versions();
-            let mut late = (0..versions.len()).filter(|index| !disturbed.contains(index) && versions[*index] < version);
+            let mut late = (0..versions.len()).filter(|index| !faulty.contains(index) && versions[*index] < version);
             let Some(last) = late.next_back() else { break };
             longest = longest.max((written.elapsed(), last));
         }
@@ -96,9 +90,9 @@
 
 /// Guards against a VM that waits for others to tell it of a configuration which they do not learn.
 #[tokio::test(start_paused = true)]
-async fn vms_in_contact_apply_a_configuration_in_time_while_others_are_disturbed() {
+async fn vms_in_contact_apply_a_configuration_in_time_while_others_are_faulty() {
     let mut late = Vec::new();
-    for kind in KINDS {
+    for kind in FAULTS {
         for readers_only in [true, false] {
             for seed in 1..=4 {
                 let (longest, vm) = longest_use(9, kind, readers_only, seed).await;
